--- /dev/null
+++ b/src/agent/overseer.cpp
@@ -0,0 +1,401 @@
+#include "agent/overseer.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "election/elector.hpp"
+
+namespace flintdale::agent {
+
+using namespace std::chrono_literals;
+using wire::Cause;
+using wire::Order;
+using wire::Shape;
+using wire::TaskStatus;
+using wire::Verb;
+using State = Task::State;
+
+namespace {
+constexpr std::size_t max_orders = 300;  // of some 100 bytes each: well within a line's limit
+constexpr std::size_t max_txn_bytes = 44 * 1024;
+constexpr unsigned suspect_jobs = 2;  // that failed on a machine and not everywhere
+
+TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
+}  // namespace
+
+Overseer::Overseer(const config::Settings& settings, const config::Tunables& tunables, std::uint64_t term,
+                   std::uint64_t term_stamp, TimePoint now)
+    : settings_(settings),
+      tunables_(tunables),
+      rules_{tunables.memory_margin, tunables.groups},
+      term_(term),
+      term_stamp_(term_stamp),
+      since_(now) {}
+
+// --- jobs ---
+
+Job* Overseer::find(const std::string& uid) {
+    const auto it = jobs_.find(uid);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+const Job* Overseer::job(const std::string& uid) const {
+    const auto it = jobs_.find(uid);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+Job& Overseer::create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before) {
+    auto job = std::make_unique<Job>();
+    job->stamp = stamp;
+    job->tasks.resize(spec.tasks);
+    job->chunks.resize((spec.tasks + chunk_tasks - 1) / chunk_tasks);
+    job->arrived = now;
+    const auto window = wire::to_clock(tunables_.window);
+    job->window = spec.accepted_ms / std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(window).count());
+    // A window that a former leader opened has closed by now.
+    job->eligible_at = known_before ? now : TimePoint((now.time_since_epoch() / window + 1) * window);
+    job->spec = std::move(spec);
+    auto& ref = *job;
+    jobs_[ref.spec.uid] = std::move(job);
+    return ref;
+}
+
+void Overseer::load(const std::vector<state::Item>& work, TimePoint now) {
+    std::set<std::string> added;
+    for (const auto& item : work) {
+        std::string uid;
+        std::uint32_t chunk = 0;
+        if (!parse_work_key(item.key, uid, chunk) || chunk || jobs_.contains(uid)) continue;
+        try {
+            const auto& o = item.value.as_object();
+            auto spec = wire::spec_from_record(o.at("spec").as_object());
+            auto stamp = o.at("job").to_number<std::uint64_t>();
+            create(std::move(spec), stamp ? stamp : item.stamp, now, true);
+            added.insert(uid);
+        } catch (const std::exception& e) {
+            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+        }
+    }
+    for (const auto& item : work) {
+        std::string uid;
+        std::uint32_t chunk = 0;
+        if (!parse_work_key(item.key, uid, chunk)) continue;
+        auto* job = find(uid);
+        if (!job) {
+            // The job is over, and its last leader ended before it had removed every record.
+            if (chunk) orphans_.emplace_back(item.key, item.stamp);
+            continue;
+        }
+        if (!added.contains(uid) || chunk >= job->chunks.size()) continue;
+        job->chunks[chunk].stamp = item.stamp;
+        try {
+            for (const auto& r : wire::ranges_from_record(item.value.as_object().at("tasks").as_array()))
+                for (auto i = r.from; i <= r.to && i < job->spec.tasks; ++i) {
+                    auto& t = job->tasks[i];
+                    t.attempt = r.attempt;
+                    if (r.done) {
+                        t.state = State::done;
+                        ++job->done;
+                    } else if (!r.machine.empty()) {
+                        auto& m = ledger_.add(r.machine, "", "", false, now);
+                        set_placed(*job, i, m, r.attempt);
+                        t.sent = true;  // by the leader that wrote the record, for all this one knows
+                    }
+                }
+        } catch (const std::exception& e) {
+            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+        }
+    }
+    for (const auto& uid : added) {
+        auto& job = *find(uid);
+        // Attempts never fall, so a task with an attempt was placed once.
+        job.fresh = 0;
+        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+            const auto& t = job.tasks[i];
+            if (t.state != State::waiting || t.attempt) job.fresh = i + 1;
+            job.gang_attempt = std::max(job.gang_attempt, t.attempt);
+        }
+        for (std::uint32_t i = 0; i < job.fresh; ++i)
+            if (job.tasks[i].state == State::waiting) job.again.push_back(i);
+        if (job.done == job.spec.tasks) mark_dirty(uid);
+        counts_changed_.insert(uid);
+    }
+}
+
+void Overseer::job_changed(const state::Item& item, TimePoint now) {
+    if (!item.stamp || !item.value.is_object()) return;
+    try {
+        const auto& o = item.value.get_object();
+        const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
+        const auto uid = item.key.substr(item.key.find('/') + 1);
+        auto* job = find(uid);
+        if (state == wire::JobState::open) {
+            if (job) return;
+            auto spec = wire::spec_from_record(o.at("spec").as_object());
+            auto& created = create(std::move(spec), item.stamp, now, false);
+            // Both records were made in one transaction and have its revision.
+            created.chunks[0].stamp = item.stamp;
+            counts_changed_.insert(uid);
+        } else if (job && item.stamp > job->stamp) {
+            if (state == wire::JobState::cancelled) {
+                cancel(*job, item.stamp, now);
+            } else {
+                job->stamp = item.stamp;
+                job->finished = true;
+                mark_dirty(uid);
+            }
+        }
+    } catch (const std::exception& e) {
+        spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+    }
+}
+
+void Overseer::cancel(Job& job, std::uint64_t stamp, TimePoint now) {
+    if (job.cancelled) return;
+    spdlog::info("event=job_cancelled job={} placed={}", job.spec.uid, job.placed);
+    job.cancelled = true;
+    job.cancelled_at = now;
+    job.stamp = stamp;
+    for (std::uint32_t i = 0; i < job.spec.tasks && job.placed; ++i)
+        // What no `run` was sent for is nowhere; the rest must be seen to go.
+        if (auto& t = job.tasks[i]; t.state == State::placed && !t.sent) leave(job, i, State::waiting, now);
+    mark_dirty(job.spec.uid);
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> Overseer::open_jobs() const {
+    std::vector<std::pair<std::string, std::uint64_t>> out;
+    for (const auto& [uid, job] : jobs_)
+        if (!job->cancelled && !job->finished) out.emplace_back(job_key(uid), job->stamp);
+    return out;
+}
+
+std::optional<JobCount> Overseer::count(const std::string& uid) const {
+    const auto* j = job(uid);
+    if (!j) return std::nullopt;
+    return JobCount{j->done, j->running};
+}
+
+std::vector<std::pair<std::string, JobCount>> Overseer::take_counts() {
+    std::vector<std::pair<std::string, JobCount>> out;
+    for (const auto& uid : counts_changed_)
+        if (auto c = count(uid)) out.emplace_back(uid, *c);
+    counts_changed_.clear();
+    return out;
+}
+
+// --- tasks ---
+
+void Overseer::mark_dirty(const std::string& uid) {
+    if (dirty_set_.insert(uid).second) dirty_.push_back(uid);
+}
+
+void Overseer::touch(Job& job, std::uint32_t task) {
+    job.tasks[task].generation = ++job.generation;
+    job.chunks[job.chunk_of(task)].changed = job.generation;
+    counts_changed_.insert(job.spec.uid);
+    mark_dirty(job.spec.uid);
+}
+
+void Overseer::set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt) {
+    auto& t = job.tasks[task];
+    t.state = State::placed;
+    t.machine = &m;
+    t.attempt = attempt;
+    t.sent = t.seen = t.started = t.draining = false;
+    ++job.placed;
+    ledger_.assign(m, {job.spec.uid, task}, job.spec.need);
+    auto& use = team_use_[job.spec.team];
+    placement::give(use, job.spec.need);
+}
+
+void Overseer::leave(Job& job, std::uint32_t task, State next, TimePoint now) {
+    auto& t = job.tasks[task];
+    if (t.state == State::placed) {
+        ledger_.unassign(*t.machine, {job.spec.uid, task}, job.spec.need, now);
+        placement::take(team_use_[job.spec.team], job.spec.need);
+        --job.placed;
+        if (t.started) --job.running;
+    }
+    t.machine = nullptr;
+    t.sent = t.seen = t.started = t.draining = false;
+    t.state = next;
+    if (next == State::waiting) job.again.push_back(task);
+    touch(job, task);
+}
+
+void Overseer::lost(Job& job, std::uint32_t task, TimePoint now) {
+    spdlog::debug("event=task_lost task={}/{} attempt={} machine={}", job.spec.uid, task, job.tasks[task].attempt,
+                  job.tasks[task].machine ? job.tasks[task].machine->name : "");
+    // Members of a running gang notice and exit; before the start a replacement can complete the gang.
+    if (job.is(Shape::gang) && job.gang_started) job.gang_failing = true;
+    leave(job, task, State::waiting, now);
+}
+
+void Overseer::all_lost(Machine& m, bool only_sent, TimePoint now) {
+    const auto tasks = m.tasks;
+    for (const auto& [uid, i] : tasks)
+        if (auto* job = find(uid); job && (!only_sent || job->tasks[i].sent)) lost(*job, i, now);
+}
+
+void Overseer::task_done(Job& job, std::uint32_t task, TimePoint now) {
+    if (job.tasks[task].state == State::done) return;
+    std::erase(job.again, task);
+    leave(job, task, State::done, now);
+    ++job.done;
+}
+
+void Overseer::exited(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, TimePoint now) {
+    spdlog::debug("event=task_exited task={}/{} attempt={} machine={} cause={}", job.spec.uid, task, r.attempt, m.name,
+                  static_cast<int>(r.cause));
+    if (r.cause == Cause::done) {
+        m.failed_jobs.clear();
+        if (job.is(Shape::gang)) {
+            // A gang completes as one: whichever member says so first speaks for all.
+            for (std::uint32_t i = 0; i < job.spec.tasks; ++i) task_done(job, i, now);
+        } else {
+            task_done(job, task, now);
+        }
+        return;
+    }
+    if (r.cause == Cause::error) {
+        job.failed_on.insert(m.name);
+        ++job.errors;
+        // A job that fails wherever it goes says nothing about machines; it waits ever longer instead.
+        if (job.failed_on.size() <= 2) m.failed_jobs.insert(job.spec.uid);
+        if (m.failed_jobs.size() >= suspect_jobs) {
+            if (!m.suspect) spdlog::info("event=machine_set_aside machine={} type={}", m.name, m.type);
+            m.suspect = true;
+        }
+        if (job.failed_on.size() >= 2) job.eligible_at = now + std::chrono::seconds(1 << std::min(job.errors, 6u));
+    } else if (r.cause == Cause::unknown || r.cause == Cause::no_room || r.cause == Cause::busy) {
+        job.eligible_at = std::max(job.eligible_at, now + 2s);
+    }
+    if (job.is(Shape::gang)) job.gang_failing = true;
+    leave(job, task, State::waiting, now);
+}
+
+// --- reports ---
+
+void Overseer::held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<Order>& orders,
+                    TimePoint now) {
+    auto& t = job.tasks[task];
+    t.seen = t.sent = true;
+    if (r.status != TaskStatus::fetching) {
+        const auto* type = ledger_.type(m.type);
+        m.used_image(job.spec.image, job.spec.image_gb, type ? type->cache_gb : 0);
+        const bool runs = r.status == TaskStatus::running || r.status == TaskStatus::saving;
+        if (runs && !t.started) {
+            t.started = true;
+            t.running_since = now;
+            ++job.running;
+            counts_changed_.insert(job.spec.uid);
+        }
+        if (runs) job.gang_started = true;
+    }
+    Order kill{Verb::kill, r.id, r.attempt, Seconds(0)};
+    if (job.cancelled || (job.is(Shape::gang) && job.gang_failing)) {
+        orders.push_back(kill);
+    } else if (t.draining && r.status != TaskStatus::saving) {
+        kill.grace = job.spec.save + 1s;
+        orders.push_back(kill);
+    }
+}
+
+void Overseer::absent(Job& job, std::uint32_t task, Machine& m, std::vector<Order>& orders, TimePoint now) {
+    auto& t = job.tasks[task];
+    if (t.seen) {
+        lost(job, task, now);
+    } else if (job.cancelled || t.draining || job.finished || (job.is(Shape::gang) && job.gang_failing)) {
+        // Either no `run` was sent, or this report is newer than the answer that carried it.
+        leave(job, task, State::waiting, now);
+    } else if (job.durable(task) && !m.releasing && orders.size() < max_orders) {
+        // The intent is on record, so a leader after this one knows where to look for the task.
+        t.sent = true;
+        orders.push_back({Verb::run, {job.spec.uid, task}, t.attempt, Seconds(0)});
+    }
+}
+
+std::optional<std::vector<Order>> Overseer::report(const wire::WorkerReport& r, TimePoint now) {
+    if (ledger_.gone(r.machine)) return std::nullopt;
+    auto& m = ledger_.add(r.machine, r.type, r.zone, r.spot, now);
+    if (m.reported && std::pair(r.tenure, r.tick) <= std::pair(m.tenure, m.tick)) return std::nullopt;
+    if (!m.reported) spdlog::debug("event=machine_up machine={} type={} zone={} spot={}", r.machine, r.type, r.zone, r.spot);
+    if (m.reported && r.tenure > m.tenure) {
+        spdlog::info("event=worker_lease_lost machine={} tasks={}", m.name, m.tasks.size());
+        all_lost(m, true, now);
+    }
+    if (!m.reported) m.idle_since = now;
+    m.reported = true;
+    m.addr = r.addr;
+    m.tenure = r.tenure;
+    m.tick = r.tick;
+    m.last_report = now;
+    m.current = r.token == term_;
+    m.reported_tasks = r.tasks.size();
+    if (r.notice) {
+        if (!m.taken_at) spdlog::info("event=spot_notice machine={} seconds={}", m.name, r.notice->count());
+        m.taken_at = after(now, *r.notice);
+    }
+
+    std::vector<Order> orders;
+    std::set<TaskKey> reported;
+    for (const auto& t : r.tasks) {
+        auto* job = find(t.id.uid);
+        const bool ended = t.status == TaskStatus::exited;
+        if (!job || t.id.index >= job->spec.tasks) {
+            // Records go only when a job is over, so nothing of it is wanted any more.
+            if (orders.size() < max_orders)
+                orders.push_back({ended ? Verb::clear : Verb::kill, t.id, t.attempt, Seconds(0)});
+            continue;
+        }
+        auto& task = job->tasks[t.id.index];
+        const bool ours = task.state == State::placed && task.machine == &m && task.attempt == t.attempt;
+        if (ours) {
+            reported.insert({t.id.uid, t.id.index});
+            if (!ended)
+                held(*job, t.id.index, m, t, orders, now);
+            else
+                exited(*job, t.id.index, m, t, now);
+            continue;
+        }
+        if (ended && t.cause == Cause::done && task.state == State::waiting && !job->cancelled)
+            task_done(*job, t.id.index, now);
+        if (orders.size() >= max_orders) continue;
+        // The worker may forget how a task ended only once the record says so.
+        if (!ended)
+            orders.push_back({Verb::kill, t.id, t.attempt, Seconds(0)});
+        else if (job->durable(t.id.index))
+            orders.push_back({Verb::clear, t.id, t.attempt, Seconds(0)});
+    }
+    if (m.taken_at) {
+        // Tasks that cannot end before the machine goes are stopped, so that they save what they can and start
+        // elsewhere; the others may as well finish.
+        for (const auto& [uid, i] : m.tasks) {
+            auto* job = find(uid);
+            if (!job || job->is(Shape::gang)) continue;
+            auto& t = job->tasks[i];
+            const Seconds left = *m.taken_at - now;
+            const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
+            const bool ends = job->is(Shape::array) && t.started && job->spec.estimate - ran < left * 0.8;
+            if (!ends) t.draining = true;
+        }
+    }
+    // Only a worker that has seen this term can no longer be reached by runs of an older one, and only then is
+    // what it lacks really not there.
+    if (m.current) {
+        const auto tasks = m.tasks;
+        for (const auto& key : tasks)
+            if (!reported.contains(key))
+                if (auto* job = find(key.first)) absent(*job, key.second, m, orders, now);
+    }
+    return orders;
+}
+
+std::size_t Overseer::machines_up(TimePoint now) const {
+    std::size_t n = 0;
+    for (const auto& [name, m] : ledger_.all()) n += usable(*m, now);
+    return n;
+}
+
+}  // namespace flintdale::agent
--- /dev/null
+++ b/src/agent/overseer.hpp
@@ -0,0 +1,112 @@
+// The leader's mind for one term: the jobs, the machines, and what should happen next. It owns that state, does
+// no I/O and reads no clock; the loops in app/ carry messages between it and the world.
+#pragma once
+#include <unordered_map>
+
+#include "agent/job.hpp"
+#include "config/settings.hpp"
+#include "state/store.hpp"
+
+namespace flintdale::agent {
+
+struct Batch {
+    struct Part {
+        std::string uid;
+        std::uint32_t chunk = 0, generation = 0;
+        enum class Kind : std::uint8_t { write, finish, remove } kind = Kind::write;
+    };
+    state::Txn txn;
+    std::vector<Part> parts;
+    std::vector<std::string> keys;  // all whose stamps the batch depends on, the term's aside
+    bool empty() const { return txn.changes.empty(); }
+};
+
+struct JobCount {
+    std::uint32_t done = 0, running = 0;
+};
+
+class Overseer {
+  public:
+    Overseer(const config::Settings& settings, const config::Tunables& tunables, std::uint64_t term,
+             std::uint64_t term_stamp, TimePoint now);
+
+    // --- What others tell it ---
+    // All records of open work, read after the term was won. May come again; jobs already known are left alone.
+    void load(const std::vector<state::Item>& work, TimePoint now);
+    // A change of a job's own key.
+    void job_changed(const state::Item& item, TimePoint now);
+    // A report, and the orders that answer it; nothing if it is older than what is known or must not be answered.
+    std::optional<std::vector<wire::Order>> report(const wire::WorkerReport& r, TimePoint now);
+    void catalog(std::vector<wire::MachineType> types);
+    void listed(const std::vector<wire::ListedMachine>& machines, TimePoint now);
+    void rented(const fleet::Pool& pool, const std::vector<std::string>& machines, TimePoint now);
+    void rent_refused(const fleet::Pool& pool, TimePoint now) { ledger_.refused(pool, now); }
+    void released(const std::vector<std::string>& machines, TimePoint now);
+
+    // --- What it wants done ---
+    // Places what waits; true if anything was placed.
+    bool place(TimePoint now);
+    std::vector<fleet::Order> rent(TimePoint now);
+    std::vector<std::string> release(TimePoint now);
+
+    Batch next_batch();
+    void committed(const Batch& batch, std::uint64_t revision, TimePoint now);
+    // The batch failed or its fate is unknown, and its keys were read again.
+    void reread(const state::Item& item, TimePoint now);
+    void retry(const Batch& batch);
+    bool dirty() const { return !dirty_.empty(); }
+
+    std::vector<std::pair<std::string, std::uint64_t>> open_jobs() const;  // with the stamps of their own keys
+    bool knows(const std::string& uid) const { return jobs_.contains(uid); }
+    std::optional<JobCount> count(const std::string& uid) const;
+    std::vector<std::pair<std::string, JobCount>> take_counts();
+    std::uint64_t term() const { return term_; }
+    fleet::Ledger& ledger() { return ledger_; }
+    const Job* job(const std::string& uid) const;
+    std::size_t machines_up(TimePoint now) const;
+
+  private:
+    Job* find(const std::string& uid);
+    Job& create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before);
+    void cancel(Job& job, std::uint64_t stamp, TimePoint now);
+    void touch(Job& job, std::uint32_t task);
+    void mark_dirty(const std::string& uid);
+    void set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt);
+    void leave(Job& job, std::uint32_t task, Task::State next, TimePoint now);
+    // The task is gone from its machine, by evidence, without having completed.
+    void lost(Job& job, std::uint32_t task, TimePoint now);
+    void all_lost(Machine& m, bool only_sent, TimePoint now);
+    void task_done(Job& job, std::uint32_t task, TimePoint now);
+    void exited(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, TimePoint now);
+    void held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<wire::Order>& orders,
+              TimePoint now);
+    void absent(Job& job, std::uint32_t task, Machine& m, std::vector<wire::Order>& orders, TimePoint now);
+    bool usable(const Machine& m, TimePoint now) const;
+    placement::JobHosts hosts_of(const Job& job, TimePoint now) const;
+    std::vector<Job*> queue(TimePoint now, bool eligible_only);
+    placement::Planner planner(TimePoint now) const;
+    std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
+    bool may_start(Job& job, TimePoint now) const;
+    void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
+    void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
+    std::uint32_t take_waiting(Job& job);
+    std::uint32_t wanted_now(const Job& job) const;
+    Seconds target_of(const JobSpec& spec) const;
+    std::optional<fleet::Pool> cheapest(const Job& job, const placement::JobHosts& hosts, std::uint32_t count,
+                                        const std::map<fleet::Pool, int>& ordered, TimePoint now) const;
+
+    const config::Settings& settings_;
+    const config::Tunables& tunables_;
+    placement::Rules rules_;
+    std::uint64_t term_, term_stamp_;
+    TimePoint since_;
+    fleet::Ledger ledger_;
+    std::map<std::string, std::unique_ptr<Job>> jobs_;
+    std::deque<std::string> dirty_;
+    std::set<std::string> dirty_set_;
+    std::vector<std::pair<std::string, std::uint64_t>> orphans_;  // keys of jobs that are over
+    std::map<std::string, placement::Resources> team_use_;
+    std::set<std::string> counts_changed_;
+};
+
+}  // namespace flintdale::agent
--- /dev/null
+++ b/src/agent/overseer_plan.cpp
@@ -0,0 +1,463 @@
+// The deciding half of the overseer: what to place, rent, return and write.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "agent/overseer.hpp"
+#include "election/elector.hpp"
+
+namespace flintdale::agent {
+
+using namespace std::chrono_literals;
+using placement::Host;
+using placement::JobHosts;
+using placement::Planner;
+using wire::Rank;
+using wire::Shape;
+using State = Task::State;
+
+namespace {
+constexpr std::size_t max_txn_bytes = 44 * 1024;
+constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a tick
+constexpr int max_rent = 50;                      // per request, by the cloud's rules
+constexpr std::size_t max_release = 100;
+constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
+
+TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
+}  // namespace
+
+bool Overseer::usable(const Machine& m, TimePoint now) const {
+    return m.reported && !m.releasing && !m.suspect && !m.taken_at && !m.listed_failed &&
+           now - m.last_report < wire::to_clock(settings_.report * quiet_reports);
+}
+
+JobHosts Overseer::hosts_of(const Job& job, TimePoint now) const {
+    JobHosts out;
+    if (job.placed)
+        for (const auto& t : job.tasks)
+            if (t.state == State::placed) {
+                ++out.per_zone[t.machine->zone];
+                out.own.insert(t.machine->name);
+                // The replacement of a gang's task must not meet its own earlier exit.
+                if (job.is(Shape::gang)) out.excluded.insert(t.machine->name);
+            }
+    // Once every machine in use has failed the job, the machines are not to blame.
+    if (job.failed_on.size() <= 2) out.excluded.insert(job.failed_on.begin(), job.failed_on.end());
+    (void)now;
+    return out;
+}
+
+bool Overseer::may_start(Job& job, TimePoint now) const {
+    return !job.cancelled && !job.finished && job.waiting() > 0 && now >= job.eligible_at;
+}
+
+std::vector<Job*> Overseer::queue(TimePoint now, bool eligible_only) {
+    std::vector<std::pair<placement::Waiting, Job*>> waiting;
+    for (auto& [uid, job] : jobs_) {
+        if (job->cancelled || job->finished || job->waiting() == 0) continue;
+        if (eligible_only && now < job->eligible_at) continue;
+        placement::Waiting w;
+        w.rank = job->spec.rank;
+        w.window = job->window;
+        w.length = job->spec.estimate * job->waiting();
+        w.waited = now - job->arrived;
+        w.uid = uid;
+        waiting.emplace_back(std::move(w), job.get());
+    }
+    std::sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
+        return placement::before(a.first, b.first, tunables_.ageing);
+    });
+    std::vector<Job*> out;
+    for (auto& [w, job] : waiting) out.push_back(job);
+    return out;
+}
+
+Planner Overseer::planner(TimePoint now) const {
+    std::vector<Host> hosts;
+    for (const auto& [name, m] : ledger_.all())
+        if (usable(*m, now)) hosts.push_back(m->host());
+    return Planner(std::move(hosts), rules_);
+}
+
+// How many of so many tasks the team's limit leaves room for. All tasks that may be on a machine count.
+std::uint32_t Overseer::within_limit(const Job& job, std::uint32_t tasks) const {
+    const auto* team = settings_.team(job.spec.team);
+    if (!team) return 0;
+    const auto it = team_use_.find(job.spec.team);
+    const placement::Resources use = it == team_use_.end() ? placement::Resources{} : it->second;
+    const auto room = [&](double limit, double used, double need) {
+        if (limit <= 0 || need <= 0) return tasks;
+        return static_cast<std::uint32_t>(std::clamp(std::floor((limit - used) / need + 1e-9), 0.0, double(tasks)));
+    };
+    return std::min(room(team->cpus_limit, use.cpus, job.spec.need.cpus),
+                    room(team->gpus_limit, use.gpus, job.spec.need.gpus));
+}
+
+std::uint32_t Overseer::take_waiting(Job& job) {
+    while (!job.again.empty()) {
+        const auto i = job.again.front();
+        job.again.pop_front();
+        if (job.tasks[i].state == State::waiting) return i;
+    }
+    while (job.tasks[job.fresh].state != State::waiting) ++job.fresh;
+    return job.fresh++;
+}
+
+void Overseer::place_gang(Job& job, Planner& plan, TimePoint now, bool& any) {
+    if (job.placed > 0) {
+        // Tasks of an attempt that is ending must all be gone before the next one starts. Until an attempt has
+        // started, tasks that it lost are replaced under its own number.
+        if (job.gang_failing || job.gang_started) return;
+        auto hosts = hosts_of(job, now);
+        const auto missing = job.waiting();
+        if (within_limit(job, missing) < missing) return;
+        for (std::uint32_t k = 0; k < missing; ++k) {
+            const auto at = plan.place(job.spec, hosts);
+            if (at == Planner::none) return;
+            const auto i = take_waiting(job);
+            set_placed(job, i, *ledger_.find(plan.host(at).name), job.gang_attempt);
+            touch(job, i);
+            any = true;
+        }
+        return;
+    }
+    if (within_limit(job, job.spec.tasks) < job.spec.tasks) return;
+    auto hosts = hosts_of(job, now);
+    const auto places = plan.place_together(job.spec, hosts, job.spec.tasks);
+    if (places.empty()) return;
+    ++job.gang_attempt;
+    job.gang_started = job.gang_failing = false;
+    job.again.clear();
+    job.fresh = job.spec.tasks;
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+        set_placed(job, i, *ledger_.find(plan.host(places[i]).name), job.gang_attempt);
+        touch(job, i);
+    }
+    any = true;
+}
+
+void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
+    auto hosts = hosts_of(job, now);
+    const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
+    for (std::uint32_t k = 0; k < most; ++k) {
+        const auto at = plan.place(job.spec, hosts);
+        if (at == Planner::none) return;  // its tasks are all alike
+        const auto i = take_waiting(job);
+        set_placed(job, i, *ledger_.find(plan.host(at).name), job.tasks[i].attempt + 1);
+        touch(job, i);
+        any = true;
+    }
+}
+
+bool Overseer::place(TimePoint now) {
+    // A new leader hears one round of reports first: until then it does not know the load.
+    if (now < after(since_, settings_.report * 1.25 + 500ms)) return false;
+    bool any = false;
+    auto plan = planner(now);
+    for (auto* job : queue(now, true)) {
+        if (job->is(Shape::gang))
+            place_gang(*job, plan, now, any);
+        else
+            place_each(*job, plan, now, any);
+    }
+    return any;
+}
+
+// --- renting ---
+
+Seconds Overseer::target_of(const wire::JobSpec& spec) const {
+    Seconds best{0};
+    for (const auto& o : settings_.objectives)
+        if (o.kind == "finished" && o.job_class == spec.job_class && o.within.count() > 0 &&
+            (best.count() == 0 || o.within < best))
+            best = o.within;
+    if (spec.deadline && (best.count() == 0 || *spec.deadline < best)) best = *spec.deadline;
+    return best.count() > 0 ? best : spec.estimate * 4;
+}
+
+// Tasks of an array follow one another on a machine; only what does not fit into its time needs room at once.
+std::uint32_t Overseer::wanted_now(const Job& job) const {
+    const auto waiting = std::min(job.waiting(), max_planned_tasks);
+    if (!job.is(Shape::array) || job.spec.estimate.count() <= 0) return waiting;
+    const auto span = std::max(target_of(job.spec) * tunables_.horizon, job.spec.estimate);
+    const double rounds = std::max(1.0, std::floor(span / job.spec.estimate));
+    const auto total = static_cast<std::uint32_t>(std::ceil((job.waiting() + job.placed) / rounds));
+    return std::min(waiting, total > job.placed ? total - job.placed : 0);
+}
+
+std::optional<fleet::Pool> Overseer::cheapest(const Job& job, const JobHosts& hosts, std::uint32_t count,
+                                              const std::map<fleet::Pool, int>& ordered, TimePoint now) const {
+    std::optional<fleet::Pool> best;
+    std::pair<double, double> best_cost{};
+    for (const auto& type : ledger_.types()) {
+        if (!placement::fits(job.spec.need, type.capacity)) continue;
+        const auto ratio = [](double have, double need) { return need > 0 ? std::floor(have / need + 1e-9) : 1e9; };
+        const double each = std::min({ratio(type.capacity.cpus, job.spec.need.cpus),
+                                      ratio(type.capacity.gpus, job.spec.need.gpus),
+                                      ratio(type.capacity.memory_gb, job.spec.need.memory_gb), double(count)});
+        for (const auto& zone : type.zones)
+            for (const bool spot : {true, false}) {
+                if (!placement::allowed(job.spec, rules_, type.name, zone, spot)) continue;
+                fleet::Pool pool{type.name, zone, spot};
+                if (!ledger_.open(pool, now)) continue;
+                if (job.spec.one_zone && std::any_of(hosts.per_zone.begin(), hosts.per_zone.end(),
+                                                     [&](const auto& z) { return z.second > 0 && z.first != zone; }))
+                    continue;
+                if (job.spec.spread)
+                    if (const auto z = hosts.per_zone.find(zone);
+                        z != hosts.per_zone.end() && z->second >= (job.spec.tasks + 1) / 2)
+                        continue;
+                // Between equals, the zone with the fewest machines: the loss of one zone then costs least.
+                double there = 0;
+                for (const auto& [name, m] : ledger_.all()) there += m->zone == zone;
+                for (const auto& [p, n] : ordered) there += p.zone == zone ? n : 0;
+                const std::pair cost{(spot ? type.spot_price : type.price) / std::max(1.0, each), there};
+                if (!best || cost < best_cost) {
+                    best = pool;
+                    best_cost = cost;
+                }
+            }
+    }
+    return best;
+}
+
+std::vector<fleet::Order> Overseer::rent(TimePoint now) {
+    if (now < after(since_, settings_.report * 1.25 + 500ms)) return {};
+    auto plan = planner(now);
+    for (const auto& [name, m] : ledger_.all())
+        if (!m->reported && !m->releasing && m->capacity.cpus > 0 && m->tasks.empty()) plan.add(m->host());
+    std::map<fleet::Pool, int> ordered;
+    int serial = 0;
+    const auto add_machine = [&](const fleet::Pool& pool) {
+        const auto* type = ledger_.type(pool.type);
+        Host h{"+" + std::to_string(serial++), pool.type, pool.zone, pool.spot, type->capacity, type->capacity, 0, {}};
+        ++ordered[pool];
+        plan.add(std::move(h));
+    };
+    for (auto* job : queue(now, false)) {
+        auto hosts = hosts_of(*job, now);
+        if (job->is(Shape::gang) && job->placed == 0) {
+            if (within_limit(*job, job->spec.tasks) < job->spec.tasks) continue;
+            if (!plan.place_together(job->spec, hosts, job->spec.tasks).empty()) continue;
+            // All in one zone if it asks for that, with as many machines as it takes.
+            auto zone_hosts = hosts;
+            const auto first = cheapest(*job, hosts, job->spec.tasks, ordered, now);
+            if (!first) continue;
+            if (job->spec.one_zone) zone_hosts.per_zone[first->zone] = 1;
+            for (std::uint32_t k = 0; k < job->spec.tasks; ++k) {
+                auto trial = hosts;
+                const auto pool = cheapest(*job, zone_hosts, job->spec.tasks - k, ordered, now);
+                if (!pool) break;
+                add_machine(*pool);
+                if (!plan.place_together(job->spec, trial, job->spec.tasks).empty()) break;
+            }
+            continue;
+        }
+        if (job->is(Shape::gang) && (job->gang_started || job->gang_failing)) continue;
+        const auto count = within_limit(*job, wanted_now(*job));
+        for (std::uint32_t k = 0; k < count; ++k) {
+            if (plan.place(job->spec, hosts) != Planner::none) continue;
+            const auto pool = cheapest(*job, hosts, count - k, ordered, now);
+            if (!pool) break;
+            add_machine(*pool);
+            if (plan.place(job->spec, hosts) == Planner::none) break;
+        }
+    }
+    std::vector<fleet::Order> out;
+    for (const auto& [pool, n] : ordered) out.push_back({pool, std::min(n, max_rent)});
+    return out;
+}
+
+void Overseer::rented(const fleet::Pool& pool, const std::vector<std::string>& machines, TimePoint now) {
+    ledger_.granted(pool);
+    for (const auto& name : machines)
+        if (!ledger_.gone(name)) ledger_.add(name, pool.type, pool.zone, pool.spot, now);
+}
+
+void Overseer::catalog(std::vector<wire::MachineType> types) { ledger_.set_types(std::move(types)); }
+
+void Overseer::listed(const std::vector<wire::ListedMachine>& machines, TimePoint now) {
+    for (const auto& l : machines) {
+        // The list lags: what it still shows may be gone already, and then it must not come back.
+        if (ledger_.gone(l.name)) continue;
+        const bool fresh = !ledger_.find(l.name);
+        auto& m = ledger_.add(l.name, l.type, l.zone, l.spot, now);
+        if (fresh) m.known_since = now - wire::to_clock(l.age);
+        m.listed_failed = l.status == wire::MachineStatus::failed;
+    }
+}
+
+std::vector<std::string> Overseer::release(TimePoint now) {
+    // Many machines silent at once more likely means that this controller is cut off than that all have died.
+    std::map<bool, std::pair<int, int>> silent;  // by spot: silent, all
+    for (const auto& [name, m] : ledger_.all()) {
+        if (m->releasing || (!m->reported && m->tasks.empty())) continue;
+        auto& [quiet, total] = silent[m->spot];
+        ++total;
+        quiet += now - m->last_report > wire::to_clock(settings_.report * quiet_reports);
+    }
+    std::vector<std::string> out;
+    for (auto& [name, m] : ledger_.all()) {
+        const char* why = nullptr;
+        const auto* type = ledger_.type(m->type);
+        const Seconds boot = type ? type->boot : Seconds(60);
+        const Seconds unheard = now - m->last_report;
+        if (m->releasing) {
+            why = "again";
+        } else if (m->listed_failed) {
+            why = "failed";
+        } else if (m->taken_at && now > after(*m->taken_at, Seconds(1)) && unheard > settings_.report * 1.5) {
+            why = "taken";
+        } else if (!m->reported && m->tasks.empty()) {
+            if (now - m->known_since > wire::to_clock(std::max(boot * tunables_.boot_patience, Seconds(30))) &&
+                now - since_ > wire::to_clock(settings_.report * 4))
+                why = "never_up";
+        } else {
+            const auto [quiet, total] = silent[m->spot];
+            const bool many = quiet > 2 && quiet * 3 > total;
+            auto patience = many ? settings_.lease + Seconds(5) : std::min(tunables_.silent, settings_.lease);
+            // Cancelled work must be gone in time, whatever else is out of reach.
+            for (const auto& [uid, i] : m->tasks)
+                if (const auto* j = job(uid); j && j->cancelled && unheard > settings_.report * 3 &&
+                                              now > after(j->cancelled_at, settings_.cancel * 0.5))
+                    patience = Seconds(0);
+            if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease))) why = "silent";
+            const Seconds idle = now - m->idle_since;
+            if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
+                (m->suspect || idle > boot * tunables_.idle_boots))
+                why = "idle";
+        }
+        if (!why) continue;
+        if (!m->releasing) spdlog::info("event=machine_release machine={} type={} spot={} tasks={} why={}", name, m->type, m->spot, m->tasks.size(), why);
+        m->releasing = true;
+        out.push_back(name);
+        if (out.size() >= max_release) break;
+    }
+    return out;
+}
+
+void Overseer::released(const std::vector<std::string>& machines, TimePoint now) {
+    for (const auto& name : machines) {
+        auto* m = ledger_.find(name);
+        if (!m) continue;
+        all_lost(*m, false, now);
+        ledger_.remove(name);
+    }
+}
+
+// --- records ---
+
+Batch Overseer::next_batch() {
+    Batch batch;
+    const std::size_t most = settings_.txn_ops;
+    batch.txn.conditions.push_back({election::term_key, term_stamp_});
+    std::size_t bytes = 0;
+    std::size_t looked = 0;
+    const auto count = dirty_.size();
+    while (looked++ < count && batch.txn.changes.size() < most && bytes < max_txn_bytes) {
+        const auto uid = dirty_.front();
+        dirty_.pop_front();
+        dirty_set_.erase(uid);
+        auto* job = find(uid);
+        if (!job) continue;
+        const bool complete = job->done == job->spec.tasks && !job->cancelled && !job->finished;
+        const bool over = job->finished || (job->cancelled && job->placed == 0);
+        bool left = false;
+        if (complete || over) {
+            if (complete) {
+                // Whoever comes first decides between done and cancelled: both are conditioned on this stamp.
+                if (batch.txn.changes.size() + 2 > most) {
+                    mark_dirty(uid);
+                    break;
+                }
+                batch.txn.conditions.push_back({job_key(uid), job->stamp});
+                batch.txn.changes.push_back({job_key(uid), job_record(job->spec, wire::JobState::done), 0});
+                batch.parts.push_back({uid, 0, job->generation, Batch::Part::Kind::finish});
+                batch.keys.push_back(job_key(uid));
+                bytes += 1024;
+            }
+            for (std::uint32_t c = 0; c < job->chunks.size(); ++c) {
+                if (!job->chunks[c].stamp) continue;
+                if (batch.txn.changes.size() >= most) {
+                    left = true;
+                    break;
+                }
+                batch.txn.conditions.push_back({work_key(uid, c), job->chunks[c].stamp});
+                batch.txn.changes.push_back({work_key(uid, c), std::nullopt, 0});
+                batch.parts.push_back({uid, c, job->generation, Batch::Part::Kind::remove});
+                batch.keys.push_back(work_key(uid, c));
+            }
+            if (!left && over && std::all_of(job->chunks.begin(), job->chunks.end(), [](const Chunk& c) { return c.stamp == 0; })) {
+                // Nothing of it is on record: forget it, and tell workers to clear what they still show.
+                jobs_.erase(uid);
+                continue;
+            }
+        } else if (!job->cancelled) {
+            for (std::uint32_t c = 0; c < job->chunks.size(); ++c) {
+                auto& chunk = job->chunks[c];
+                if (chunk.durable >= chunk.changed) continue;
+                if (batch.txn.changes.size() >= most || bytes >= max_txn_bytes) {
+                    left = true;
+                    break;
+                }
+                auto record = work_record(*job, c);
+                bytes += 600 + record["tasks"].as_array().size() * 32;
+                // No placement may be added once the job was cancelled.
+                if (batch.keys.empty() || batch.keys.back() != job_key(uid)) {
+                    batch.txn.conditions.push_back({job_key(uid), job->stamp});
+                    batch.keys.push_back(job_key(uid));
+                }
+                batch.txn.conditions.push_back({work_key(uid, c), chunk.stamp});
+                batch.txn.changes.push_back({work_key(uid, c), std::move(record), 0});
+                batch.parts.push_back({uid, c, chunk.changed, Batch::Part::Kind::write});
+                batch.keys.insert(batch.keys.end() - 1, work_key(uid, c));
+            }
+        }
+        if (left) mark_dirty(uid);
+    }
+    while (!orphans_.empty() && batch.txn.changes.size() < most) {
+        batch.txn.conditions.push_back({orphans_.back().first, orphans_.back().second});
+        batch.txn.changes.push_back({orphans_.back().first, std::nullopt, 0});
+        orphans_.pop_back();
+    }
+    return batch;
+}
+
+void Overseer::committed(const Batch& batch, std::uint64_t revision, TimePoint now) {
+    for (const auto& p : batch.parts) {
+        auto* job = find(p.uid);
+        if (!job) continue;
+        switch (p.kind) {
+            case Batch::Part::Kind::write:
+                job->chunks[p.chunk].stamp = revision;
+                job->chunks[p.chunk].durable = std::max(job->chunks[p.chunk].durable, p.generation);
+                break;
+            case Batch::Part::Kind::finish:
+                spdlog::info("event=job_done job={} class={} seconds={:.1f}", p.uid, job->spec.job_class, Seconds(now - job->arrived).count());
+                job->stamp = revision;
+                job->finished = true;
+                break;
+            case Batch::Part::Kind::remove:
+                job->chunks[p.chunk].stamp = 0;
+                break;
+        }
+        if (job->finished || job->cancelled) mark_dirty(p.uid);
+    }
+}
+
+void Overseer::reread(const state::Item& item, TimePoint now) {
+    std::string uid;
+    std::uint32_t chunk = 0;
+    if (parse_work_key(item.key, uid, chunk)) {
+        if (auto* job = find(uid); job && chunk < job->chunks.size()) job->chunks[chunk].stamp = item.stamp;
+        return;
+    }
+    job_changed(item, now);
+}
+
+void Overseer::retry(const Batch& batch) {
+    for (const auto& p : batch.parts) mark_dirty(p.uid);
+}
+
+}  // namespace flintdale::agent
--- /dev/null
+++ b/src/api/desk.cpp
@@ -0,0 +1,239 @@
+#include "api/desk.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "placement/planner.hpp"
+
+namespace flintdale::api {
+
+using state::Outcome;
+using state::Urgency;
+using wire::JobState;
+
+namespace {
+
+constexpr std::size_t max_known = 20'000;
+
+Reply reply(unsigned status, std::string body) {
+    Reply r;
+    r.status = status;
+    r.body = std::move(body);
+    return r;
+}
+
+Reply come_back(std::string_view why) {
+    auto r = reply(503, wire::error_body(why));
+    r.retry_after = 1;
+    return r;
+}
+
+}  // namespace
+
+Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, Links links)
+    : ex_(ex), store_(store), settings_(settings), links_(std::move(links)) {}
+
+// Why the job can never run, if it cannot.
+std::optional<std::string> Desk::never_runs(const wire::JobSpec& spec) const {
+    const auto* team = settings_.team(spec.team);
+    if (!team) return "owner: unknown team";
+    const double tasks = spec.shape == wire::Shape::array ? 1.0 : static_cast<double>(spec.tasks);
+    const auto over = [&](double limit, double need) { return limit > 0 && need * tasks > limit + 1e-9; };
+    if (over(team->cpus_limit, spec.need.cpus)) return "cores: more than the team's limit";
+    if (over(team->gpus_limit, spec.need.gpus)) return "accelerators: more than the team's limit";
+    const placement::Rules anything;
+    for (const auto& type : *links_.types()) {
+        if (!placement::fits(spec.need, type.capacity)) continue;
+        for (const auto& zone : type.zones)
+            if (placement::allowed(spec, anything, type.name, zone, false)) return std::nullopt;
+    }
+    return "hosttypes: a task fits no allowed machine type";
+}
+
+bool Desk::learn(const state::Item& item) {
+    const auto uid = item.key.substr(item.key.find('/') + 1);
+    if (!item.stamp) return false;
+    const auto& o = item.value.as_object();
+    Known k;
+    k.state = wire::job_state_from(std::string_view(o.at("state").as_string()));
+    k.stamp = item.stamp;
+    k.tasks = o.at("spec").as_object().at("shards").to_number<std::uint32_t>();
+    if (known_.size() >= max_known) known_.clear();  // a cache: what is missing is read again
+    auto& slot = known_[uid];
+    // Answers of the service may overtake one another on their way here; a job only ever moves forward.
+    if (k.stamp >= slot.stamp) slot = k;
+    return true;
+}
+
+awaitable<std::optional<bool>> Desk::look_up(const std::string& uid) {
+    auto got = co_await store_.get(agent::job_key(uid), Urgency::user);
+    if (got.outcome != Outcome::ok) co_return std::nullopt;
+    const bool exists = learn(got.item);
+    if (exists) links_.job_changed(got.item);
+    co_return exists;
+}
+
+Reply Desk::status_of(const std::string& uid, bool as_submission) const {
+    const auto it = known_.find(uid);
+    if (it == known_.end()) return reply(404, wire::error_body("no such job"));
+    const auto& k = it->second;
+    const auto count = k.state == JobState::open ? links_.count(uid) : DisplayCount{};
+    std::string_view status = "pending";
+    if (k.state == JobState::done)
+        status = "done";
+    else if (k.state == JobState::cancelled)
+        status = "aborted";
+    else if (count.running > 0)
+        status = "running";
+    if (as_submission) return reply(200, wire::submission_answer(uid, status));
+    return reply(200, wire::poll_answer(uid, status, k.state == JobState::done ? k.tasks : count.done, count.running));
+}
+
+awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
+    const auto exists = co_await look_up(uid);
+    if (!exists) co_return come_back("the state service cannot be reached");
+    co_return status_of(uid, as_submission);
+}
+
+awaitable<Reply> Desk::submit(std::string body) {
+    wire::JobSpec spec;
+    std::string uid, complaint;
+    try {
+        const auto o = wire::parse_object(body);
+        if (const auto* id = o.if_contains("uid"); id && id->is_string() && wire::valid_uid(std::string_view(id->get_string())))
+            uid = std::string(id->get_string());
+        spec = wire::parse_submission(o);
+    } catch (const wire::BadBody& e) {
+        complaint = e.what();
+    }
+    unsigned status = 400;
+    spec.accepted_ms = links_.time_of_day_ms();
+    if (complaint.empty() && boost::json::serialize(wire::spec_to_record(spec)).size() > settings_.value_bytes / 3)
+        complaint = "body: its names are too long to be kept";
+    if (complaint.empty() && links_.types())
+        if (auto why = never_runs(spec)) {
+            complaint = *why;
+            status = 422;
+        }
+    if (!complaint.empty()) {
+        if (uid.empty()) co_return reply(status, wire::error_body(complaint));
+        // A job once accepted stays accepted, whatever a repetition of its submission says.
+        const auto exists = co_await look_up(uid);
+        if (!exists) co_return come_back("the state service cannot be reached");
+        co_return *exists ? status_of(uid, true) : reply(status, wire::error_body(complaint));
+    }
+    if (known_.contains(uid)) co_return co_await current(uid, true);
+    if (!links_.types()) {
+        const auto exists = co_await look_up(uid);
+        if (exists && *exists) co_return status_of(uid, true);
+        co_return come_back("the machine types are not known yet");
+    }
+    const auto record = agent::job_record(spec, JobState::open);
+    state::Txn txn;
+    txn.conditions.push_back({agent::job_key(uid), 0});
+    txn.changes.push_back({agent::job_key(uid), record, 0});
+    txn.changes.push_back({agent::work_key(uid, 0), agent::first_work_record(spec), 0});
+    const auto result = co_await store_.commit(std::move(txn), Urgency::user);
+    if (result.outcome == Outcome::ok) {
+        state::Item item;
+        item.key = agent::job_key(uid);
+        item.value = record;
+        item.stamp = result.revision;
+        learn(item);
+        links_.job_changed(item);
+        spdlog::info("event=job_accepted job={} class={} tasks={}", uid, spec.job_class, spec.tasks);
+        co_return reply(201, wire::submission_answer(uid, "pending"));
+    }
+    if (result.outcome == Outcome::refused) co_return come_back("the state service refuses");
+    // Either it exists, or the answer was lost and it may exist.
+    const auto exists = co_await look_up(uid);
+    if (exists && *exists) co_return status_of(uid, true);
+    co_return come_back("the state service cannot be reached");
+}
+
+awaitable<Reply> Desk::poll(std::string uid) {
+    if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
+    if (const auto it = known_.find(uid); it != known_.end() && it->second.state != JobState::open)
+        co_return status_of(uid, false);  // final states never change
+    if (!co_await check_fresh(uid)) co_return come_back("the state service cannot be reached");
+    co_return status_of(uid, false);
+}
+
+// Whether what is known of the job is confirmed by the state service after this call began. Everyone who asks
+// while a check is under way shares the next one.
+awaitable<bool> Desk::check_fresh(const std::string& uid) {
+    auto waiter = std::make_shared<Waiter>(ex_);
+    waiter->uid = uid;
+    waiter->done.expires_at(std::chrono::steady_clock::time_point::max());
+    waiting_.push_back(waiter);
+    if (!checking_) {
+        checking_ = true;
+        net::asio::co_spawn(ex_, check_waiting(), net::asio::detached);
+    }
+    if (!waiter->answered) {
+        auto [ec] = co_await waiter->done.async_wait(net::quietly);
+        (void)ec;
+    }
+    co_return waiter->fresh;
+}
+
+awaitable<void> Desk::check_waiting() {
+    while (!waiting_.empty()) {
+        std::vector<std::shared_ptr<Waiter>> batch;
+        const std::size_t most = settings_.txn_ops * 4;
+        while (!waiting_.empty() && batch.size() < most) {
+            batch.push_back(std::move(waiting_.front()));
+            waiting_.pop_front();
+        }
+        state::Txn txn;
+        for (const auto& w : batch) {
+            const auto it = known_.find(w->uid);
+            txn.conditions.push_back({agent::job_key(w->uid), it == known_.end() ? 0 : it->second.stamp});
+        }
+        const auto result = co_await store_.commit(std::move(txn), Urgency::user);
+        for (const auto& w : batch) {
+            const bool failed = std::find(result.failed.begin(), result.failed.end(), agent::job_key(w->uid)) != result.failed.end();
+            if (result.outcome == Outcome::ok || (result.outcome == Outcome::conflict && !failed)) {
+                w->fresh = true;
+            } else if (result.outcome == Outcome::conflict) {
+                const auto exists = co_await look_up(w->uid);
+                w->fresh = exists.has_value();
+            }
+            w->answered = true;
+            w->done.cancel();
+        }
+    }
+    checking_ = false;
+}
+
+awaitable<Reply> Desk::cancel(std::string uid) {
+    if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
+    for (int round = 0; round < 3; ++round) {
+        auto got = co_await store_.get(agent::job_key(uid), Urgency::user);
+        if (got.outcome != Outcome::ok) break;
+        if (!learn(got.item)) co_return reply(404, wire::error_body("no such job"));
+        if (known_[uid].state != JobState::open) {
+            links_.job_changed(got.item);
+            co_return status_of(uid, true);
+        }
+        boost::json::object record = got.item.value.as_object();
+        record["state"] = wire::job_state_name(JobState::cancelled);
+        state::Txn txn;
+        txn.conditions.push_back({got.item.key, got.item.stamp});
+        txn.changes.push_back({got.item.key, record, 0});
+        const auto result = co_await store_.commit(std::move(txn), Urgency::user);
+        if (result.outcome == Outcome::ok) {
+            state::Item item;
+            item.key = got.item.key;
+            item.value = std::move(record);
+            item.stamp = result.revision;
+            learn(item);
+            links_.job_changed(item);
+            spdlog::info("event=cancel_accepted job={}", uid);
+            co_return status_of(uid, true);
+        }
+        if (result.outcome == Outcome::refused) break;
+    }
+    co_return come_back("the state service cannot be reached");
+}
+
+}  // namespace flintdale::api
--- /dev/null
+++ b/src/api/desk.hpp
@@ -0,0 +1,67 @@
+// Users' requests, answered by any controller from the state service's word.
+#pragma once
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "agent/job.hpp"
+#include "config/settings.hpp"
+#include "net/http_server.hpp"
+#include "state/store.hpp"
+
+namespace flintdale::api {
+
+using net::awaitable;
+using net::Reply;
+
+struct DisplayCount {
+    std::uint32_t done = 0, running = 0;
+};
+
+class Desk {
+  public:
+    struct Links {
+        std::function<std::int64_t()> time_of_day_ms;
+        std::function<const std::vector<wire::MachineType>*()> types;  // null while they are not known
+        std::function<DisplayCount(const std::string&)> count;
+        std::function<void(const state::Item&)> job_changed;  // a hint for a leader in this process
+    };
+
+    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, Links links);
+
+    awaitable<Reply> submit(std::string body);
+    awaitable<Reply> poll(std::string uid);
+    awaitable<Reply> cancel(std::string uid);
+
+  private:
+    struct Known {
+        wire::JobState state = wire::JobState::open;
+        std::uint64_t stamp = 0;
+        std::uint32_t tasks = 0;
+    };
+    struct Waiter {
+        explicit Waiter(net::Executor ex) : done(ex) {}
+        net::asio::steady_timer done;
+        std::string uid;
+        bool answered = false, fresh = false;
+    };
+
+    std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
+    bool learn(const state::Item& item);
+    awaitable<std::optional<bool>> look_up(const std::string& uid);  // whether it exists; nothing: unknown
+    awaitable<Reply> current(const std::string& uid, bool as_submission);
+    awaitable<bool> check_fresh(const std::string& uid);
+    awaitable<void> check_waiting();
+    Reply status_of(const std::string& uid, bool as_submission) const;
+
+    net::Executor ex_;
+    state::Store& store_;
+    const config::Settings& settings_;
+    Links links_;
+    std::unordered_map<std::string, Known> known_;
+    std::deque<std::shared_ptr<Waiter>> waiting_;
+    bool checking_ = false;
+};
+
+}  // namespace flintdale::api
--- /dev/null
+++ b/src/app/controller.cpp
@@ -0,0 +1,165 @@
+#include "app/controller.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace flintdale::app {
+
+using namespace std::chrono_literals;
+using wire::Clock;
+
+namespace {
+
+constexpr std::size_t max_counts = 20'000;
+constexpr std::string_view submissions = "/submissions";
+
+net::Reply reply(unsigned status, std::string body) {
+    net::Reply r;
+    r.status = status;
+    r.body = std::move(body);
+    return r;
+}
+
+net::Reply wrong_method(std::string allow) {
+    auto r = reply(405, wire::error_body("method not allowed"));
+    r.allow = std::move(allow);
+    return r;
+}
+
+std::int64_t time_of_day_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}  // namespace
+
+Controller::Controller(net::asio::io_context& io, config::Settings settings, config::Tunables tunables)
+    : ex_(io.get_executor()),
+      settings_(std::move(settings)),
+      tunables_(std::move(tunables)),
+      store_(ex_, settings_),
+      cloud_(ex_, settings_),
+      elector_(ex_, store_, settings_.member, tunables_.election_lease,
+               {[this](election::Term term) {
+                    store_.set_leading(true);
+                    reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, term,
+                                                     Reign::Links{[this] { elector_.doubt(); }});
+                    reign_->start(types_);
+                },
+                [this] {
+                    store_.set_leading(false);
+                    if (reign_) reign_->stop();
+                    reign_.reset();
+                }}),
+      desk_(ex_, store_, settings_,
+            {time_of_day_ms, [this] { return types_.empty() ? nullptr : &types_; },
+             [this](const std::string& uid) {
+                 if (reign_)
+                     if (auto c = reign_->overseer().count(uid)) return api::DisplayCount{c->done, c->running};
+                 const auto it = counts_.find(uid);
+                 return it == counts_.end() ? api::DisplayCount{} : it->second;
+             },
+             [this](const state::Item& item) {
+                 if (reign_) reign_->job_changed(item);
+             }}),
+      peers_(ex_, settings_, [this](const peer::Beat& b) { received(b); }),
+      // Some sockets are needed for our own connections.
+      server_(ex_, settings_.listen.host, settings_.listen.port, settings_.max_sockets - std::min<std::size_t>(settings_.max_sockets / 4, 64),
+              [this](net::Request request) { return handle(std::move(request)); }) {}
+
+void Controller::start() {
+    server_.start();
+    peers_.start();
+    net::asio::co_spawn(ex_, elector_.run(), net::asio::detached);
+    net::asio::co_spawn(ex_, catalog_loop(), net::asio::detached);
+    net::asio::co_spawn(ex_, peer_loop(), net::asio::detached);
+}
+
+awaitable<void> Controller::catalog_loop() {
+    // Prices move; the leader's choice of machines follows them.
+    for (;;) {
+        auto types = co_await cloud_.catalog();
+        if (types && !types->empty()) {
+            types_ = std::move(*types);
+            if (reign_) reign_->catalog(types_);
+        }
+        co_await net::sleep_for(types_.empty() ? std::chrono::seconds(2) : std::chrono::seconds(elector_.leading() ? 30 : 300));
+    }
+}
+
+awaitable<void> Controller::peer_loop() {
+    for (;;) {
+        peer::Beat b;
+        b.member = settings_.member;
+        b.leader = elector_.leader();
+        b.term = elector_.term();
+        b.state_ok = store_.healthy(Clock::now());
+        b.leading = elector_.leading();
+        if (reign_)
+            for (auto& [uid, c] : reign_->overseer().take_counts()) b.counts.push_back({uid, c.done, c.running});
+        peers_.tell(b);
+        co_await net::sleep_for(1s);
+    }
+}
+
+void Controller::received(const peer::Beat& beat) {
+    elector_.heard(beat.term, beat.leader);
+    if (counts_.size() > max_counts) counts_.clear();
+    for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
+}
+
+net::Reply Controller::ready() const {
+    if (!store_.healthy(Clock::now())) return reply(503, wire::error_body("the state service cannot be reached"));
+    if (types_.empty()) return reply(503, wire::error_body("the machine types are not known yet"));
+    return reply(200, "{\"ready\":true}");
+}
+
+awaitable<net::Reply> Controller::beat(std::string body) {
+    wire::WorkerReport r;
+    try {
+        r = wire::parse_report(body);
+    } catch (const wire::BadBody& e) {
+        co_return reply(400, wire::error_body(e.what()));
+    }
+    if (r.token > elector_.term()) elector_.heard(r.token, std::string());
+    auto reign = reign_;
+    if (!reign) {
+        const auto& leader = elector_.leader();
+        co_return reply(421, wire::redirect_body(leader == settings_.member ? std::string_view() : std::string_view(leader)));
+    }
+    auto answer = co_await reign->report(std::move(r));
+    if (!answer) co_return reply(503, wire::error_body("not entitled to answer now"));
+    co_return reply(200, std::move(*answer));
+}
+
+awaitable<net::Reply> Controller::handle(net::Request request) {
+    using net::http::verb;
+    std::string path = request.target.substr(0, request.target.find('?'));
+    if (path == "/agent/beat") {
+        if (request.verb != verb::post) co_return wrong_method("POST");
+        co_return co_await beat(std::move(request.body));
+    }
+    if (path == "/ready") {
+        if (request.verb != verb::get) co_return wrong_method("GET");
+        co_return ready();
+    }
+    if (path == submissions) {
+        if (request.verb != verb::post) co_return wrong_method("POST");
+        co_return co_await desk_.submit(std::move(request.body));
+    }
+    if (path.starts_with("/submissions/")) {
+        auto uid = path.substr(submissions.size() + 1);
+        constexpr std::string_view cancel = "/cancel";
+        if (uid.ends_with(cancel)) {
+            if (request.verb != verb::post) co_return wrong_method("POST");
+            uid.resize(uid.size() - cancel.size());
+            co_return co_await desk_.cancel(std::move(uid));
+        }
+        if (uid.find('/') == std::string::npos) {
+            if (request.verb != verb::get) co_return wrong_method("GET");
+            co_return co_await desk_.poll(std::move(uid));
+        }
+    }
+    co_return reply(404, wire::error_body("no such path"));
+}
+
+}  // namespace flintdale::app
--- /dev/null
+++ b/src/app/controller.hpp
@@ -0,0 +1,39 @@
+// Wires the packages into one controller.
+#pragma once
+#include "api/desk.hpp"
+#include "app/reign.hpp"
+#include "cloud/client.hpp"
+#include "peer/link.hpp"
+#include "state/http_store.hpp"
+
+namespace flintdale::app {
+
+class Controller {
+  public:
+    Controller(net::asio::io_context& io, config::Settings settings, config::Tunables tunables);
+    void start();
+
+  private:
+    awaitable<net::Reply> handle(net::Request request);
+    awaitable<net::Reply> beat(std::string body);
+    awaitable<void> catalog_loop();
+    awaitable<void> peer_loop();
+    awaitable<void> keep_catalog(const std::vector<wire::MachineType>& types, std::string body);
+    net::Reply ready() const;
+    void received(const peer::Beat& beat);
+
+    net::Executor ex_;
+    config::Settings settings_;
+    config::Tunables tunables_;
+    state::HttpStore store_;
+    cloud::HttpCloud cloud_;
+    election::Elector elector_;
+    std::shared_ptr<Reign> reign_;
+    std::vector<wire::MachineType> types_;
+    std::unordered_map<std::string, api::DisplayCount> counts_;
+    api::Desk desk_;
+    peer::Links peers_;
+    net::HttpServer server_;
+};
+
+}  // namespace flintdale::app
--- /dev/null
+++ b/src/app/reign.cpp
@@ -0,0 +1,296 @@
+#include "app/reign.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace flintdale::app {
+
+using namespace std::chrono_literals;
+using state::Outcome;
+using state::Urgency;
+using wire::Clock;
+using wire::Seconds;
+
+namespace {
+constexpr std::chrono::milliseconds follow_hold{1000};
+constexpr Seconds entitled_margin{3};
+constexpr auto plan_gap = 200ms;
+}  // namespace
+
+Reign::Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
+             const config::Tunables& tunables, election::Term term, Links links)
+    : ex_(ex),
+      store_(store),
+      cloud_(cloud),
+      settings_(settings),
+      tunables_(tunables),
+      links_(std::move(links)),
+      term_(term.number),
+      overseer_(settings, tunables, term.number, term.stamp, Clock::now()),
+      commit_(ex),
+      plan_(ex) {}
+
+namespace {
+// Keeps the reign alive for as long as one of its loops runs.
+awaitable<void> run_loop(std::shared_ptr<Reign> keep, awaitable<void> loop) {
+    try {
+        co_await std::move(loop);
+    } catch (const std::exception& e) {
+        spdlog::error("event=loop_failed why=\"{}\"", e.what());
+        std::abort();  // a controller that goes on without one of its loops would be worse than none
+    }
+    (void)keep;
+}
+}  // namespace
+
+void Reign::start(const std::vector<wire::MachineType>& types) {
+    if (!types.empty()) overseer_.catalog(types);
+    auto self = shared_from_this();
+    net::asio::co_spawn(ex_, run_loop(self, learn_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, commit_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, tick_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, list_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, cloud_loop()), net::asio::detached);
+}
+
+void Reign::stop() {
+    stopped_ = true;
+    commit_.notify();
+    plan_.notify();
+}
+
+void Reign::catalog(const std::vector<wire::MachineType>& types) { overseer_.catalog(types); }
+
+// Work of a job cancelled elsewhere must end in time, so answers may keep leases alive only while what is known
+// of cancellations is young enough: a task dies at the latest a lease after the last answer.
+bool Reign::entitled(TimePoint now) const {
+    const auto window = settings_.cancel - settings_.lease - entitled_margin;
+    return loaded_ && !stopped_ && now - fresh_ < wire::to_clock(window);
+}
+
+awaitable<std::optional<std::string>> Reign::report(wire::WorkerReport r) {
+    auto self = shared_from_this();
+    for (int i = 0; i < 25 && !loaded_ && !stopped_; ++i) co_await net::sleep_for(100ms);
+    const auto now = Clock::now();
+    if (!entitled(now)) co_return std::nullopt;
+    const bool was_dirty = overseer_.dirty();
+    auto orders = overseer_.report(r, now);
+    if (!orders) co_return std::nullopt;
+    if (overseer_.dirty()) {
+        if (!was_dirty) commit_.notify();
+        stir_ = true;
+        plan_.notify();
+    }
+    co_return wire::report_answer(term_, *orders);
+}
+
+void Reign::job_changed(const state::Item& item) {
+    if (!loaded_ || stopped_) return;
+    overseer_.job_changed(item, Clock::now());
+    commit_.notify();
+}
+
+awaitable<bool> Reign::load() {
+    std::vector<state::Item> work;
+    std::string after;
+    std::uint64_t revision = 0;
+    const auto began = Clock::now();
+    for (;;) {
+        auto page = co_await store_.range("work/", after, Urgency::leadership);
+        if (stopped_) co_return false;
+        if (page.outcome != Outcome::ok) {
+            co_await net::sleep_for(150ms);
+            if (stopped_) co_return false;
+            continue;
+        }
+        if (!revision) revision = page.revision;
+        for (auto& item : page.items) work.push_back(std::move(item));
+        if (!page.more || page.items.empty()) break;
+        after = work.back().key;
+    }
+    overseer_.load(work, Clock::now());
+    if (!co_await check_open_jobs()) co_return false;
+    followed_ = revision;
+    fresh_ = began;
+    if (!loaded_) spdlog::info("event=loaded term={} records={}", term_, work.size());
+    loaded_ = true;
+    stir_ = true;
+    commit_.notify();
+    co_return true;
+}
+
+// Open work may be of jobs that were cancelled meanwhile: their own keys tell.
+awaitable<bool> Reign::check_open_jobs() {
+    const auto open = overseer_.open_jobs();
+    const std::size_t most = settings_.txn_ops * 4;
+    for (std::size_t at = 0; at < open.size(); at += most) {
+        state::TxnResult result;
+        do {
+            state::Txn txn;
+            for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
+                txn.conditions.push_back({open[i].first, open[i].second});
+            result = co_await store_.commit(std::move(txn), Urgency::leadership);
+            if (stopped_) co_return false;
+            if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) co_await net::sleep_for(150ms);
+        } while (result.outcome != Outcome::ok && result.outcome != Outcome::conflict);
+        if (result.outcome == Outcome::conflict) co_await reread(result.failed);
+        if (stopped_) co_return false;
+    }
+    co_return true;
+}
+
+awaitable<void> Reign::reread(const std::vector<std::string>& keys) {
+    for (const auto& key : keys)
+        for (;;) {
+            auto got = co_await store_.get(key, Urgency::leadership);
+            if (stopped_) co_return;
+            if (got.outcome == Outcome::ok) {
+                overseer_.reread(got.item, Clock::now());
+                break;
+            }
+            co_await net::sleep_for(200ms);
+            if (stopped_) co_return;
+        }
+}
+
+awaitable<void> Reign::learn_loop() {
+    while (!stopped_ && !co_await load()) {
+    }
+    while (!stopped_) {
+        const auto began = Clock::now();
+        auto seen = co_await store_.follow("job/", followed_, follow_hold);
+        if (stopped_) break;
+        if (seen.outcome == Outcome::too_old) {
+            co_await load();
+            continue;
+        }
+        if (seen.outcome != Outcome::ok) {
+            co_await net::sleep_for(200ms);
+            continue;
+        }
+        fresh_ = began;
+        followed_ = std::max(followed_, seen.revision);
+        const auto now = Clock::now();
+        for (std::size_t i = 0; i < seen.events.size(); ++i)
+            if (!seen.deleted[i]) overseer_.job_changed(seen.events[i], now);
+        if (!seen.events.empty()) commit_.notify();
+    }
+}
+
+awaitable<void> Reign::commit_loop() {
+    while (!stopped_) {
+        co_await commit_.wait(1s);
+        while (!stopped_ && loaded_) {
+            auto batch = overseer_.next_batch();
+            if (batch.empty()) break;
+            state::Txn txn = batch.txn;
+            const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
+            if (stopped_) co_return;
+            if (result.outcome == Outcome::ok) {
+                overseer_.committed(batch, result.revision, Clock::now());
+                continue;
+            }
+            if (result.outcome == Outcome::conflict &&
+                std::find(result.failed.begin(), result.failed.end(), election::term_key) != result.failed.end()) {
+                spdlog::info("event=term_overtaken term={}", term_);
+                links_.doubt();
+                overseer_.retry(batch);
+                co_await net::sleep_for(200ms);
+                continue;
+            }
+            spdlog::info("event=write_failed outcome={} failed={}", static_cast<int>(result.outcome), result.failed.size());
+            if (result.outcome == Outcome::refused) {
+                co_await net::sleep_for(150ms);
+            } else {
+                // Our own late or lost write may stand; its stamps are what the next one must be conditioned on.
+                co_await reread(result.outcome == Outcome::conflict ? result.failed : batch.keys);
+            }
+            if (stopped_) co_return;
+            overseer_.retry(batch);
+        }
+    }
+}
+
+// Plans when something changed, at most every plan_gap, and when a window closes.
+awaitable<void> Reign::tick_loop() {
+    auto next_full = Clock::now();
+    while (!stopped_) {
+        co_await plan_.wait(500ms);
+        if (stopped_) break;
+        const auto now = Clock::now();
+        if (loaded_ && (stir_ || now >= next_full)) {
+            stir_ = false;
+            if (now >= next_full) next_full = now + 500ms;
+            if (overseer_.place(now)) commit_.notify();
+            if (overseer_.dirty()) commit_.notify();
+        }
+        co_await net::sleep_for(plan_gap);
+    }
+}
+
+awaitable<void> Reign::list_loop() {
+    const auto gap = wire::to_clock(std::max(settings_.list_lag, Seconds(5)));
+    while (!stopped_) {
+        if (overseer_.ledger().types().empty()) {
+            auto types = co_await cloud_.catalog();
+            if (types && !stopped_) overseer_.catalog(*types);
+        }
+        auto list = co_await cloud_.machines();
+        if (stopped_) break;
+        if (list && loaded_) overseer_.listed(*list, Clock::now());
+        co_await net::sleep_for(list ? gap : 2s);
+    }
+}
+
+awaitable<void> Reign::cloud_loop() {
+    struct Pending {
+        fleet::Order order;
+        std::string name;
+        int tries = 0;
+    };
+    std::deque<Pending> unclear;
+    while (!stopped_) {
+        co_await net::sleep_for(1s);
+        if (stopped_ || !loaded_) continue;
+        const auto going = overseer_.release(Clock::now());
+        if (!going.empty()) {
+            const bool done = co_await cloud_.release(going);
+            if (stopped_) break;
+            if (done) {
+                overseer_.released(going, Clock::now());
+                stir_ = true;
+                plan_.notify();
+                commit_.notify();
+            }
+        }
+        std::deque<Pending> now_due;
+        now_due.swap(unclear);
+        if (now_due.empty())
+            for (auto& order : overseer_.rent(Clock::now())) {
+                Pending p;
+                p.order = order;
+                // Named after the term, so that no two leaders ever use the same name.
+                p.name = std::to_string(term_) + "-" + std::to_string(++rents_);
+                now_due.push_back(std::move(p));
+            }
+        for (auto& p : now_due) {
+            if (stopped_) break;
+            auto result = co_await cloud_.rent(p.name, p.order.pool.type, p.order.pool.zone, p.order.pool.spot, p.order.count);
+            if (stopped_) break;
+            const auto now = Clock::now();
+            if (result.outcome == cloud::Rent::granted) {
+                spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", p.name, p.order.pool.type,
+                             p.order.pool.zone, p.order.pool.spot, p.order.count, result.machines.size());
+                overseer_.rented(p.order.pool, result.machines, now);
+                if (static_cast<int>(result.machines.size()) < p.order.count) overseer_.rent_refused(p.order.pool, now);
+            } else if (result.outcome == cloud::Rent::unclear) {
+                // Asked again under the same name: if it was granted, the same machines are named.
+                if (++p.tries < 30) unclear.push_back(std::move(p));
+            } else {
+                spdlog::info("event=rent_refused type={} zone={} spot={}", p.order.pool.type, p.order.pool.zone, p.order.pool.spot);
+                overseer_.rent_refused(p.order.pool, now);
+            }
+        }
+    }
+}
+
+}  // namespace flintdale::app
--- /dev/null
+++ b/src/app/reign.hpp
@@ -0,0 +1,59 @@
+// One term of leadership: the loops that carry messages between the overseer, the state service and the cloud.
+#pragma once
+#include <memory>
+
+#include "agent/overseer.hpp"
+#include "cloud/client.hpp"
+#include "election/elector.hpp"
+#include "net/http_server.hpp"
+#include "state/store.hpp"
+
+namespace flintdale::app {
+
+using net::awaitable;
+
+class Reign : public std::enable_shared_from_this<Reign> {
+  public:
+    struct Links {
+        std::function<void()> doubt;  // the term's stamp no longer holds
+    };
+
+    Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
+          const config::Tunables& tunables, election::Term term, Links links);
+
+    void start(const std::vector<wire::MachineType>& types);
+    void stop();
+
+    // Answers a worker, or nothing if this controller must not speak for the controllers now.
+    awaitable<std::optional<std::string>> report(wire::WorkerReport r);
+    void job_changed(const state::Item& item);
+    void catalog(const std::vector<wire::MachineType>& types);
+    agent::Overseer& overseer() { return overseer_; }
+
+  private:
+    using TimePoint = wire::TimePoint;
+    awaitable<void> learn_loop();
+    awaitable<bool> load();
+    awaitable<bool> check_open_jobs();
+    awaitable<void> commit_loop();
+    awaitable<void> tick_loop();
+    awaitable<void> list_loop();
+    awaitable<void> cloud_loop();
+    awaitable<void> reread(const std::vector<std::string>& keys);
+    bool entitled(TimePoint now) const;
+
+    net::Executor ex_;
+    state::Store& store_;
+    cloud::Cloud& cloud_;
+    const config::Settings& settings_;
+    const config::Tunables& tunables_;
+    Links links_;
+    std::uint64_t term_;
+    agent::Overseer overseer_;
+    net::Wakeup commit_, plan_;
+    bool stopped_ = false, loaded_ = false, stir_ = false;
+    std::uint64_t followed_ = 0, rents_ = 0;
+    TimePoint fresh_{};  // when the last read began that showed all cancellations up to then
+};
+
+}  // namespace flintdale::app
--- /dev/null
+++ b/src/cloud/client.cpp
@@ -0,0 +1,78 @@
+#include "cloud/client.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace flintdale::cloud {
+
+using std::chrono::steady_clock;
+
+HttpCloud::HttpCloud(net::Executor ex, const config::Settings& s)
+    : http_(ex, s.cloud.host, s.cloud.port, 4), gap_(wire::to_clock(wire::Seconds(1.15 / s.cloud_rps))) {}
+
+awaitable<net::HttpAnswer> HttpCloud::call(net::http::verb verb, std::string target, std::string body) {
+    // Evenly spaced, which keeps any window within the limit without counting on the burst.
+    const auto now = steady_clock::now();
+    const auto at = std::max(now, next_);
+    next_ = at + gap_;
+    if (at > now) co_await net::sleep_for(at - now);
+    co_return co_await http_.request(verb, std::move(target), std::move(body), std::chrono::seconds(5));
+}
+
+awaitable<std::optional<std::vector<wire::MachineType>>> HttpCloud::catalog() {
+    std::string target = "/catalog";
+    auto answer = co_await call(net::http::verb::get, std::move(target), std::string());
+    if (answer.status == 200) try {
+            co_return wire::parse_catalog(answer.body);
+        } catch (const wire::BadBody& e) {
+            spdlog::error("event=catalog_unreadable why=\"{}\"", e.what());
+        }
+    co_return std::nullopt;
+}
+
+awaitable<std::optional<std::vector<wire::ListedMachine>>> HttpCloud::machines() {
+    std::vector<wire::ListedMachine> all;
+    for (;;) {
+        std::string target = "/machines?page=500";
+        if (!all.empty()) target += "&from=" + all.back().name;
+        auto answer = co_await call(net::http::verb::get, std::move(target), std::string());
+        if (answer.status != 200) co_return std::nullopt;
+        bool more = false;
+        try {
+            auto page = wire::parse_machines(answer.body);
+            more = page.more && !page.machines.empty();
+            for (auto& m : page.machines) all.push_back(std::move(m));
+        } catch (const wire::BadBody& e) {
+            spdlog::error("event=machine_list_unreadable why=\"{}\"", e.what());
+            co_return std::nullopt;
+        }
+        if (!more) co_return all;
+    }
+}
+
+awaitable<RentResult> HttpCloud::rent(std::string request, std::string type, std::string zone, bool spot, int count) {
+    std::string target = "/machines";
+    auto body = wire::rent_body(request, type, zone, spot, count);
+    auto answer = co_await call(net::http::verb::post, std::move(target), std::move(body));
+    RentResult r;
+    if (answer.status == 200) {
+        try {
+            r.machines = wire::parse_rented(answer.body);
+            r.outcome = Rent::granted;
+        } catch (const wire::BadBody&) {
+        }
+    } else if (answer.status == 503 && answer.body.find("no capacity") != std::string::npos) {
+        r.outcome = Rent::no_capacity;
+    } else if (answer.status == 400) {
+        r.outcome = Rent::malformed;
+    }
+    co_return r;
+}
+
+awaitable<bool> HttpCloud::release(std::vector<std::string> names) {
+    std::string target = "/machines/release";
+    auto body = wire::release_body(names);
+    auto answer = co_await call(net::http::verb::post, std::move(target), std::move(body));
+    co_return answer.status == 200;
+}
+
+}  // namespace flintdale::cloud
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,82 @@
+// What the platform (TOML) and the operators (INI) set.
+#pragma once
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "wire/types.hpp"
+
+namespace flintdale::config {
+
+using wire::Seconds;
+
+struct BadSetting : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Address {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+Address parse_address(const std::string& text, const std::string& field);
+
+struct Peer {
+    std::string member, zone;
+    Address addr;
+};
+
+// 0 means none, for guarantees and limits alike.
+struct Team {
+    std::string name;
+    double cpus = 0, cpus_limit = 0, gpus = 0, gpus_limit = 0;
+};
+
+struct Objective {
+    std::string kind, job_class;
+    Seconds within{0};
+    double share = 0;
+};
+
+struct Settings {
+    std::string member, zone;
+    Address listen, peer_listen;
+    std::vector<Peer> peers;
+    Address cloud, state;
+    std::size_t nodes = 1;
+    std::vector<std::string> zones;
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    Seconds report{3}, lease{30}, gang_wait{30}, gang_peer{4}, cancel{60};
+    double state_rps = 50, write_rps = 20;
+    std::size_t value_bytes = 16 * 1024, txn_ops = 12;
+    double cloud_rps = 4;
+    Seconds list_lag{5};
+    std::size_t max_sockets = 1000;
+
+    const Team* team(const std::string& name) const;
+};
+
+Settings load_settings(const std::string& path);
+Settings parse_settings(const std::string& text, const std::string& name);
+
+// The open values of the design and of its exceptions. Every default is documented in docs/operations.md.
+struct Tunables {
+    Seconds window{5};           // jobs are gathered this long, then sorted
+    double memory_margin = 0.1;  // free memory wanted above the need, as a share of it
+    double ageing = 1.0;         // seconds of length a job loses per second waited
+    Seconds silent{12};          // a machine with work that has not reported for so long is given up
+    double boot_patience = 2.5;  // times boot_s until a machine that is not up is given up
+    double idle_boots = 1.0;     // times boot_s that a machine without work is kept
+    double horizon = 0.4;        // share of an array's objective within which its work should fit
+    double reserve = 0.0;        // share of the rented machines kept free for critical work
+    Seconds election_lease{4};   // how long the leader's claim outlives its last renewal
+    std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
+};
+
+Tunables load_tunables(const std::string& path);
+Tunables parse_tunables(const std::string& text, const std::string& name);
+
+}  // namespace flintdale::config
--- /dev/null
+++ b/src/election/elector.cpp
@@ -0,0 +1,168 @@
+#include "election/elector.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace flintdale::election {
+
+using namespace std::chrono_literals;
+using state::Outcome;
+using state::Urgency;
+namespace json = boost::json;
+
+namespace {
+
+std::uint64_t term_number(const state::Item& item) {
+    if (!item.stamp || !item.value.is_object()) return 0;
+    const auto* n = item.value.get_object().if_contains("n");
+    return n && n->is_number() ? n->to_number<std::uint64_t>() : 0;
+}
+
+std::string text_in(const state::Item& item, std::string_view field) {
+    if (!item.stamp || !item.value.is_object()) return {};
+    const auto* v = item.value.get_object().if_contains(field);
+    return v && v->is_string() ? std::string(v->get_string()) : std::string();
+}
+
+std::uint64_t lease_in(const state::Item& item) {
+    if (!item.stamp || !item.value.is_object()) return 0;
+    const auto* v = item.value.get_object().if_contains("lease");
+    return v && v->is_number() ? v->to_number<std::uint64_t>() : 0;
+}
+
+}  // namespace
+
+Elector::Elector(net::Executor ex, state::Store& store, std::string member, wire::Seconds lease, Events events)
+    : ex_(ex),
+      store_(store),
+      member_(std::move(member)),
+      life_(std::chrono::duration_cast<std::chrono::milliseconds>(lease)),
+      events_(std::move(events)),
+      wake_(ex) {}
+
+void Elector::depose(const char* why) {
+    if (!leading_) return;
+    leading_ = false;
+    leader_.clear();
+    spdlog::info("event=deposed term={} why=\"{}\"", own_term_, why);
+    events_.deposed();
+    wake_.notify();
+}
+
+void Elector::heard(std::uint64_t term, const std::string& leader) {
+    if (term > seen_term_) {
+        seen_term_ = term;
+        if (leading_ && term > own_term_) depose("a higher term is about");
+        leader_ = leader;
+    } else if (term == seen_term_ && !leading_ && !leader.empty()) {
+        leader_ = leader;
+    }
+}
+
+awaitable<void> Elector::run() {
+    for (;;) {
+        doubted_ = false;
+        auto holder = co_await store_.get(holder_key, Urgency::leadership);
+        auto term = co_await store_.get(term_key, Urgency::leadership);
+        if (holder.outcome != Outcome::ok || term.outcome != Outcome::ok) {
+            co_await net::sleep_for(300ms);
+            continue;
+        }
+        heard(term_number(term.item), text_in(holder.item, "member"));
+        const bool vacant = holder.item.stamp == 0;
+        // A claim under our own name, while we do not lead, is that of our previous life or of a lost answer.
+        const bool own = !vacant && text_in(holder.item, "member") == member_;
+        if (vacant || own || usurp_) {
+            usurp_ = false;
+            if (co_await campaign(holder.item, term.item)) co_await lead();
+            continue;
+        }
+        co_await watch();
+    }
+}
+
+awaitable<bool> Elector::campaign(const state::Item& holder, const state::Item& term) {
+    auto granted = co_await store_.grant(life_);
+    if (granted.outcome != Outcome::ok) {
+        co_await net::sleep_for(200ms);
+        co_return false;
+    }
+    lease_ = granted.lease;
+    own_term_ = std::max(term_number(term), seen_term_) + 1;
+    state::Txn txn;
+    txn.conditions.push_back({holder_key, holder.stamp});
+    txn.conditions.push_back({term_key, term.stamp});
+    txn.changes.push_back({holder_key, json::object{{"member", member_}, {"lease", lease_}}, lease_});
+    txn.changes.push_back({term_key, json::object{{"n", own_term_}, {"member", member_}, {"lease", lease_}}, 0});
+    auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
+    std::uint64_t stamp = result.outcome == Outcome::ok ? result.revision : 0;
+    if (result.outcome == Outcome::unknown) {
+        // It may have gone through: the lease number in the term's record tells whether it was this claim.
+        auto again = co_await store_.get(term_key, Urgency::leadership);
+        if (again.outcome == Outcome::ok && lease_in(again.item) == lease_ && term_number(again.item) == own_term_)
+            stamp = again.item.stamp;
+    }
+    if (!stamp) {
+        spdlog::info("event=campaign_lost term={} outcome={}", own_term_, static_cast<int>(result.outcome));
+        co_await store_.revoke(lease_);
+        co_return false;
+    }
+    seen_term_ = std::max(seen_term_, own_term_);
+    if (seen_term_ > own_term_) co_return false;
+    leading_ = true;
+    leader_ = member_;
+    spdlog::info("event=elected term={} stamp={}", own_term_, stamp);
+    Term won;
+    won.number = own_term_;
+    won.stamp = stamp;
+    events_.elected(won);
+    co_return true;
+}
+
+// Renews until the lease or the term is lost. An outage alone deposes nobody: leases have their full time again
+// after it, and writes are conditioned on the term anyway.
+awaitable<void> Elector::lead() {
+    while (leading_) {
+        co_await wake_.wait(life_ / 4);
+        if (!leading_) break;
+        if (doubted_) {
+            doubted_ = false;
+            auto term = co_await store_.get(term_key, Urgency::leadership);
+            if (term.outcome == Outcome::ok) heard(term_number(term.item), std::string());
+            if (!leading_) break;
+        }
+        const auto outcome = co_await store_.renew(lease_);
+        if (outcome == Outcome::no_lease && leading_) {
+            // Lost while we could not renew. The term may still be ours; claim it afresh if nobody else has.
+            depose("the lease ran out");
+        }
+    }
+}
+
+awaitable<void> Elector::watch() {
+    // Both keys share a prefix, so one watch tells of a vacancy and of a new term alike.
+    auto now = co_await store_.range("lead/", std::string(), Urgency::leadership);
+    if (now.outcome != Outcome::ok) {
+        co_await net::sleep_for(300ms);
+        co_return;
+    }
+    bool held = false;
+    for (const auto& item : now.items) held = held || item.key == holder_key;
+    if (!held) co_return;
+    std::uint64_t from = now.revision;
+    while (!usurp_) {
+        auto seen = co_await store_.follow("lead/", from, 10s);
+        if (seen.outcome != Outcome::ok) {
+            co_await net::sleep_for(400ms);
+            co_return;
+        }
+        from = std::max(from, seen.revision);
+        for (std::size_t i = 0; i < seen.events.size(); ++i) {
+            const auto& e = seen.events[i];
+            if (e.key == term_key && !seen.deleted[i]) heard(term_number(e), text_in(e, "member"));
+            if (e.key == holder_key && seen.deleted[i]) co_return;
+            if (e.key == holder_key) heard(seen_term_, text_in(e, "member"));
+        }
+    }
+}
+
+}  // namespace flintdale::election
--- /dev/null
+++ b/src/election/elector.hpp
@@ -0,0 +1,58 @@
+// Who leads. A key on a lease of the state service elects, and the same transaction raises the persistent term.
+#pragma once
+#include <functional>
+
+#include "state/store.hpp"
+#include "wire/types.hpp"
+
+namespace flintdale::election {
+
+using net::awaitable;
+
+inline constexpr const char* holder_key = "lead/holder";
+inline constexpr const char* term_key = "lead/term";
+
+struct Term {
+    std::uint64_t number = 0, stamp = 0;  // stamp of term_key: what every write of the leader is conditioned on
+};
+
+class Elector {
+  public:
+    struct Events {
+        std::function<void(Term)> elected;
+        std::function<void()> deposed;
+    };
+
+    Elector(net::Executor ex, state::Store& store, std::string member, wire::Seconds lease, Events events);
+
+    awaitable<void> run();
+
+    // Word of a term from anywhere (a peer, a worker, a failed transaction). A higher one ends our own at once.
+    void heard(std::uint64_t term, const std::string& leader);
+    // A condition on the term's stamp failed: find out what happened.
+    void doubt() { doubted_ = true, wake_.notify(); }
+    // The holder gave up or is known to be gone: try to take over without waiting for its lease.
+    void usurp() { usurp_ = true, wake_.notify(); }
+
+    bool leading() const { return leading_; }
+    std::uint64_t term() const { return seen_term_; }
+    const std::string& leader() const { return leader_; }
+
+  private:
+    awaitable<void> lead();
+    awaitable<bool> campaign(const state::Item& holder, const state::Item& term);
+    awaitable<void> watch();
+    void depose(const char* why);
+
+    net::Executor ex_;
+    state::Store& store_;
+    std::string member_;
+    std::chrono::milliseconds life_;
+    Events events_;
+    net::Wakeup wake_;
+    bool leading_ = false, doubted_ = false, usurp_ = false;
+    std::uint64_t seen_term_ = 0, lease_ = 0, own_term_ = 0;
+    std::string leader_;
+};
+
+}  // namespace flintdale::election
--- /dev/null
+++ b/src/net/asio.hpp
@@ -0,0 +1,52 @@
+// The parts of Asio and Beast that the packages share, under short names.
+#pragma once
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <string>
+
+namespace flintdale::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using asio::awaitable;
+using Executor = asio::any_io_executor;
+
+inline constexpr auto quietly = asio::experimental::as_tuple(asio::use_awaitable);
+
+// Waits; false if the wait was cancelled.
+inline awaitable<bool> sleep_for(std::chrono::steady_clock::duration d) {
+    auto ex = co_await asio::this_coro::executor;
+    asio::steady_timer timer(ex);
+    timer.expires_after(d);
+    auto [ec] = co_await timer.async_wait(quietly);
+    co_return !ec;
+}
+
+// Wakes one waiting coroutine early; a signal that comes while nobody waits is kept.
+class Wakeup {
+  public:
+    explicit Wakeup(Executor ex) : timer_(ex) {}
+    void notify() {
+        pending_ = true;
+        timer_.cancel();
+    }
+    awaitable<void> wait(std::chrono::steady_clock::duration most) {
+        if (!pending_) {
+            timer_.expires_after(most);
+            auto [ec] = co_await timer_.async_wait(quietly);
+            (void)ec;
+        }
+        pending_ = false;
+    }
+
+  private:
+    asio::steady_timer timer_;
+    bool pending_ = false;
+};
+
+}  // namespace flintdale::net
--- /dev/null
+++ b/src/net/http_client.hpp
@@ -0,0 +1,35 @@
+// An HTTP/1.1 client for one address, with kept connections and a time limit on each request.
+#pragma once
+#include <memory>
+#include <vector>
+
+#include "net/asio.hpp"
+
+namespace flintdale::net {
+
+struct HttpAnswer {
+    unsigned status = 0;  // 0: no answer; the request may or may not have been carried out
+    std::string body;
+    bool never_sent = false;  // with status 0: no connection came about
+};
+
+class HttpClient {
+  public:
+    HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep = 8);
+
+    awaitable<HttpAnswer> request(http::verb verb, std::string target, std::string body,
+                                  std::chrono::steady_clock::duration limit);
+
+  private:
+    using Stream = beast::tcp_stream;
+
+    awaitable<std::unique_ptr<Stream>> connect(std::chrono::steady_clock::duration limit);
+
+    Executor ex_;
+    tcp::endpoint endpoint_;
+    std::string host_;
+    std::size_t keep_;
+    std::vector<std::pair<std::unique_ptr<Stream>, std::chrono::steady_clock::time_point>> idle_;
+};
+
+}  // namespace flintdale::net
--- /dev/null
+++ b/src/peer/link.cpp
@@ -0,0 +1,154 @@
+#include "peer/link.hpp"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+#include <spdlog/spdlog.h>
+
+#include "wire/peer.capnp.h"
+
+namespace flintdale::peer {
+
+using namespace std::chrono_literals;
+namespace asio = net::asio;
+namespace beast = net::beast;
+
+namespace {
+constexpr std::size_t max_frame = 1024 * 1024;
+constexpr std::size_t max_sessions = 64;
+constexpr std::size_t max_counts = 4000;
+}  // namespace
+
+std::string encode(const Beat& beat) {
+    capnp::MallocMessageBuilder message;
+    auto b = message.initRoot<::Beat>();
+    b.setMember(beat.member);
+    b.setLeader(beat.leader);
+    b.setTerm(beat.term);
+    b.setStateOk(beat.state_ok);
+    b.setLeading(beat.leading);
+    const auto n = std::min(beat.counts.size(), max_counts);
+    auto counts = b.initCounts(static_cast<unsigned>(n));
+    for (unsigned i = 0; i < n; ++i) {
+        counts[i].setUid(beat.counts[i].uid);
+        counts[i].setDone(beat.counts[i].done);
+        counts[i].setRunning(beat.counts[i].running);
+    }
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+Beat decode(const std::string& bytes) {
+    std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
+    try {
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
+        const auto b = reader.getRoot<::Beat>();
+        Beat beat;
+        beat.member = b.getMember().cStr();
+        beat.leader = b.getLeader().cStr();
+        beat.term = b.getTerm();
+        beat.state_ok = b.getStateOk();
+        beat.leading = b.getLeading();
+        for (const auto c : b.getCounts()) beat.counts.push_back({c.getUid().cStr(), c.getDone(), c.getRunning()});
+        return beat;
+    } catch (const kj::Exception& e) {
+        throw std::runtime_error(e.getDescription().cStr());
+    }
+}
+
+Links::Links(net::Executor ex, const config::Settings& settings, Receive receive)
+    : ex_(ex), acceptor_(ex), settings_(settings), receive_(std::move(receive)) {
+    const net::tcp::endpoint endpoint(asio::ip::make_address(settings.peer_listen.host), settings.peer_listen.port);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen(64);
+}
+
+void Links::start() {
+    asio::co_spawn(ex_, accept_loop(), asio::detached);
+    for (const auto& peer : settings_.peers) {
+        outs_.push_back(std::make_shared<Out>(ex_));
+        asio::co_spawn(ex_, dial_loop(peer, outs_.back()), asio::detached);
+    }
+}
+
+void Links::tell(const Beat& beat) {
+    if (outs_.empty()) return;
+    const auto bytes = encode(beat);
+    std::string frame(4, '\0');
+    for (int i = 0; i < 4; ++i) frame[static_cast<std::size_t>(i)] = static_cast<char>(bytes.size() >> (8 * i));
+    frame += bytes;
+    for (const auto& out : outs_) {
+        if (!out->connected) continue;
+        out->next += frame;
+        if (out->next.size() > max_frame) out->next = frame;  // a peer that does not read gets the newest only
+        out->wake.notify();
+    }
+}
+
+awaitable<void> Links::dial_loop(config::Peer peer, std::shared_ptr<Out> out) {
+    const net::tcp::endpoint endpoint(asio::ip::make_address(peer.addr.host), peer.addr.port);
+    for (;;) {
+        beast::tcp_stream stream(ex_);
+        stream.expires_after(2s);
+        auto [ec] = co_await stream.async_connect(endpoint, net::quietly);
+        if (!ec) {
+            boost::system::error_code ignored;
+            stream.socket().set_option(net::tcp::no_delay(true), ignored);
+            out->connected = true;
+            for (;;) {
+                co_await out->wake.wait(30s);
+                if (out->next.empty()) continue;
+                std::string sending;
+                sending.swap(out->next);
+                stream.expires_after(3s);
+                auto [wec, n] = co_await asio::async_write(stream, asio::buffer(sending), net::quietly);
+                if (wec) break;
+            }
+            out->connected = false;
+            out->next.clear();
+        }
+        co_await net::sleep_for(700ms);
+    }
+}
+
+awaitable<void> Links::accept_loop() {
+    for (;;) {
+        auto [ec, socket] = co_await acceptor_.async_accept(net::quietly);
+        if (ec) {
+            co_await net::sleep_for(50ms);
+            continue;
+        }
+        if (sessions_ >= max_sessions) continue;
+        asio::co_spawn(ex_, session(std::move(socket)), asio::detached);
+    }
+}
+
+awaitable<void> Links::session(net::tcp::socket socket) {
+    ++sessions_;
+    beast::tcp_stream stream(std::move(socket));
+    std::string body;
+    for (;;) {
+        unsigned char head[4];
+        stream.expires_after(30s);
+        auto [hec, hn] = co_await asio::async_read(stream, asio::buffer(head), net::quietly);
+        if (hec) break;
+        const std::size_t size = head[0] | head[1] << 8 | head[2] << 16 | static_cast<std::size_t>(head[3]) << 24;
+        if (size == 0 || size > max_frame) break;
+        body.resize(size);
+        auto [bec, bn] = co_await asio::async_read(stream, asio::buffer(body), net::quietly);
+        if (bec) break;
+        try {
+            receive_(decode(body));
+        } catch (const std::exception& e) {
+            spdlog::error("event=peer_nonsense why=\"{}\"", e.what());
+            break;
+        }
+    }
+    --sessions_;
+}
+
+}  // namespace flintdale::peer
--- /dev/null
+++ b/src/peer/link.hpp
@@ -0,0 +1,55 @@
+// Controllers tell each other who leads, how they fare and what users may see of open jobs.
+#pragma once
+#include <functional>
+#include <map>
+
+#include "config/settings.hpp"
+#include "net/asio.hpp"
+
+namespace flintdale::peer {
+
+using net::awaitable;
+
+struct Count {
+    std::string uid;
+    std::uint32_t done = 0, running = 0;
+};
+
+struct Beat {
+    std::string member, leader;
+    std::uint64_t term = 0;
+    bool state_ok = false, leading = false;
+    std::vector<Count> counts;
+};
+
+std::string encode(const Beat& beat);
+Beat decode(const std::string& bytes);  // throws on nonsense
+
+class Links {
+  public:
+    using Receive = std::function<void(const Beat&)>;
+    Links(net::Executor ex, const config::Settings& settings, Receive receive);
+    void start();
+    // Says it to every peer that can be reached now; nothing is kept for those that cannot.
+    void tell(const Beat& beat);
+
+  private:
+    struct Out {
+        explicit Out(net::Executor ex) : wake(ex) {}
+        net::Wakeup wake;
+        std::string next;
+        bool connected = false;
+    };
+    awaitable<void> accept_loop();
+    awaitable<void> session(net::tcp::socket socket);
+    awaitable<void> dial_loop(config::Peer peer, std::shared_ptr<Out> out);
+
+    net::Executor ex_;
+    net::tcp::acceptor acceptor_;
+    const config::Settings& settings_;
+    Receive receive_;
+    std::vector<std::shared_ptr<Out>> outs_;
+    std::size_t sessions_ = 0;
+};
+
+}  // namespace flintdale::peer
--- /dev/null
+++ b/src/placement/planner.cpp
@@ -0,0 +1,120 @@
+#include "placement/planner.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace flintdale::placement {
+
+namespace {
+constexpr double slack = 1e-6;  // amounts are decimal fractions; sums of them are not exact
+}
+
+bool fits(const Resources& need, const Resources& free) {
+    return need.cpus <= free.cpus + slack && need.gpus <= free.gpus + slack && need.memory_gb <= free.memory_gb + slack;
+}
+
+void take(Resources& free, const Resources& need) {
+    free.cpus -= need.cpus;
+    free.gpus -= need.gpus;
+    free.memory_gb -= need.memory_gb;
+}
+
+void give(Resources& free, const Resources& need) {
+    free.cpus += need.cpus;
+    free.gpus += need.gpus;
+    free.memory_gb += need.memory_gb;
+}
+
+bool allowed(const JobSpec& spec, const Rules& rules, const std::string& type, const std::string& zone, bool spot) {
+    const auto has = [&](const std::vector<std::string>& v) { return std::find(v.begin(), v.end(), type) != v.end(); };
+    if (spot && !spec.spot) return false;
+    if (spec.types && !has(*spec.types)) return false;
+    if (spec.zone && *spec.zone != zone) return false;
+    const auto group = rules.groups.find(spec.job_class);
+    return group == rules.groups.end() || has(group->second);
+}
+
+bool Planner::candidate(const JobSpec& spec, const JobHosts& job, const Host& host) const {
+    if (!allowed(spec, rules_, host.type, host.zone, host.spot)) return false;
+    if (job.excluded.contains(host.name)) return false;
+    if (!fits(spec.need, host.free)) return false;
+    // The margin is for what else the machine holds. An empty machine needs none, or a task that fills a machine
+    // could never run.
+    if (host.load > 0 && host.free.memory_gb + slack < spec.need.memory_gb * (1 + rules_.memory_margin)) return false;
+    if (spec.one_zone)
+        for (const auto& [zone, n] : job.per_zone)
+            if (n > 0 && zone != host.zone) return false;
+    if (spec.spread) {
+        const auto here = job.per_zone.find(host.zone);
+        if (here != job.per_zone.end() && here->second >= (spec.tasks + 1) / 2) return false;
+    }
+    return true;
+}
+
+void Planner::put(std::size_t i, const JobSpec& spec, JobHosts& job) {
+    auto& host = hosts_[i];
+    take(host.free, spec.need);
+    ++host.load;
+    ++job.per_zone[host.zone];
+    job.own.insert(host.name);
+}
+
+std::size_t Planner::place(const JobSpec& spec, JobHosts& job) {
+    std::size_t best = none;
+    // Lowest wins: the job's own machines, then those that hold its image, then the least loaded. Machines that
+    // only some jobs may use go first, so that the others stay free for jobs with no choice.
+    const auto rank = [&](const Host& h) {
+        return std::make_tuple(!job.own.contains(h.name), !h.images.contains(spec.image), !h.spot, h.load, h.name);
+    };
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        if (candidate(spec, job, hosts_[i]) && (best == none || rank(hosts_[i]) < rank(hosts_[best]))) best = i;
+    if (best != none) put(best, spec, job);
+    return best;
+}
+
+std::vector<std::size_t> Planner::place_together(const JobSpec& spec, JobHosts& job, std::size_t count) {
+    const auto attempt = [&](JobHosts trial_job) {
+        auto saved = hosts_;
+        std::vector<std::size_t> out;
+        while (out.size() < count) {
+            const auto i = place(spec, trial_job);
+            if (i == none) break;
+            out.push_back(i);
+        }
+        if (out.size() == count)
+            job = std::move(trial_job);
+        else {
+            hosts_ = std::move(saved);
+            out.clear();
+        }
+        return out;
+    };
+    if (!spec.one_zone || !job.per_zone.empty()) return attempt(job);
+    // The zone of the first choice may lack room for all: try each zone in the order placement would prefer it.
+    std::set<std::string> zones;
+    for (const auto& h : hosts_) zones.insert(h.zone);
+    std::vector<std::size_t> out;
+    for (const auto& zone : zones) {
+        JobHosts trial = job;
+        trial.per_zone[zone] = 0;
+        for (const auto& h : hosts_)
+            if (h.zone != zone) trial.excluded.insert(h.name);
+        out = attempt(std::move(trial));
+        if (!out.empty()) break;
+    }
+    return out;
+}
+
+void Planner::remove(const std::string& name) {
+    std::erase_if(hosts_, [&](const Host& h) { return h.name == name; });
+}
+
+bool before(const Waiting& a, const Waiting& b, double ageing) {
+    if (a.rank != b.rank) return a.rank > b.rank;
+    if (a.window != b.window) return a.window < b.window;
+    const auto la = a.length - ageing * a.waited, lb = b.length - ageing * b.waited;
+    if (la != lb) return la < lb;
+    return a.uid < b.uid;
+}
+
+}  // namespace flintdale::placement
--- /dev/null
+++ b/src/placement/planner.hpp
@@ -0,0 +1,83 @@
+// Which task goes where: the paper's section 4.2 and Algorithm 1 with the changes of docs/design.md. Pure and
+// deterministic: no clock, no I/O, no randomness.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/types.hpp"
+
+namespace flintdale::placement {
+
+using wire::JobSpec;
+using wire::Resources;
+using wire::Seconds;
+
+bool fits(const Resources& need, const Resources& free);
+void take(Resources& free, const Resources& need);
+void give(Resources& free, const Resources& need);
+
+// A machine as placement sees it: one row of the load table.
+struct Host {
+    std::string name, type, zone;
+    bool spot = false;
+    Resources capacity, free;
+    unsigned load = 0;  // tasks assigned
+    std::set<std::string> images;
+};
+
+// Where a job's tasks may be at present; all of them count, whatever their attempt.
+struct JobHosts {
+    std::map<std::string, unsigned> per_zone;
+    std::set<std::string> own;       // machines with tasks of this job
+    std::set<std::string> excluded;  // machines that must not take another one
+};
+
+struct Rules {
+    double memory_margin = 0.1;
+    std::map<std::string, std::vector<std::string>> groups;  // job class -> types
+};
+
+// Whether a task of the job may ever be on such a machine, room aside.
+bool allowed(const JobSpec& spec, const Rules& rules, const std::string& type, const std::string& zone, bool spot);
+
+class Planner {
+  public:
+    static constexpr std::size_t none = static_cast<std::size_t>(-1);
+
+    Planner(std::vector<Host> hosts, Rules rules) : hosts_(std::move(hosts)), rules_(std::move(rules)) {}
+
+    // Places one task and takes its room, or returns none.
+    std::size_t place(const JobSpec& spec, JobHosts& job);
+
+    // Places so many tasks together, or none of them.
+    std::vector<std::size_t> place_together(const JobSpec& spec, JobHosts& job, std::size_t count);
+
+    std::size_t add(Host host) {
+        hosts_.push_back(std::move(host));
+        return hosts_.size() - 1;
+    }
+    void remove(const std::string& name);
+    const Host& host(std::size_t i) const { return hosts_[i]; }
+    const std::vector<Host>& hosts() const { return hosts_; }
+
+  private:
+    bool candidate(const JobSpec& spec, const JobHosts& job, const Host& host) const;
+    void put(std::size_t i, const JobSpec& spec, JobHosts& job);
+
+    std::vector<Host> hosts_;
+    Rules rules_;
+};
+
+// The order of the queue: rank, then window, then length less what the wait has worn off it.
+struct Waiting {
+    wire::Rank rank = wire::Rank::normal;
+    std::int64_t window = 0;
+    Seconds length{0}, waited{0};
+    std::string uid;
+};
+
+bool before(const Waiting& a, const Waiting& b, double ageing);
+
+}  // namespace flintdale::placement
--- /dev/null
+++ b/src/state/store.hpp
@@ -0,0 +1,91 @@
+// The state service as the rest of the program sees it. Tests replace it with a fake in memory.
+#pragma once
+#include <boost/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/asio.hpp"
+
+namespace flintdale::state {
+
+namespace json = boost::json;
+using net::awaitable;
+
+enum class Outcome : std::uint8_t {
+    ok,
+    conflict,  // a condition failed; nothing was changed
+    no_lease,
+    refused,  // 429 or 503: not carried out
+    too_old,  // a watch from before the kept changes
+    unknown,  // no answer: may have been carried out, or may still be
+};
+
+struct Item {
+    std::string key;
+    json::value value;
+    std::uint64_t stamp = 0;  // 0: absent
+};
+
+struct Condition {
+    std::string key;
+    std::uint64_t stamp = 0;
+};
+
+struct Change {
+    std::string key;
+    std::optional<json::value> value;  // absent: delete
+    std::uint64_t lease = 0;           // 0: none
+};
+
+struct Txn {
+    std::vector<Condition> conditions;
+    std::vector<Change> changes;
+};
+
+struct TxnResult {
+    Outcome outcome = Outcome::unknown;
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;
+};
+
+struct GetResult {
+    Outcome outcome = Outcome::unknown;
+    Item item;
+};
+
+struct RangeResult {
+    Outcome outcome = Outcome::unknown;
+    std::vector<Item> items;
+    bool more = false;
+    std::uint64_t revision = 0;
+};
+
+struct FollowResult {
+    Outcome outcome = Outcome::unknown;
+    std::vector<Item> events;  // stamp of a deletion is kept, its value is null
+    std::vector<bool> deleted;
+    std::uint64_t revision = 0;
+};
+
+struct LeaseResult {
+    Outcome outcome = Outcome::unknown;
+    std::uint64_t lease = 0;
+};
+
+// What must not wait behind what.
+enum class Urgency : std::uint8_t { leadership, user, bookkeeping };
+
+class Store {
+  public:
+    virtual ~Store() = default;
+    virtual awaitable<GetResult> get(std::string key, Urgency urgency) = 0;
+    virtual awaitable<RangeResult> range(std::string prefix, std::string after, Urgency urgency) = 0;
+    virtual awaitable<TxnResult> commit(Txn txn, Urgency urgency) = 0;
+    virtual awaitable<FollowResult> follow(std::string prefix, std::uint64_t from, std::chrono::milliseconds hold) = 0;
+    virtual awaitable<LeaseResult> grant(std::chrono::milliseconds life) = 0;
+    virtual awaitable<Outcome> renew(std::uint64_t lease) = 0;
+    virtual awaitable<void> revoke(std::uint64_t lease) = 0;
+};
+
+}  // namespace flintdale::state
--- /dev/null
+++ b/src/wire/peer.capnp
@@ -0,0 +1,19 @@
+@0xd6e1f3a49b0c8277;
+
+# What controllers tell each other. Nothing here is needed for safety: it makes answers fresher and
+# hand-overs quicker.
+
+struct JobCount {
+    uid @0 :Text;
+    done @1 :UInt32;
+    running @2 :UInt32;
+}
+
+struct Beat {
+    member @0 :Text;
+    term @1 :UInt64;          # highest term the sender has seen
+    leader @2 :Text;          # who the sender believes leads that term, or empty
+    stateOk @3 :Bool;         # the sender's own access to the state service works
+    counts @4 :List(JobCount); # from the leader: jobs whose display counts changed
+    leading @5 :Bool;
+}
