--- /dev/null
+++ b/src/agent/lease_rule.hpp
@@ -0,0 +1,14 @@
+#pragma once
+#include "config/settings.hpp"
+
+namespace flintdale::agent {
+
+// Whether a leader may keep workers' leases alive. Work of a job cancelled elsewhere must be gone in time, and
+// a task dies at the latest a lease after the last answer; so what is known of cancellations must be younger
+// than what cancel_s leaves beyond the lease. The margin covers drifting clocks and answers under way.
+inline bool may_answer(const config::Settings& s, wire::TimePoint now, wire::TimePoint cancellations_known_at) {
+    constexpr wire::Seconds margin{3};
+    return now - cancellations_known_at < wire::to_clock(s.cancel - s.lease - margin);
+}
+
+}  // namespace flintdale::agent
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "agent/lease_rule.hpp"
+
 namespace flintdale::app {
 
 using namespace std::chrono_literals;
@@ -12,7 +14,6 @@
 
 namespace {
 constexpr std::chrono::milliseconds follow_hold{1000};
-constexpr Seconds entitled_margin{3};
 constexpr auto plan_gap = 200ms;
 }  // namespace
 
@@ -60,12 +61,7 @@
 
 void Reign::catalog(const std::vector<wire::MachineType>& types) { overseer_.catalog(types); }
 
-// Work of a job cancelled elsewhere must end in time, so answers may keep leases alive only while what is known
-// of cancellations is young enough: a task dies at the latest a lease after the last answer.
-bool Reign::entitled(TimePoint now) const {
-    const auto window = settings_.cancel - settings_.lease - entitled_margin;
-    return loaded_ && !stopped_ && now - fresh_ < wire::to_clock(window);
-}
+bool Reign::entitled(TimePoint now) const { return loaded_ && !stopped_ && agent::may_answer(settings_, now, fresh_); }
 
 awaitable<std::optional<std::string>> Reign::report(wire::WorkerReport r) {
     auto self = shared_from_this();
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+
+#include "state/budget.hpp"
+#include "world.hpp"
+
+namespace flintdale::test {
+
+namespace {
+std::string settings_error(const std::string& text) {
+    try {
+        config::parse_settings(text, "file");
+    } catch (const config::BadSetting& e) {
+        return e.what();
+    }
+    return "";
+}
+std::string tunables_error(const std::string& text) {
+    try {
+        config::parse_tunables(text, "file.ini");
+    } catch (const config::BadSetting& e) {
+        return e.what();
+    }
+    return "";
+}
+}  // namespace
+
+TEST(Config, what_is_wrong_is_named) {
+    EXPECT_NE(settings_error("member = ").find("file: line 1"), std::string::npos);
+    EXPECT_NE(settings_error("").find("member"), std::string::npos);
+    EXPECT_NE(settings_error("member=\"m\"\nlocation=\"z\"\nserve_on=\"nowhere\"").find("serve_on"), std::string::npos);
+    EXPECT_NE(settings_error("member=\"m\"\nlocation=\"z\"\nserve_on=\"1.2.3.4:99999\"").find("serve_on"),
+              std::string::npos);
+    EXPECT_EQ(settings().lease, Seconds(18));
+}
+
+TEST(Config, operators_settings_are_checked) {
+    EXPECT_EQ(config::parse_tunables("[placement]\nwindow_s = 2.5\n[groups]\ntrain = g8 g4\n", "f").window, Seconds(2.5));
+    EXPECT_EQ(config::parse_tunables("[groups]\ntrain = g8 g4\n", "f").groups.at("train").size(), 2u);
+    EXPECT_NE(tunables_error("[placement]\nwindow = 3\n").find("placement.window: unknown"), std::string::npos);
+    EXPECT_NE(tunables_error("[placement]\nwindow_s = soon\n").find("expected a number"), std::string::npos);
+    EXPECT_NE(tunables_error("[placement]\nwindow_s = -1\n").find("file.ini: placement.window_s"), std::string::npos);
+    EXPECT_NE(tunables_error("window_s = 3\n").find("[section]"), std::string::npos);
+}
+
+TEST(Budget, less_urgent_requests_leave_room_for_leadership) {
+    using state::Urgency;
+    const TimePoint start{100s};
+    state::Budget b(10, 5, start);
+    int taken = 0;
+    while (b.take(0, Urgency::bookkeeping, start).count() == 0) ++taken;
+    EXPECT_EQ(taken, 7);
+    while (b.take(0, Urgency::leadership, start).count() == 0) ++taken;
+    EXPECT_EQ(taken, 10);
+    EXPECT_GT(b.take(0, Urgency::leadership, start).count(), 0);
+    EXPECT_EQ(b.take(0, Urgency::leadership, start + 1s).count(), 0);
+}
+
+TEST(Budget, writes_over_a_second_never_pass_the_rate) {
+    using state::Urgency;
+    TimePoint t{100s};
+    state::Budget b(1000, 10, t);
+    double written = 0;
+    for (int ms = 0; ms < 10'000; ms += 5, t += 5ms)
+        if (b.take(3, Urgency::user, t).count() == 0) written += 3;
+    EXPECT_LE(written, 10 * 10 + 10 + 3);
+    EXPECT_GE(written, 80);
+}
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/desk_test.cpp
@@ -0,0 +1,113 @@
+// What users are told, by one controller and by another.
+#include "api/desk.hpp"
+#include "fake_store.hpp"
+
+namespace flintdale::test {
+
+namespace {
+
+struct DeskStory : ::testing::Test {
+    net::asio::io_context io;
+    FakeStore store;
+    config::Settings cluster = settings();
+    std::vector<wire::MachineType> known = types();
+    bool types_known = true;
+    api::Desk one{io.get_executor(), store, cluster, links()}, two{io.get_executor(), store, cluster, links()};
+
+    api::Desk::Links links() {
+        return {[] { return std::int64_t{1000}; }, [this] { return types_known ? &known : nullptr; },
+                [](const std::string&) { return api::DisplayCount{}; }, [](const state::Item&) {}};
+    }
+    net::Reply run(net::awaitable<net::Reply> call) {
+        net::Reply out;
+        net::asio::co_spawn(io, std::move(call), [&](std::exception_ptr e, net::Reply r) {
+            EXPECT_FALSE(e);
+            out = std::move(r);
+        });
+        io.restart();
+        io.run();
+        return out;
+    }
+    static std::string body(const std::string& uid, const std::string& owner = "team", int tasks = 1) {
+        return R"({"uid":")" + uid + R"(","jobclass":"c","owner":")" + owner +
+               R"(","shape":"array","rank":"normal","shards":)" + std::to_string(tasks) +
+               R"(,"cores":4.0,"accelerators":1.0,"mem_gb":8.0,"bundle":"i","image_gb":1.0,"hosttypes":null,)"
+               R"("hall":null,"one_zone":false,"scatter":false,"loaners":false,"guess_s":10.0,"snapshot_s":0.0,)"
+               R"("flush_s":0.0,"due_s":null})";
+    }
+};
+
+}  // namespace
+
+TEST_F(DeskStory, a_job_is_taken_once_whoever_is_asked) {
+    EXPECT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    EXPECT_EQ(run(two.submit(body("run-1"))).status, 200u);
+    EXPECT_EQ(run(two.poll("run-1")).status, 200u);
+}
+
+TEST_F(DeskStory, forgotten_a_known_job_stays_accepted_whatever_its_repetition_says) {
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    EXPECT_EQ(run(two.submit(body("run-1", "nobody"))).status, 200u);
+    EXPECT_EQ(run(two.submit(body("run-1", "team", 0))).status, 200u);
+    EXPECT_EQ(run(two.submit(body("run-2", "nobody"))).status, 422u);
+    EXPECT_EQ(run(two.submit(body("run-2", "team", 0))).status, 400u);
+    EXPECT_EQ(run(two.submit("{")).status, 400u);
+}
+
+TEST_F(DeskStory, what_can_never_run_is_told_apart_from_what_is_not_known_yet) {
+    auto huge = body("run-1");
+    huge.replace(huge.find("4.0"), 3, "999");
+    EXPECT_EQ(run(one.submit(huge)).status, 422u);
+    types_known = false;
+    const auto r = run(one.submit(body("run-2")));
+    EXPECT_EQ(r.status, 503u);
+    EXPECT_GT(r.retry_after, 0u);
+    EXPECT_EQ(store.keys.get("job/run-2").stamp, 0u);
+}
+
+TEST_F(DeskStory, an_accepted_answer_means_it_is_on_record_even_if_the_answer_was_lost) {
+    store.lose_answers = 1;
+    EXPECT_EQ(run(one.submit(body("run-1"))).status, 200u);
+    EXPECT_GT(store.keys.get("job/run-1").stamp, 0u);
+    store.refuse = true;
+    EXPECT_EQ(run(one.submit(body("run-2"))).status, 503u);
+}
+
+TEST_F(DeskStory, invented_an_unknown_job_is_not_found_and_malformed_ids_neither) {
+    EXPECT_EQ(run(one.poll("run-9")).status, 404u);
+    EXPECT_EQ(run(one.poll("run-9/../x")).status, 404u);
+    EXPECT_EQ(run(one.cancel("run-9")).status, 404u);
+}
+
+TEST_F(DeskStory, went_back_no_controller_answers_from_an_old_memory) {
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    ASSERT_EQ(run(two.poll("run-1")).status, 200u);
+    ASSERT_NE(run(one.cancel("run-1")).body.find("aborted"), std::string::npos);
+    EXPECT_NE(run(two.poll("run-1")).body.find("aborted"), std::string::npos);
+    EXPECT_NE(run(two.submit(body("run-1"))).body.find("aborted"), std::string::npos);
+}
+
+TEST_F(DeskStory, in_an_outage_only_final_states_are_told) {
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    ASSERT_EQ(run(one.submit(body("run-2"))).status, 201u);
+    ASSERT_EQ(run(one.cancel("run-2")).status, 200u);
+    store.refuse = true;
+    EXPECT_EQ(run(one.poll("run-1")).status, 503u);
+    EXPECT_EQ(run(one.poll("run-2")).status, 200u);
+    EXPECT_EQ(run(one.cancel("run-1")).status, 503u);
+}
+
+TEST_F(DeskStory, polls_that_come_together_share_their_checks) {
+    for (int i = 0; i < 20; ++i) ASSERT_EQ(run(one.submit(body("run-" + std::to_string(i)))).status, 201u);
+    store.commits = 0;
+    int good = 0;
+    for (int i = 0; i < 20; ++i)
+        net::asio::co_spawn(io, one.poll("run-" + std::to_string(i)),
+                            [&](std::exception_ptr, net::Reply r) { good += r.status == 200; });
+    io.restart();
+    io.run();
+    EXPECT_EQ(good, 20);
+    EXPECT_LE(store.commits, 2);
+}
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/fake_store.hpp
@@ -0,0 +1,59 @@
+// The state service as a Store for coroutines: the same keys as in world.hpp, with leases and failures on demand.
+#pragma once
+#include "world.hpp"
+
+namespace flintdale::test {
+
+class FakeStore : public state::Store {
+  public:
+    Keys keys;
+    bool refuse = false;           // an outage, or a refusal of this controller alone
+    int lose_answers = 0;          // so many transactions are carried out, but their answers are lost
+    int commits = 0;
+
+    net::awaitable<state::GetResult> get(std::string key, state::Urgency) override {
+        state::GetResult r;
+        r.outcome = refuse ? state::Outcome::refused : state::Outcome::ok;
+        if (!refuse) r.item = keys.get(key);
+        co_return r;
+    }
+    net::awaitable<state::RangeResult> range(std::string prefix, std::string, state::Urgency) override {
+        state::RangeResult r;
+        r.outcome = refuse ? state::Outcome::refused : state::Outcome::ok;
+        if (!refuse) r.items = keys.range(prefix);
+        r.revision = keys.revision();
+        co_return r;
+    }
+    net::awaitable<state::TxnResult> commit(state::Txn txn, state::Urgency) override {
+        ++commits;
+        auto ex = co_await net::asio::this_coro::executor;
+        co_await net::asio::post(ex, net::asio::use_awaitable);  // an answer takes a while; others come meanwhile
+        state::TxnResult r;
+        r.outcome = state::Outcome::refused;
+        if (refuse) co_return r;
+        r = keys.commit(txn);
+        if (lose_answers > 0) {
+            --lose_answers;
+            r = state::TxnResult{};
+        }
+        co_return r;
+    }
+    net::awaitable<state::FollowResult> follow(std::string, std::uint64_t, std::chrono::milliseconds) override {
+        state::FollowResult r;
+        r.outcome = state::Outcome::refused;
+        co_return r;
+    }
+    net::awaitable<state::LeaseResult> grant(std::chrono::milliseconds) override {
+        state::LeaseResult r;
+        r.outcome = refuse ? state::Outcome::refused : state::Outcome::ok;
+        r.lease = ++leases_;
+        co_return r;
+    }
+    net::awaitable<state::Outcome> renew(std::uint64_t) override { co_return state::Outcome::ok; }
+    net::awaitable<void> revoke(std::uint64_t) override { co_return; }
+
+  private:
+    std::uint64_t leases_ = 0;
+};
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,395 @@
+// A story for each rule that a day must not break: the danger, and that the guard holds.
+#include <algorithm>
+
+#include "agent/lease_rule.hpp"
+#include "world.hpp"
+
+namespace flintdale::test {
+
+using wire::Cause;
+using wire::Shape;
+
+namespace {
+
+Worker machine(const std::string& name, const std::string& zone, const std::string& type = "small") {
+    Worker w;
+    w.name = name;
+    w.zone = zone;
+    w.type = type;
+    return w;
+}
+
+struct Story : ::testing::Test, World {
+    Worker m1 = machine("n-000001", "a"), m2 = machine("n-000002", "b");
+
+    // Two reports: the first makes a worker see the term, the second counts for what it lacks.
+    void meet(Worker& w) {
+        beat(w);
+        beat(w);
+    }
+    void start(const wire::JobSpec& spec, std::initializer_list<Worker*> workers) {
+        accept(spec);
+        settle();
+        for (auto* w : workers) meet(*w);
+        ASSERT_TRUE(place());
+        for (auto* w : workers) beat(*w);
+        for (auto* w : workers) w->run_all();
+        for (auto* w : workers) beat(*w);
+    }
+};
+
+}  // namespace
+
+TEST_F(Story, ran_twice_a_silent_machines_task_starts_elsewhere_only_after_its_release) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    ASSERT_EQ(machine_of("run-1", 0), "n-000001");
+    for (int i = 0; i < 20; ++i) {  // a minute without a word from n-000001, far beyond its lease
+        pass(3s);
+        beat(m2);
+        place();
+        ASSERT_EQ(machine_of("run-1", 0), "n-000001") << "silence is no evidence";
+    }
+    const auto going = leader->release(now);
+    ASSERT_EQ(std::count(going.begin(), going.end(), "n-000001"), 1);
+    ASSERT_EQ(machine_of("run-1", 0), "n-000001") << "a release that is not answered is no evidence either";
+    leader->released({"n-000001"}, now);
+    auto third = machine("n-000003", "b");
+    meet(third);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(machine_of("run-1", 0), "n-000003");
+    EXPECT_FALSE(leader->report(m1.report(), now)) << "a late report of a released machine is not believed";
+}
+
+TEST_F(Story, ran_twice_the_next_leader_finds_the_intent_of_one_that_died_before_its_run) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());  // on record for n-000001, and then the leader is gone
+    auto& next = elect();
+    settle();
+    meet(m2);
+    EXPECT_FALSE(place()) << "the task may be on n-000001";
+    auto orders = beat(m1);
+    EXPECT_FALSE(ordered(orders, Verb::run, "run-1", 0)) << "n-000001 has not seen this term yet";
+    orders = beat(m1);
+    EXPECT_TRUE(ordered(orders, Verb::run, "run-1", 0));
+    EXPECT_EQ(next.count("run-1")->done, 0u);
+}
+
+TEST_F(Story, ran_twice_no_run_leaves_before_its_intent_is_on_record) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(leader->place(now));
+    EXPECT_FALSE(ordered(beat(m1), Verb::run, "run-1", 0));
+    commit();
+    EXPECT_TRUE(ordered(beat(m1), Verb::run, "run-1", 0));
+}
+
+TEST_F(Story, ran_twice_an_old_leader_cannot_record_a_placement) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    meet(m1);
+    auto old = std::move(leader);
+    elect();
+    ASSERT_TRUE(old->place(now));
+    const auto batch = old->next_batch();
+    EXPECT_EQ(keys.commit(batch.txn).outcome, state::Outcome::conflict);
+    EXPECT_TRUE(keys.get("work/run-1").value.as_object().at("tasks").as_array().empty());
+}
+
+TEST_F(Story, ran_twice_a_lost_answer_is_repeated_and_a_late_report_ignored) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());
+    const auto old_report = m1.report();
+    ASSERT_TRUE(ordered(beat(m1, false), Verb::run, "run-1", 0));
+    EXPECT_TRUE(ordered(beat(m1), Verb::run, "run-1", 0)) << "the worker dropped the first answer";
+    beat(m1);
+    EXPECT_FALSE(leader->report(old_report, now)) << "a report from before must not undo what is known";
+    EXPECT_EQ(machine_of("run-1", 0), "n-000001");
+    EXPECT_FALSE(ordered(beat(m1), Verb::run, "run-1", 0));
+}
+
+TEST_F(Story, ran_twice_a_new_session_is_evidence) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    m1.lose_lease();
+    beat(m1);
+    EXPECT_EQ(machine_of("run-1", 0), "");
+    ASSERT_TRUE(place());
+    EXPECT_EQ(leader->job("run-1")->tasks[0].attempt, 2u);
+}
+
+TEST_F(Story, quota_tasks_on_silent_machines_still_count) {
+    elect();
+    auto first = job("run-1", Shape::array, 2);  // two tasks of 4 fill the limit of 8
+    first.team = "limited";
+    start(first, {&m1});
+    ASSERT_EQ(leader->job("run-1")->placed, 2u);
+    auto second = job("run-2", Shape::array, 1);
+    second.team = "limited";
+    accept(second);
+    for (int i = 0; i < 20; ++i) {
+        pass(3s);
+        beat(m2);
+        EXPECT_FALSE(place());
+    }
+    leader->released({"n-000001"}, now);
+    EXPECT_TRUE(place());
+    EXPECT_LE(leader->job("run-1")->placed + leader->job("run-2")->placed, 2u);
+}
+
+TEST_F(Story, wrong_place_a_spread_job_counts_tasks_that_linger) {
+    elect();
+    auto third = machine("n-000003", "a");
+    auto spread = job("run-1", Shape::service, 2);
+    spread.spread = true;
+    start(spread, {&m1, &m2});
+    ASSERT_NE(machine_of("run-1", 0), machine_of("run-1", 1));
+    const std::uint32_t in_b = machine_of("run-1", 0) == "n-000002" ? 0 : 1;
+    m2.finish("run-1", in_b, Cause::stopped);  // zone b's replica ends, and zone b has no machine any more
+    beat(m2);
+    leader->released({"n-000002"}, now);
+    meet(third);
+    EXPECT_FALSE(place()) << "zone a may hold one of two";
+    EXPECT_EQ(machine_of("run-1", in_b), "");
+}
+
+TEST_F(Story, wrong_place_a_one_zone_job_stays_where_its_lingering_tasks_are) {
+    elect();
+    auto together = job("run-1", Shape::array, 3);
+    together.one_zone = true;
+    start(together, {&m1});
+    ASSERT_EQ(leader->job("run-1")->placed, 2u);
+    for (int i = 0; i < 10; ++i) {
+        pass(3s);
+        meet(m2);
+        EXPECT_FALSE(place()) << "two tasks may still be in zone a";
+    }
+}
+
+TEST_F(Story, wrong_place_only_allowed_types_zones_and_kinds_are_used) {
+    elect();
+    auto picky = job("run-1", Shape::array, 1);
+    picky.zone = "b";
+    picky.types = std::vector<std::string>{"small"};
+    accept(picky);
+    settle();
+    auto spot = machine("n-000003", "b");
+    spot.spot = true;
+    auto large = machine("n-000004", "b", "large");
+    for (auto* w : {&m1, &spot, &large}) meet(*w);
+    EXPECT_FALSE(place());
+    meet(m2);
+    EXPECT_TRUE(place());
+    EXPECT_EQ(machine_of("run-1", 0), "n-000002");
+}
+
+TEST_F(Story, ran_cancelled_tasks_are_killed_and_intents_never_run) {
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    const auto orders = beat(m1);
+    EXPECT_TRUE(ordered(orders, Verb::kill, "run-1", 0));
+    EXPECT_TRUE(ordered(orders, Verb::kill, "run-1", 1));
+
+    accept(job("run-2", Shape::array, 1));
+    settle();
+    beat(m1);
+    ASSERT_TRUE(place());
+    ASSERT_TRUE(cancel("run-2"));
+    tell("run-2");
+    EXPECT_FALSE(ordered(beat(m1), Verb::run, "run-2", 0));
+    commit();
+    EXPECT_EQ(keys.get("work/run-2").stamp, 0u) << "nothing of a cancelled job stays open";
+}
+
+TEST_F(Story, ran_cancelled_a_placement_is_not_recorded_for_a_job_cancelled_elsewhere) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(cancel("run-1"));  // by another controller; the leader does not know
+    place();
+    EXPECT_FALSE(ordered(beat(m1), Verb::run, "run-1", 0));
+}
+
+TEST_F(Story, ran_cancelled_a_leader_cut_off_from_the_state_service_falls_silent_in_time) {
+    const auto known = now;
+    const auto room = settings.cancel - settings.lease;  // a task dies a lease after the last answer
+    EXPECT_TRUE(agent::may_answer(settings, known + 10s, known));
+    EXPECT_FALSE(agent::may_answer(settings, known + wire::to_clock(room), known));
+    EXPECT_FALSE(agent::may_answer(settings, known + wire::to_clock(room - Seconds(3)), known));
+}
+
+TEST_F(Story, ran_cancelled_an_unreachable_machine_with_cancelled_work_is_released_in_time) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    std::vector<Worker> others;
+    for (int i = 10; i < 14; ++i) others.push_back(machine("n-0000" + std::to_string(i), "a"));
+    for (auto& w : others) meet(w);
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    // All machines fall silent at once, which otherwise buys them patience.
+    std::vector<std::string> going;
+    const auto told = now;
+    while (going.empty() && now < told + wire::to_clock(settings.cancel)) {
+        pass(1s);
+        going = leader->release(now);
+    }
+    ASSERT_FALSE(going.empty());
+    EXPECT_LT(now, told + wire::to_clock(settings.cancel * 0.8));
+    EXPECT_EQ(going.front(), "n-000001");
+}
+
+TEST_F(Story, not_done_a_job_is_done_only_when_its_last_task_is) {
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    commit();
+    EXPECT_EQ(state_of("run-1"), "open");
+    m1.finish("run-1", 1, Cause::error);
+    beat(m1);
+    commit();
+    EXPECT_EQ(state_of("run-1"), "open");
+    settle();
+    meet(m2);
+    ASSERT_TRUE(place());
+    beat(m2);
+    m2.finish("run-1", 1, Cause::done);
+    beat(m2);
+    commit();
+    EXPECT_EQ(state_of("run-1"), "done");
+}
+
+TEST_F(Story, went_back_a_cancel_and_the_last_done_race_and_one_of_them_wins) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    ASSERT_TRUE(cancel("run-1")) << "the leader's record of the end is not written yet";
+    commit();
+    EXPECT_EQ(state_of("run-1"), "aborted");
+
+    start(job("run-2", Shape::array, 1), {&m1});
+    m1.finish("run-2", 0, Cause::done);
+    beat(m1);
+    commit();
+    EXPECT_EQ(state_of("run-2"), "done");
+    EXPECT_FALSE(cancel("run-2"));
+    EXPECT_EQ(state_of("run-2"), "done");
+}
+
+TEST_F(Story, forgotten_a_worker_forgets_an_outcome_only_once_it_is_on_record) {
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    EXPECT_FALSE(ordered(beat(m1), Verb::clear, "run-1", 0));
+    elect();  // the leader dies without having written it: the worker still tells
+    meet(m1);
+    EXPECT_EQ(leader->count("run-1")->done, 1u);
+    commit();
+    EXPECT_TRUE(ordered(beat(m1), Verb::clear, "run-1", 0));
+}
+
+TEST_F(Story, forgotten_accepted_work_outlives_every_controller) {
+    accept(job("run-1", Shape::array, 1));  // no leader was there to hear of it
+    elect();
+    settle();
+    meet(m1);
+    EXPECT_TRUE(place());
+    EXPECT_EQ(machine_of("run-1", 0), "n-000001");
+}
+
+TEST_F(Story, gang_a_task_lost_before_the_start_is_replaced_under_the_same_attempt) {
+    elect();
+    auto third = machine("n-000003", "b");
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need = {8, 2, 40};  // a whole machine each
+    accept(gang);
+    settle();
+    meet(m1);
+    EXPECT_FALSE(place()) << "all or none";
+    meet(m2);
+    ASSERT_TRUE(place());
+    beat(m1);
+    beat(m2);
+    leader->released({"n-000002"}, now);
+    meet(third);
+    ASSERT_TRUE(place());
+    const auto& tasks = leader->job("run-1")->tasks;
+    EXPECT_EQ(tasks[0].attempt, 1u);
+    EXPECT_EQ(tasks[1].attempt, 1u);
+}
+
+TEST_F(Story, gang_a_new_attempt_waits_until_the_old_one_is_gone) {
+    elect();
+    auto third = machine("n-000003", "a");
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need = {8, 2, 40};
+    start(gang, {&m1, &m2});
+    ASSERT_TRUE(leader->job("run-1")->gang_started);
+    leader->released({"n-000002"}, now);
+    meet(third);
+    m2 = machine("n-000004", "b");
+    meet(m2);
+    EXPECT_FALSE(place()) << "n-000001 still holds a task of the first attempt";
+    EXPECT_TRUE(ordered(beat(m1), Verb::kill, "run-1", machine_of("run-1", 0) == "n-000001" ? 0 : 1));
+    beat(m1);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(leader->job("run-1")->tasks[0].attempt, 2u);
+    EXPECT_EQ(leader->job("run-1")->tasks[1].attempt, 2u);
+}
+
+TEST_F(Story, fleet_a_machine_nobody_expected_is_used_or_returned) {
+    elect();
+    meet(m1);  // a late rental of a leader that is gone
+    settle();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    beat(m1);
+    EXPECT_TRUE(place());
+    auto idle = machine("n-000009", "a");
+    meet(idle);
+    for (int i = 0; i < 40; ++i) {
+        pass(3s);
+        beat(idle);
+        beat(m1);
+    }
+    EXPECT_EQ(leader->release(now), std::vector<std::string>{"n-000009"});
+}
+
+TEST_F(Story, fleet_a_machine_that_fails_several_jobs_is_set_aside_but_a_bad_job_spoils_none) {
+    elect();
+    std::vector<Worker> all;
+    for (int i = 1; i < 6; ++i) all.push_back(machine("n-00000" + std::to_string(i), "a"));
+    for (auto& w : all) meet(w);
+    accept(job("run-bad", Shape::array, 1));  // fails wherever it is put
+    settle();
+    for (int round = 0; round < 5; ++round) {
+        pass(90s);
+        for (auto& w : all) meet(w);
+        place();
+        for (auto& w : all) {
+            beat(w);
+            if (w.find("run-bad", 0)) w.finish("run-bad", 0, Cause::error);
+            beat(w);
+            commit();
+            beat(w);
+        }
+    }
+    EXPECT_GE(leader->job("run-bad")->errors, 3u);
+    EXPECT_EQ(leader->machines_up(now), all.size());
+}
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include "agent/job.hpp"
+#include "peer/link.hpp"
+#include "wire/json.hpp"
+
+namespace flintdale::test {
+
+namespace {
+
+const std::string good =
+    R"({"uid":"run-000412","jobclass":"train","owner":"vision","shape":"ensemble","rank":"high","shards":16,)"
+    R"("cores":8.0,"accelerators":1.0,"mem_gb":64.0,"bundle":"img-07","image_gb":6.2,"hosttypes":["g8"],)"
+    R"("hall":null,"one_zone":true,"scatter":false,"loaners":true,"guess_s":240.0,"snapshot_s":30.0,)"
+    R"("flush_s":4.0,"due_s":900.0,"unheard_of":[1,{}]})";
+
+std::string with(const std::string& from, const std::string& to) {
+    auto s = good;
+    const auto at = s.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return s.replace(at, from.size(), to);
+}
+
+std::string complaint(const std::string& body) {
+    try {
+        wire::parse_submission(wire::parse_object(body));
+    } catch (const wire::BadBody& e) {
+        return e.what();
+    }
+    return "";
+}
+
+}  // namespace
+
+TEST(Wire, a_sound_submission_is_read_and_survives_its_record) {
+    const auto s = wire::parse_submission(wire::parse_object(good));
+    EXPECT_EQ(s.uid, "run-000412");
+    EXPECT_EQ(s.tasks, 16u);
+    EXPECT_TRUE(s.one_zone);
+    EXPECT_FALSE(s.zone);
+    const auto again = wire::spec_from_record(wire::spec_to_record(s));
+    EXPECT_EQ(again.need.memory_gb, 64.0);
+    EXPECT_EQ(again.types, s.types);
+    EXPECT_EQ(again.deadline, s.deadline);
+    EXPECT_EQ(again.shape, wire::Shape::gang);
+}
+
+TEST(Wire, malformed_submissions_are_named_by_field_and_reason) {
+    const std::pair<std::string, std::string> table[] = {
+        {"", "body"},
+        {"nonsense", "body"},
+        {"[1,2]", "body"},
+        {"\"text\"", "body"},
+        {"null", "body"},
+        {good + "}", "body"},
+        {std::string(200, '['), "body"},
+        {with("16", "0"), "shards"},
+        {with("16", "100001"), "shards"},
+        {with("16", "-1"), "shards"},
+        {with("16", "1.5"), "shards"},
+        {with("16", "\"16\""), "shards"},
+        {with("16", "1e400"), ""},
+        {with("8.0", "-8.0"), "cores"},
+        {with("8.0", "NaN"), "body"},
+        {with("8.0", "1e300"), "cores"},
+        {with("8.0", "null"), "cores"},
+        {with("64.0", "true"), "mem_gb"},
+        {with("\"run-000412\"", "\"\""), "uid"},
+        {with("\"run-000412\"", "\"job-1\""), "uid"},
+        {with("\"run-000412\"", "\"run-1/2\""), "uid"},
+        {with("\"run-000412\"", "\"run-1 2\""), "uid"},
+        {with("\"run-000412\"", "7"), "uid"},
+        {with("\"ensemble\"", "\"gang\""), "shape"},
+        {with("\"high\"", "3"), "rank"},
+        {with("[\"g8\"]", "[]"), "hosttypes"},
+        {with("[\"g8\"]", "[7]"), "hosttypes"},
+        {with("[\"g8\"]", "\"g8\""), "hosttypes"},
+        {with("true,\"scatter\"", "\"yes\",\"scatter\""), "one_zone"},
+        {with("\"guess_s\":240.0,", ""), "guess_s"},
+        {with("\"img-07\"", "\"" + std::string(300, 'x') + "\""), "bundle"},
+        {with("900.0", "-1"), "due_s"},
+    };
+    for (const auto& [body, field] : table) {
+        const auto why = complaint(body);
+        EXPECT_FALSE(why.empty()) << body;
+        EXPECT_TRUE(why.starts_with(field)) << body << " gave " << why;
+    }
+}
+
+TEST(Wire, a_report_is_read_and_an_unknown_cause_counts_as_a_failure) {
+    const auto r = wire::parse_report(
+        R"({"host":"n-1","endpoint":"10.1.0.1:9000","hosttype":"g8","hall":"a","loaners":true,"tenure":1,"tick":88,)"
+        R"("baton":41,"warning_s":null,"shards":[{"shard":"run-1/3","try":2,"status":"running"},)"
+        R"({"shard":"run-2/0","try":1,"status":"ended","cause":"struck by lightning"}]})");
+    ASSERT_EQ(r.tasks.size(), 2u);
+    EXPECT_EQ(r.tasks[0].id.index, 3u);
+    EXPECT_EQ(r.tasks[1].cause, wire::Cause::error);
+    EXPECT_FALSE(r.notice);
+    EXPECT_THROW(wire::parse_report(R"({"host":"n-1"})"), wire::BadBody);
+    EXPECT_THROW(wire::parse_report("{}"), wire::BadBody);
+}
+
+TEST(Wire, task_ranges_stay_within_a_value_at_their_worst) {
+    agent::Job job;
+    job.spec.tasks = 100'000;
+    job.spec.uid = "run-1";
+    job.spec.team = job.spec.job_class = job.spec.image = "x";
+    job.tasks.resize(job.spec.tasks);
+    agent::Machine a, b;
+    a.name = "n-123456789012";
+    b.name = "n-123456789013";
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+        job.tasks[i].state = agent::Task::State::placed;
+        job.tasks[i].machine = i % 2 ? &a : &b;
+        job.tasks[i].attempt = 100 + i % 3;
+    }
+    const auto last = (job.spec.tasks - 1) / agent::chunk_tasks;
+    EXPECT_LT(boost::json::serialize(agent::work_record(job, last)).size(), 16u * 1024);
+    EXPECT_LT(boost::json::serialize(agent::work_record(job, 0)).size(), 16u * 1024);
+}
+
+TEST(Wire, peers_understand_each_other_and_refuse_nonsense) {
+    peer::Beat b;
+    b.member = "one";
+    b.leader = "two";
+    b.term = 7;
+    b.state_ok = true;
+    b.counts = {{"run-1", 3, 4}};
+    const auto back = peer::decode(peer::encode(b));
+    EXPECT_EQ(back.member, "one");
+    EXPECT_EQ(back.leader, "two");
+    EXPECT_EQ(back.term, 7u);
+    EXPECT_TRUE(back.state_ok);
+    ASSERT_EQ(back.counts.size(), 1u);
+    EXPECT_EQ(back.counts[0].running, 4u);
+    EXPECT_THROW(peer::decode("abcdefghijklmnop"), std::exception);
+    EXPECT_THROW(peer::decode(""), std::exception);
+}
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,247 @@
+#include "world.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace flintdale::test {
+
+namespace {
+const bool quiet = [] { return spdlog::set_level(spdlog::level::off), true; }();
+}  // namespace
+
+config::Settings settings() {
+    return config::parse_settings(R"(
+member = "one"
+location = "a"
+serve_on = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+nodes = 1
+zones = ["a", "b"]
+[[cluster.teams]]
+name = "team"
+[[cluster.teams]]
+name = "limited"
+cpus_max = 8.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 18.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 48.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 16.0
+txn_ops = 12
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+)",
+                                  "test");
+}
+
+wire::JobSpec job(const std::string& uid, wire::Shape shape, std::uint32_t tasks) {
+    wire::JobSpec s;
+    s.uid = uid;
+    s.job_class = "class";
+    s.team = "team";
+    s.image = "image";
+    s.shape = shape;
+    s.tasks = tasks;
+    s.need = {4, 1, 10};
+    s.image_gb = 1;
+    s.estimate = shape == wire::Shape::service ? Seconds(0) : Seconds(60);
+    return s;
+}
+
+std::vector<wire::MachineType> types() {
+    wire::MachineType small;
+    small.name = "small";
+    small.capacity = {8, 2, 64};
+    small.cache_gb = 50;
+    small.price = 2;
+    small.spot_price = 1;
+    small.boot = Seconds(30);
+    small.zones = {"a", "b"};
+    auto large = small;
+    large.name = "large";
+    large.capacity = {32, 8, 256};
+    large.price = 10;
+    large.spot_price = 5;
+    return {small, large};
+}
+
+state::TxnResult Keys::commit(const state::Txn& txn) {
+    state::TxnResult r;
+    for (const auto& c : txn.conditions)
+        if (get(c.key).stamp != c.stamp) r.failed.push_back(c.key);
+    if (!r.failed.empty()) {
+        r.outcome = state::Outcome::conflict;
+        r.revision = revision_;
+        return r;
+    }
+    r.outcome = state::Outcome::ok;
+    if (!txn.changes.empty()) ++revision_;
+    for (const auto& c : txn.changes) {
+        if (c.value)
+            items_[c.key] = {c.key, *c.value, revision_};
+        else
+            items_.erase(c.key);
+    }
+    r.revision = revision_;
+    return r;
+}
+
+state::Item Keys::get(const std::string& key) const {
+    const auto it = items_.find(key);
+    return it == items_.end() ? state::Item{key, {}, 0} : it->second;
+}
+
+std::vector<state::Item> Keys::range(const std::string& prefix) const {
+    std::vector<state::Item> out;
+    for (const auto& [key, item] : items_)
+        if (key.starts_with(prefix)) out.push_back(item);
+    return out;
+}
+
+wire::WorkerReport Worker::report() {
+    wire::WorkerReport r;
+    r.machine = name;
+    r.addr = "10.0.0.9:9000";
+    r.type = type;
+    r.zone = zone;
+    r.spot = spot;
+    r.tenure = tenure;
+    r.tick = ++tick;
+    r.token = token;
+    r.notice = notice;
+    r.tasks = tasks;
+    return r;
+}
+
+wire::TaskReport* Worker::find(const std::string& uid, std::uint32_t index) {
+    for (auto& t : tasks)
+        if (t.id.uid == uid && t.id.index == index) return &t;
+    return nullptr;
+}
+
+void Worker::obey(const std::vector<Order>& orders, std::uint64_t answer_token) {
+    if (answer_token < token) return;
+    token = answer_token;
+    for (const auto& o : orders) {
+        auto* t = find(o.id.uid, o.id.index);
+        if (o.verb == Verb::run && !t) {
+            wire::TaskReport fresh;
+            fresh.id = o.id;
+            fresh.attempt = o.attempt;
+            fresh.status = TaskStatus::fetching;
+            tasks.push_back(fresh);
+        } else if (o.verb == Verb::kill && t && t->attempt == o.attempt && t->status != TaskStatus::exited) {
+            t->status = TaskStatus::exited;
+            t->cause = wire::Cause::stopped;
+        } else if (o.verb == Verb::clear && t && t->attempt == o.attempt && t->status == TaskStatus::exited) {
+            std::erase_if(tasks, [&](const auto& e) { return e.id.uid == o.id.uid && e.id.index == o.id.index; });
+        }
+    }
+}
+
+void Worker::finish(const std::string& uid, std::uint32_t index, wire::Cause cause) {
+    auto* t = find(uid, index);
+    ASSERT_NE(t, nullptr);
+    t->status = TaskStatus::exited;
+    t->cause = cause;
+}
+
+void Worker::run_all() {
+    for (auto& t : tasks)
+        if (t.status != TaskStatus::exited) t.status = TaskStatus::running;
+}
+
+void Worker::lose_lease() {
+    tasks.clear();
+    ++tenure;
+}
+
+Overseer& World::elect() {
+    const auto old = keys.get(election::term_key);
+    state::Txn txn;
+    txn.conditions.push_back({election::term_key, old.stamp});
+    txn.changes.push_back({election::term_key, boost::json::object{{"n", ++term}}, 0});
+    const auto won = keys.commit(txn);
+    leader = std::make_unique<Overseer>(settings, tunables, term, won.revision, now);
+    leader->catalog(types());
+    leader->load(keys.range("work/"), now);
+    for (const auto& [key, stamp] : leader->open_jobs()) leader->job_changed(keys.get(key), now);
+    return *leader;
+}
+
+void World::accept(const wire::JobSpec& spec) {
+    state::Txn txn;
+    txn.conditions.push_back({agent::job_key(spec.uid), 0});
+    txn.changes.push_back({agent::job_key(spec.uid), agent::job_record(spec, wire::JobState::open), 0});
+    txn.changes.push_back({agent::work_key(spec.uid, 0), agent::first_work_record(spec), 0});
+    ASSERT_EQ(keys.commit(txn).outcome, state::Outcome::ok);
+    if (leader) tell(spec.uid);
+}
+
+bool World::cancel(const std::string& uid) {
+    auto item = keys.get(agent::job_key(uid));
+    auto record = item.value.as_object();
+    if (record["state"] != "open") return false;
+    record["state"] = "aborted";
+    state::Txn txn;
+    txn.conditions.push_back({item.key, item.stamp});
+    txn.changes.push_back({item.key, record, 0});
+    return keys.commit(txn).outcome == state::Outcome::ok;
+}
+
+void World::tell(const std::string& uid) { leader->job_changed(keys.get(agent::job_key(uid)), now); }
+
+std::vector<Order> World::beat(Worker& w, bool answer_arrives) {
+    auto orders = leader->report(w.report(), now);
+    EXPECT_TRUE(orders.has_value());
+    if (orders && answer_arrives) w.obey(*orders, term);
+    return orders.value_or(std::vector<Order>{});
+}
+
+void World::commit() {
+    for (auto batch = leader->next_batch(); !batch.empty(); batch = leader->next_batch()) {
+        const auto r = keys.commit(batch.txn);
+        if (r.outcome == state::Outcome::ok) {
+            leader->committed(batch, r.revision, now);
+            continue;
+        }
+        for (const auto& key : r.failed)
+            if (key == election::term_key) return;  // another leads: nothing of this one counts any more
+        for (const auto& key : r.failed) leader->reread(keys.get(key), now);
+        leader->retry(batch);
+    }
+}
+
+bool World::place() {
+    const bool any = leader->place(now);
+    commit();
+    return any;
+}
+
+std::string World::state_of(const std::string& uid) const {
+    const auto item = keys.get(agent::job_key(uid));
+    return item.stamp ? std::string(item.value.as_object().at("state").as_string()) : "absent";
+}
+
+std::string World::machine_of(const std::string& uid, std::uint32_t task) const {
+    const auto* j = leader->job(uid);
+    if (!j || j->tasks[task].state != agent::Task::State::placed) return "";
+    return j->tasks[task].machine->name;
+}
+
+bool World::ordered(const std::vector<Order>& orders, Verb verb, const std::string& uid, std::uint32_t task) const {
+    for (const auto& o : orders)
+        if (o.verb == verb && o.id.uid == uid && o.id.index == task) return true;
+    return false;
+}
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,80 @@
+// A world in memory for the stories: a state service with conditions, a cloud, and workers with tokens, sessions
+// and lost or late messages. Time is a number that the story advances; nothing here waits or reads a clock.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "agent/overseer.hpp"
+#include "election/elector.hpp"
+
+namespace flintdale::test {
+
+using namespace std::chrono_literals;
+using agent::Overseer;
+using wire::Order;
+using wire::Seconds;
+using wire::TaskStatus;
+using wire::TimePoint;
+using wire::Verb;
+
+config::Settings settings();
+wire::JobSpec job(const std::string& uid, wire::Shape shape, std::uint32_t tasks);
+std::vector<wire::MachineType> types();
+
+// The state service's keys.
+class Keys {
+  public:
+    state::TxnResult commit(const state::Txn& txn);
+    state::Item get(const std::string& key) const;
+    std::vector<state::Item> range(const std::string& prefix) const;
+    std::uint64_t revision() const { return revision_; }
+
+  private:
+    std::map<std::string, state::Item> items_;
+    std::uint64_t revision_ = 0;
+};
+
+// A machine and the worker on it, by the protocol.
+struct Worker {
+    std::string name = "n-000001", type = "small", zone = "a";
+    bool spot = false;
+    std::uint64_t tenure = 1, tick = 0, token = 0;
+    std::optional<Seconds> notice;
+    std::vector<wire::TaskReport> tasks;
+
+    wire::WorkerReport report();
+    // Carries out the orders of an answer with that token.
+    void obey(const std::vector<Order>& orders, std::uint64_t answer_token);
+    wire::TaskReport* find(const std::string& uid, std::uint32_t index);
+    void finish(const std::string& uid, std::uint32_t index, wire::Cause cause);
+    void run_all();
+    void lose_lease();
+};
+
+struct World {
+    config::Settings settings = test::settings();
+    config::Tunables tunables;
+    Keys keys;
+    TimePoint now{1000s};
+    std::uint64_t term = 0;
+    std::unique_ptr<Overseer> leader;
+
+    // A new leader: raises the term, loads what is on record, and hears nothing yet.
+    Overseer& elect();
+    void accept(const wire::JobSpec& spec);  // as any controller does, and the leader learns of it
+    bool cancel(const std::string& uid);     // likewise; false if it was too late
+    void tell(const std::string& uid);       // the leader learns what is on record of the job
+    // One report and its answer; the orders are carried out unless the answer is lost.
+    std::vector<Order> beat(Worker& w, bool answer_arrives = true);
+    void commit();  // everything the leader wants on record
+    bool place();   // place, and put it on record
+    void pass(Seconds s) { now += wire::to_clock(s); }
+    // Far enough that windows have closed and a new leader has heard its round of reports.
+    void settle() { pass(Seconds(10)); }
+    std::string state_of(const std::string& uid) const;
+    std::string machine_of(const std::string& uid, std::uint32_t task) const;
+    bool ordered(const std::vector<Order>& orders, Verb verb, const std::string& uid, std::uint32_t task) const;
+};
+
+}  // namespace flintdale::test
