--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -204,7 +204,7 @@
     t.attempt = attempt;
     t.sent = t.seen = t.started = t.draining = false;
     ++job.placed;
-    ledger_.assign(m, {job.spec.uid, task}, job.spec.need);
+    ledger_.assign(m, {job.spec.uid, task}, job.spec);
     auto& use = team_use_[job.spec.team];
     placement::give(use, job.spec.need);
 }
@@ -283,6 +283,7 @@
     t.seen = t.sent = true;
     if (r.status != TaskStatus::fetching) {
         const auto* type = ledger_.type(m.type);
+        m.fetching.erase({job.spec.uid, task});
         m.used_image(job.spec.image, job.spec.image_gb, type ? type->cache_gb : 0);
         const bool runs = r.status == TaskStatus::running || r.status == TaskStatus::saving;
         if (runs && !t.started) {
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -16,8 +16,10 @@
 }
 
 placement::Host Machine::host() const {
-    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}};
+    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}, {}, fetch_gb_per_s};
     for (const auto& [image, gb] : images) h.images.insert(image);
+    for (const auto& [task, image] : fetching)
+        if (!h.images.contains(image.first)) h.fetching.insert(image);
     return h;
 }
 
@@ -56,6 +58,7 @@
     m.spot = spot;
     if (const auto* t = type(type_name); t && m.capacity.cpus == 0) {
         m.capacity = t->capacity;
+        m.fetch_gb_per_s = t->fetch_gb_per_s;
         // Tasks assigned before the type was known have been taken from zero.
         placement::give(m.free, m.capacity);
     }
@@ -66,12 +69,15 @@
     gone_.insert(name);
 }
 
-void Ledger::assign(Machine& m, const TaskKey& task, const placement::Resources& need) {
-    if (m.tasks.insert(task).second) placement::take(m.free, need);
+void Ledger::assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
+    if (!m.tasks.insert(task).second) return;
+    placement::take(m.free, spec.need);
+    m.fetching[task] = {spec.image, spec.image_gb};
 }
 
 void Ledger::unassign(Machine& m, const TaskKey& task, const placement::Resources& need, TimePoint now) {
     if (!m.tasks.erase(task)) return;
+    m.fetching.erase(task);
     placement::give(m.free, need);
     if (m.tasks.empty()) m.idle_since = now;
 }
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -41,6 +41,8 @@
     TimePoint idle_since{};
     std::set<std::string> failed_jobs;
     std::vector<std::pair<std::string, double>> images;  // oldest use first
+    std::map<TaskKey, std::pair<std::string, double>> fetching;  // tasks that wait for their image here
+    double fetch_gb_per_s = 0;
 
     void used_image(const std::string& image, double gb, double cache_gb);
     placement::Host host() const;
@@ -75,7 +77,7 @@
     std::map<std::string, std::unique_ptr<Machine>>& all() { return machines_; }
     const std::map<std::string, std::unique_ptr<Machine>>& all() const { return machines_; }
 
-    void assign(Machine& m, const TaskKey& task, const placement::Resources& need);
+    void assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
     void unassign(Machine& m, const TaskKey& task, const placement::Resources& need, TimePoint now);
 
     // Pools that refused lately are left alone for a while, longer each time.
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -6,6 +6,7 @@
 namespace flintdale::placement {
 
 namespace {
+constexpr Seconds image_step{5};
 constexpr double slack = 1e-6;  // amounts are decimal fractions; sums of them are not exact
 }
 
@@ -34,6 +35,13 @@
     return group == rules.groups.end() || has(group->second);
 }
 
+Seconds Host::image_wait(const std::string& image, double gb) const {
+    if (images.contains(image) || fetch_gb_per_s <= 0) return Seconds(0);
+    double queue = fetching.contains(image) ? 0 : gb;
+    for (const auto& [name, size] : fetching) queue += size;
+    return Seconds(queue / fetch_gb_per_s);
+}
+
 bool Planner::candidate(const JobSpec& spec, const JobHosts& job, const Host& host) const {
     if (!allowed(spec, rules_, host.type, host.zone, host.spot)) return false;
     if (job.excluded.contains(host.name)) return false;
@@ -55,16 +63,18 @@
     auto& host = hosts_[i];
     take(host.free, spec.need);
     ++host.load;
+    if (!host.images.contains(spec.image)) host.fetching[spec.image] = spec.image_gb;
     ++job.per_zone[host.zone];
     job.own.insert(host.name);
 }
 
 std::size_t Planner::place(const JobSpec& spec, JobHosts& job) {
     std::size_t best = none;
-    // Lowest wins: the job's own machines, then those that hold its image, then the least loaded. Machines that
-    // only some jobs may use go first, so that the others stay free for jobs with no choice.
+    // Lowest wins: the job's own machines, then those where its image is there soonest (in coarse steps, so that
+    // load still counts), then spot ones, which not every job may use, then the least loaded.
     const auto rank = [&](const Host& h) {
-        return std::make_tuple(!job.own.contains(h.name), !h.images.contains(spec.image), !h.spot, h.load, h.name);
+        const auto wait = static_cast<int>(h.image_wait(spec.image, spec.image_gb) / image_step);
+        return std::make_tuple(!job.own.contains(h.name), wait, !h.spot, h.load, h.name);
     };
     for (std::size_t i = 0; i < hosts_.size(); ++i)
         if (candidate(spec, job, hosts_[i]) && (best == none || rank(hosts_[i]) < rank(hosts_[best]))) best = i;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -24,7 +24,12 @@
     bool spot = false;
     Resources capacity, free;
     unsigned load = 0;  // tasks assigned
-    std::set<std::string> images;
+    std::set<std::string> images;             // that it holds
+    std::map<std::string, double> fetching;   // GB of each image that tasks there still wait for
+    double fetch_gb_per_s = 0;                // shared by all that it fetches
+
+    // How long a task with that image would wait for it here.
+    Seconds image_wait(const std::string& image, double gb) const;
 };
 
 // Where a job's tasks may be at present; all of them count, whatever their attempt.
