--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -205,6 +205,7 @@
     t.sent = t.seen = t.started = t.draining = false;
     ++job.placed;
     ledger_.assign(m, {job.spec.uid, task}, job.spec);
+    spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class, attempt, m.name);
     auto& use = team_use_[job.spec.team];
     placement::give(use, job.spec.need);
 }
@@ -290,6 +291,8 @@
             t.started = true;
             t.running_since = now;
             ++job.running;
+            spdlog::debug("event=task_started task={}/{} class={} machine={} after={:.1f}", job.spec.uid, task,
+                          job.spec.job_class, m.name, Seconds(now - job.arrived).count());
             counts_changed_.insert(job.spec.uid);
         }
         if (runs) job.gang_started = true;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -231,7 +231,7 @@
     int serial = 0;
     const auto add_machine = [&](const fleet::Pool& pool) {
         const auto* type = ledger_.type(pool.type);
-        Host h{"+" + std::to_string(serial++), pool.type, pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {}, type->fetch_gb_per_s};
+        Host h{"+" + std::to_string(serial++), pool.type, pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {}, type->fetch_gb_per_s, Rank::idle};
         ++ordered[pool];
         plan.add(std::move(h));
     };
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -16,10 +16,13 @@
 }
 
 placement::Host Machine::host() const {
-    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}, {}, fetch_gb_per_s};
+    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}, {}, fetch_gb_per_s, wire::Rank::idle};
     for (const auto& [image, gb] : images) h.images.insert(image);
-    for (const auto& [task, image] : fetching)
-        if (!h.images.contains(image.first)) h.fetching.insert(image);
+    for (const auto& [task, fetch] : fetching) {
+        if (h.images.contains(fetch.image)) continue;
+        h.fetching[fetch.image] = fetch.gb;
+        h.fetching_for = std::max(h.fetching_for, fetch.rank);
+    }
     return h;
 }
 
@@ -72,7 +75,7 @@
 void Ledger::assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
     if (!m.tasks.insert(task).second) return;
     placement::take(m.free, spec.need);
-    m.fetching[task] = {spec.image, spec.image_gb};
+    m.fetching[task] = {spec.image, spec.image_gb, spec.rank};
 }
 
 void Ledger::unassign(Machine& m, const TaskKey& task, const placement::Resources& need, TimePoint now) {
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -41,7 +41,12 @@
     TimePoint idle_since{};
     std::set<std::string> failed_jobs;
     std::vector<std::pair<std::string, double>> images;  // oldest use first
-    std::map<TaskKey, std::pair<std::string, double>> fetching;  // tasks that wait for their image here
+    struct Fetch {
+        std::string image;
+        double gb = 0;
+        wire::Rank rank = wire::Rank::normal;
+    };
+    std::map<TaskKey, Fetch> fetching;  // tasks that wait for their image here
     double fetch_gb_per_s = 0;
 
     void used_image(const std::string& image, double gb, double cache_gb);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -49,6 +49,10 @@
     // The margin is for what else the machine holds. An empty machine needs none, or a task that fills a machine
     // could never run.
     if (host.load > 0 && host.free.memory_gb + slack < spec.need.memory_gb * (1 + rules_.memory_margin)) return false;
+    // Fetches share the machine's rate: one more would hold up the more important task that waits for its own.
+    if (spec.rank < host.fetching_for && !host.fetching.empty() && !host.images.contains(spec.image) &&
+        !host.fetching.contains(spec.image))
+        return false;
     if (spec.one_zone)
         for (const auto& [zone, n] : job.per_zone)
             if (n > 0 && zone != host.zone) return false;
@@ -63,7 +67,10 @@
     auto& host = hosts_[i];
     take(host.free, spec.need);
     ++host.load;
-    if (!host.images.contains(spec.image)) host.fetching[spec.image] = spec.image_gb;
+    if (!host.images.contains(spec.image)) {
+        host.fetching[spec.image] = spec.image_gb;
+        host.fetching_for = std::max(host.fetching_for, spec.rank);
+    }
     ++job.per_zone[host.zone];
     job.own.insert(host.name);
 }
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -27,6 +27,7 @@
     std::set<std::string> images;             // that it holds
     std::map<std::string, double> fetching;   // GB of each image that tasks there still wait for
     double fetch_gb_per_s = 0;                // shared by all that it fetches
+    wire::Rank fetching_for = wire::Rank::idle;  // the highest rank that waits for an image
 
     // How long a task with that image would wait for it here.
     Seconds image_wait(const std::string& image, double gb) const;
