--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -190,6 +190,7 @@
                                               const std::map<fleet::Pool, int>& ordered, TimePoint now) const {
     std::optional<fleet::Pool> best;
     std::pair<double, double> best_cost{};
+    double cheapest_each = 0;  // of all kinds of machine, those without capacity included
     for (const auto& type : ledger_.types()) {
         if (!placement::fits(job.spec.need, type.capacity)) continue;
         const auto ratio = [](double have, double need) { return need > 0 ? std::floor(have / need + 1e-9) : 1e9; };
@@ -200,6 +201,8 @@
             for (const bool spot : {true, false}) {
                 if (!placement::allowed(job.spec, rules_, type.name, zone, spot)) continue;
                 fleet::Pool pool{type.name, zone, spot};
+                const double each_cost = (spot ? type.spot_price : type.price) / std::max(1.0, each);
+                if (cheapest_each == 0 || each_cost < cheapest_each) cheapest_each = each_cost;
                 if (!ledger_.open(pool, now)) continue;
                 if (job.spec.one_zone && std::any_of(hosts.per_zone.begin(), hosts.per_zone.end(),
                                                      [&](const auto& z) { return z.second > 0 && z.first != zone; }))
@@ -212,13 +215,17 @@
                 double there = 0;
                 for (const auto& [name, m] : ledger_.all()) there += m->zone == zone;
                 for (const auto& [p, n] : ordered) there += p.zone == zone ? n : 0;
-                const std::pair cost{(spot ? type.spot_price : type.price) / std::max(1.0, each), there};
+                const std::pair cost{each_cost, there};
                 if (!best || cost < best_cost) {
                     best = pool;
                     best_cost = cost;
                 }
             }
     }
+    // Tasks of an array can follow one another on cheap machines; dear ones are for those that wait too long.
+    if (best && job.is(Shape::array) && best_cost.first > cheapest_each * tunables_.dear &&
+        now - job.arrived < wire::to_clock(target_of(job.spec) * 0.5))
+        return std::nullopt;
     return best;
 }
 
