--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -213,7 +213,7 @@
 void Overseer::leave(Job& job, std::uint32_t task, State next, TimePoint now) {
     auto& t = job.tasks[task];
     if (t.state == State::placed) {
-        ledger_.unassign(*t.machine, {job.spec.uid, task}, job.spec.need, now);
+        ledger_.unassign(*t.machine, {job.spec.uid, task}, job.spec, now);
         placement::take(team_use_[job.spec.team], job.spec.need);
         --job.placed;
         if (t.started) --job.running;
@@ -402,4 +402,24 @@
     return n;
 }
 
+std::string Overseer::summary(TimePoint now) const {
+    std::map<std::string, std::uint32_t> waiting;
+    for (const auto& [uid, job] : jobs_)
+        if (!job->cancelled && !job->finished && job->waiting()) waiting[job->spec.job_class] += job->waiting();
+    std::string out = "waiting=";
+    for (const auto& [name, n] : waiting) out += name + ":" + std::to_string(n) + ",";
+    out += " machines=";
+    for (const auto& [name, m] : ledger_.all()) {
+        unsigned by_shape[3] = {};
+        for (const auto& [uid, i] : m->tasks)
+            if (const auto* j = job(uid)) ++by_shape[static_cast<int>(j->spec.shape)];
+        out += name + ":" + m->type + (m->spot ? ":spot" : "") + (m->reported ? "" : ":booting") +
+               (m->reported && !usable(*m, now) ? ":unusable" : "");
+        for (const int shape : {0, 1, 2})
+            if (by_shape[shape]) out += std::string(":") + "ags"[shape] + std::to_string(by_shape[shape]);
+        out += ",";
+    }
+    return out;
+}
+
 }  // namespace flintdale::agent
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -64,6 +64,8 @@
     fleet::Ledger& ledger() { return ledger_; }
     const Job* job(const std::string& uid) const;
     std::size_t machines_up(TimePoint now) const;
+    // What waits, by class, and what each machine holds, for the debug log.
+    std::string summary(TimePoint now) const;
 
   private:
     Job* find(const std::string& uid);
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -125,7 +125,11 @@
     if (within_limit(job, job.spec.tasks) < job.spec.tasks) return;
     auto hosts = hosts_of(job, now);
     const auto places = plan.place_together(job.spec, hosts, job.spec.tasks);
-    if (places.empty()) return;
+    if (places.empty()) {
+        // Room for a whole gang seldom comes about by itself while smaller tasks take all that frees.
+        plan.hold_for(job.spec, job.spec.tasks);
+        return;
+    }
     ++job.gang_attempt;
     job.gang_started = job.gang_failing = false;
     job.again.clear();
@@ -238,7 +242,7 @@
     int serial = 0;
     const auto add_machine = [&](const fleet::Pool& pool) {
         const auto* type = ledger_.type(pool.type);
-        Host h{"+" + std::to_string(serial++), pool.type, pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {}, type->fetch_gb_per_s, Rank::idle};
+        Host h{"+" + std::to_string(serial++), pool.type, pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {}, type->fetch_gb_per_s, Rank::idle, {}, {}};
         ++ordered[pool];
         plan.add(std::move(h));
     };
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -16,7 +16,7 @@
 }
 
 placement::Host Machine::host() const {
-    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}, {}, fetch_gb_per_s, wire::Rank::idle};
+    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}, {}, fetch_gb_per_s, wire::Rank::idle, standing, {}};
     for (const auto& [image, gb] : images) h.images.insert(image);
     for (const auto& [task, fetch] : fetching) {
         if (h.images.contains(fetch.image)) continue;
@@ -75,13 +75,15 @@
 void Ledger::assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
     if (!m.tasks.insert(task).second) return;
     placement::take(m.free, spec.need);
+    if (spec.shape == wire::Shape::service) placement::give(m.standing, spec.need);
     m.fetching[task] = {spec.image, spec.image_gb, spec.rank};
 }
 
-void Ledger::unassign(Machine& m, const TaskKey& task, const placement::Resources& need, TimePoint now) {
+void Ledger::unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now) {
     if (!m.tasks.erase(task)) return;
     m.fetching.erase(task);
-    placement::give(m.free, need);
+    placement::give(m.free, spec.need);
+    if (spec.shape == wire::Shape::service) placement::take(m.standing, spec.need);
     if (m.tasks.empty()) m.idle_since = now;
 }
 
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -35,7 +35,7 @@
     bool releasing = false;  // a release was sent, which may be carried out at any time: never used again
     bool suspect = false;    // several jobs failed on it
 
-    placement::Resources capacity, free;
+    placement::Resources capacity, free, standing;
     std::set<TaskKey> tasks;           // all that may be on it
     std::size_t reported_tasks = 0;    // what it held by its last report, exited ones included
     TimePoint idle_since{};
@@ -83,7 +83,7 @@
     const std::map<std::string, std::unique_ptr<Machine>>& all() const { return machines_; }
 
     void assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
-    void unassign(Machine& m, const TaskKey& task, const placement::Resources& need, TimePoint now);
+    void unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now);
 
     // Pools that refused lately are left alone for a while, longer each time.
     void refused(const Pool& pool, TimePoint now);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -46,6 +46,7 @@
     if (!allowed(spec, rules_, host.type, host.zone, host.spot)) return false;
     if (job.excluded.contains(host.name)) return false;
     if (!fits(spec.need, host.free)) return false;
+    if (host.held_for && spec.rank <= *host.held_for) return false;
     // The margin is for what else the machine holds. An empty machine needs none, or a task that fills a machine
     // could never run.
     if (host.load > 0 && host.free.memory_gb + slack < spec.need.memory_gb * (1 + rules_.memory_margin)) return false;
@@ -122,8 +123,27 @@
     return out;
 }
 
-void Planner::remove(const std::string& name) {
-    std::erase_if(hosts_, [&](const Host& h) { return h.name == name; });
+void Planner::hold_for(const JobSpec& spec, std::size_t count) {
+    std::string zone;
+    for (std::size_t k = 0; k < count; ++k) {
+        Host* best = nullptr;
+        const auto lack = [&](const Host& h) {
+            return std::max({(spec.need.cpus - h.free.cpus) / std::max(1.0, h.capacity.cpus),
+                             (spec.need.gpus - h.free.gpus) / std::max(1.0, h.capacity.gpus),
+                             (spec.need.memory_gb - h.free.memory_gb) / std::max(1.0, h.capacity.memory_gb)});
+        };
+        for (auto& h : hosts_) {
+            if (h.held_for || !allowed(spec, rules_, h.type, h.zone, h.spot)) continue;
+            if (spec.one_zone && !zone.empty() && h.zone != zone) continue;
+            auto once_free = h.capacity;
+            take(once_free, h.standing);
+            if (!fits(spec.need, once_free)) continue;
+            if (!best || lack(h) < lack(*best)) best = &h;
+        }
+        if (!best) return;
+        best->held_for = spec.rank;
+        zone = best->zone;
+    }
 }
 
 bool before(const Waiting& a, const Waiting& b, double ageing) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -28,6 +28,8 @@
     std::map<std::string, double> fetching;   // GB of each image that tasks there still wait for
     double fetch_gb_per_s = 0;                // shared by all that it fetches
     wire::Rank fetching_for = wire::Rank::idle;  // the highest rank that waits for an image
+    Resources standing;                          // what services hold, which do not end by themselves
+    std::optional<wire::Rank> held_for;          // its room is kept for a gang of this rank
 
     // How long a task with that image would wait for it here.
     Seconds image_wait(const std::string& image, double gb) const;
@@ -60,11 +62,13 @@
     // Places so many tasks together, or none of them.
     std::vector<std::size_t> place_together(const JobSpec& spec, JobHosts& job, std::size_t count);
 
+    // Keeps the room that frees on the likeliest machines for a gang that does not fit now, from jobs after it.
+    void hold_for(const JobSpec& spec, std::size_t count);
+
     std::size_t add(Host host) {
         hosts_.push_back(std::move(host));
         return hosts_.size() - 1;
     }
-    void remove(const std::string& name);
     const Host& host(std::size_t i) const { return hosts_[i]; }
     const std::vector<Host>& hosts() const { return hosts_; }
 
