--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a tick
 constexpr int max_rent = 50;                      // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
+constexpr double bulk_worth = 0.25;    // how a price per slot is discounted by the slots that services fill
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
@@ -197,10 +198,11 @@
     double cheapest_each = 0;  // of all kinds of machine, those without capacity included
     for (const auto& type : ledger_.types()) {
         if (!placement::fits(job.spec.need, type.capacity)) continue;
-        const auto ratio = [](double have, double need) { return need > 0 ? std::floor(have / need + 1e-9) : 1e9; };
-        const double each = std::min({ratio(type.capacity.cpus, job.spec.need.cpus),
-                                      ratio(type.capacity.gpus, job.spec.need.gpus),
-                                      ratio(type.capacity.memory_gb, job.spec.need.memory_gb), double(count)});
+        const auto full = placement::slots(job.spec.need, type.capacity);
+        const double each = std::min(full, std::max(1u, count));
+        // Services stay for good: enough of them to fill a large machine are worth its higher price, for gangs
+        // need the small ones whole.
+        const bool bulk = job.is(Shape::service) && count >= full;
         for (const auto& zone : type.zones)
             for (const bool spot : {true, false}) {
                 if (!placement::allowed(job.spec, rules_, type.name, zone, spot)) continue;
@@ -219,7 +221,7 @@
                 double there = 0;
                 for (const auto& [name, m] : ledger_.all()) there += m->zone == zone;
                 for (const auto& [p, n] : ordered) there += p.zone == zone ? n : 0;
-                const std::pair cost{each_cost, there};
+                const std::pair cost{bulk ? each_cost * std::pow(each, -bulk_worth) : each_cost, there};
                 if (!best || cost < best_cost) {
                     best = pool;
                     best_cost = cost;
@@ -246,7 +248,12 @@
         ++ordered[pool];
         plan.add(std::move(h));
     };
-    for (auto* job : queue(now, false)) {
+    const auto waiting = queue(now, false);
+    // Services come one by one as well as many to a job: what counts is how many of a class wait together.
+    std::map<std::string, std::uint32_t> services;
+    for (const auto* job : waiting)
+        if (job->is(Shape::service)) services[job->spec.job_class] += job->waiting();
+    for (auto* job : waiting) {
         auto hosts = hosts_of(*job, now);
         if (job->is(Shape::gang) && job->placed == 0) {
             if (within_limit(*job, job->spec.tasks) < job->spec.tasks) continue;
@@ -268,8 +275,10 @@
         if (job->is(Shape::gang) && (job->gang_started || job->gang_failing)) continue;
         const auto count = within_limit(*job, wanted_now(*job));
         for (std::uint32_t k = 0; k < count; ++k) {
+            auto together = count - k;
+            if (job->is(Shape::service)) together = std::max(together, services[job->spec.job_class]--);
             if (plan.place(job->spec, hosts) != Planner::none) continue;
-            const auto pool = cheapest(*job, hosts, count - k, ordered, now);
+            const auto pool = cheapest(*job, hosts, together, ordered, now);
             if (!pool) break;
             add_machine(*pool);
             if (plan.place(job->spec, hosts) == Planner::none) break;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -10,6 +10,14 @@
 constexpr double slack = 1e-6;  // amounts are decimal fractions; sums of them are not exact
 }
 
+unsigned slots(const Resources& need, const Resources& capacity) {
+    double n = 1e6;
+    if (need.cpus > 0) n = std::min(n, capacity.cpus / need.cpus);
+    if (need.gpus > 0) n = std::min(n, capacity.gpus / need.gpus);
+    if (need.memory_gb > 0) n = std::min(n, capacity.memory_gb / need.memory_gb);
+    return static_cast<unsigned>(n + slack);
+}
+
 bool fits(const Resources& need, const Resources& free) {
     return need.cpus <= free.cpus + slack && need.gpus <= free.gpus + slack && need.memory_gb <= free.memory_gb + slack;
 }
@@ -79,10 +87,12 @@
 std::size_t Planner::place(const JobSpec& spec, JobHosts& job) {
     std::size_t best = none;
     // Lowest wins: the job's own machines, then those where its image is there soonest (in coarse steps, so that
-    // load still counts), then spot ones, which not every job may use, then the least loaded.
+    // load still counts), then spot ones, which not every job may use, then the least loaded. Services stay for
+    // good, so they go to large machines and leave whole small ones to gangs.
     const auto rank = [&](const Host& h) {
         const auto wait = static_cast<int>(h.image_wait(spec.image, spec.image_gb) / image_step);
-        return std::make_tuple(!job.own.contains(h.name), wait, !h.spot, h.load, h.name);
+        const int size = spec.shape == wire::Shape::service ? -static_cast<int>(slots(spec.need, h.capacity)) : 0;
+        return std::make_tuple(!job.own.contains(h.name), wait, !h.spot, size, h.load, h.name);
     };
     for (std::size_t i = 0; i < hosts_.size(); ++i)
         if (candidate(spec, job, hosts_[i]) && (best == none || rank(hosts_[i]) < rank(hosts_[best]))) best = i;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -15,6 +15,8 @@
 using wire::Seconds;
 
 bool fits(const Resources& need, const Resources& free);
+// How many such tasks a machine of that capacity holds.
+unsigned slots(const Resources& need, const Resources& capacity);
 void take(Resources& free, const Resources& need);
 void give(Resources& free, const Resources& need);
 
