--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -100,6 +100,7 @@
                     } else if (!r.machine.empty()) {
                         auto& m = ledger_.add(r.machine, "", "", false, now);
                         set_placed(*job, i, m, r.attempt);
+                        inherited_ = true;
                         t.sent = true;  // by the leader that wrote the record, for all this one knows
                     }
                 }
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -88,7 +88,7 @@
     std::vector<Job*> queue(TimePoint now, bool eligible_only);
     placement::Planner planner(TimePoint now) const;
     std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
-    bool may_start(Job& job, TimePoint now) const;
+    bool round_heard(TimePoint now) const;
     void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     std::uint32_t take_waiting(Job& job);
@@ -102,6 +102,7 @@
     placement::Rules rules_;
     std::uint64_t term_, term_stamp_;
     TimePoint since_;
+    bool inherited_ = false;  // work was placed when this term began
     fleet::Ledger ledger_;
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     std::deque<std::string> dirty_;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -49,10 +49,6 @@
     return out;
 }
 
-bool Overseer::may_start(Job& job, TimePoint now) const {
-    return !job.cancelled && !job.finished && job.waiting() > 0 && now >= job.eligible_at;
-}
-
 std::vector<Job*> Overseer::queue(TimePoint now, bool eligible_only) {
     std::vector<std::pair<placement::Waiting, Job*>> waiting;
     for (auto& [uid, job] : jobs_) {
@@ -155,9 +151,14 @@
     }
 }
 
+// A new leader hears one round of reports first: until then it does not know the load. If no work was on record
+// when it began, there is no load to hear of.
+bool Overseer::round_heard(TimePoint now) const {
+    return !inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms);
+}
+
 bool Overseer::place(TimePoint now) {
-    // A new leader hears one round of reports first: until then it does not know the load.
-    if (now < after(since_, settings_.report * 1.25 + 500ms)) return false;
+    if (!round_heard(now)) return false;
     bool any = false;
     auto plan = planner(now);
     for (auto* job : queue(now, true)) {
@@ -236,7 +237,7 @@
 }
 
 std::vector<fleet::Order> Overseer::rent(TimePoint now) {
-    if (now < after(since_, settings_.report * 1.25 + 500ms)) return {};
+    if (!round_heard(now)) return {};
     auto plan = planner(now);
     for (const auto& [name, m] : ledger_.all())
         if (!m->reported && !m->releasing && m->capacity.cpus > 0 && m->tasks.empty()) plan.add(m->host());
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -248,8 +248,10 @@
         int tries = 0;
     };
     std::deque<Pending> unclear;
+    bool again = false;  // a refusal leaves a need that another pool may meet
     while (!stopped_) {
-        co_await net::sleep_for(1s);
+        co_await net::sleep_for(again ? 50ms : 1000ms);
+        again = false;
         if (stopped_ || !loaded_) continue;
         const auto going = overseer_.release(Clock::now());
         if (!going.empty()) {
@@ -281,13 +283,17 @@
                 spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", p.name, p.order.pool.type,
                              p.order.pool.zone, p.order.pool.spot, p.order.count, result.machines.size());
                 overseer_.rented(p.order.pool, result.machines, now);
-                if (static_cast<int>(result.machines.size()) < p.order.count) overseer_.rent_refused(p.order.pool, now);
+                if (static_cast<int>(result.machines.size()) < p.order.count) {
+                    overseer_.rent_refused(p.order.pool, now);
+                    again = true;
+                }
             } else if (result.outcome == cloud::Rent::unclear) {
                 // Asked again under the same name: if it was granted, the same machines are named.
                 if (++p.tries < 30) unclear.push_back(std::move(p));
             } else {
                 spdlog::info("event=rent_refused type={} zone={} spot={}", p.order.pool.type, p.order.pool.zone, p.order.pool.spot);
                 overseer_.rent_refused(p.order.pool, now);
+                again = true;
             }
         }
     }
