--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -90,7 +90,9 @@
     std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
     bool round_heard(TimePoint now) const;
     void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
-    void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
+    placement::Planner booting(TimePoint now) const;
+    void place_each(Job& job, placement::Planner& plan, std::uint32_t together, placement::Planner& soon, TimePoint now,
+                    bool& any);
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
     Seconds target_of(const JobSpec& spec) const;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -84,7 +84,7 @@
     job.own.insert(host.name);
 }
 
-std::size_t Planner::place(const JobSpec& spec, JobHosts& job) {
+std::size_t Planner::peek(const JobSpec& spec, const JobHosts& job) const {
     std::size_t best = none;
     // Lowest wins: the job's own machines, then those where its image is there soonest (in coarse steps, so that
     // load still counts), then spot ones, which not every job may use, then the least loaded. Services stay for
@@ -96,6 +96,11 @@
     };
     for (std::size_t i = 0; i < hosts_.size(); ++i)
         if (candidate(spec, job, hosts_[i]) && (best == none || rank(hosts_[i]) < rank(hosts_[best]))) best = i;
+    return best;
+}
+
+std::size_t Planner::place(const JobSpec& spec, JobHosts& job) {
+    const auto best = peek(spec, job);
     if (best != none) put(best, spec, job);
     return best;
 }
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -58,6 +58,9 @@
 
     Planner(std::vector<Host> hosts, Rules rules) : hosts_(std::move(hosts)), rules_(std::move(rules)) {}
 
+    // Where one task would be placed, or none.
+    std::size_t peek(const JobSpec& spec, const JobHosts& job) const;
+
     // Places one task and takes its room, or returns none.
     std::size_t place(const JobSpec& spec, JobHosts& job);
 
