--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -23,7 +23,7 @@
 constexpr int max_rent = 50;                      // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;    // how a price per slot is discounted by the slots that services fill
-constexpr double boot_usual = 1.6;     // times boot_s within which most machines are up
+constexpr double boot_usual = 1.1;     // times boot_s within which most machines are up
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -71,7 +71,7 @@
     double boot_patience = 2.5;  // times boot_s until a machine that is not up is given up
     double idle_boots = 1.0;     // times boot_s that a machine without work is kept
     double horizon = 0.4;        // share of an array's objective within which its work should fit
-    double dear = 8.0;           // times the cheapest price a slot may cost that an array rents at once
+    double dear = 3.0;           // times the cheapest price a slot may cost that an array rents at once
     double reserve = 0.0;        // share of the rented machines kept free for critical work
     Seconds election_lease{4};   // how long the leader's claim outlives its last renewal
     std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
