--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -26,7 +26,7 @@
     std::uint32_t generation = 0;  // of the change that the record must hold before the worker may forget the task
     std::uint64_t attempt = 0;
     Machine* machine = nullptr;
-    TimePoint running_since{};
+    TimePoint running_since{}, placed_at{};
 };
 
 struct Chunk {
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -99,7 +99,7 @@
                         ++job->done;
                     } else if (!r.machine.empty()) {
                         auto& m = ledger_.add(r.machine, "", "", false, now);
-                        set_placed(*job, i, m, r.attempt);
+                        set_placed(*job, i, m, r.attempt, now);
                         inherited_ = true;
                         t.sent = true;  // by the leader that wrote the record, for all this one knows
                     }
@@ -198,11 +198,12 @@
     mark_dirty(job.spec.uid);
 }
 
-void Overseer::set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt) {
+void Overseer::set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now) {
     auto& t = job.tasks[task];
     t.state = State::placed;
     t.machine = &m;
     t.attempt = attempt;
+    t.placed_at = now;
     t.sent = t.seen = t.started = t.draining = false;
     ++job.placed;
     ledger_.assign(m, {job.spec.uid, task}, job.spec);
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -46,6 +46,8 @@
     // --- What it wants done ---
     // Places what waits; true if anything was placed.
     bool place(TimePoint now);
+    // Moves tasks to where they start sooner, and services off machines that are not worth their price.
+    void improve(TimePoint now);
     std::vector<fleet::Order> rent(TimePoint now);
     std::vector<std::string> release(TimePoint now);
 
@@ -73,7 +75,7 @@
     void cancel(Job& job, std::uint64_t stamp, TimePoint now);
     void touch(Job& job, std::uint32_t task);
     void mark_dirty(const std::string& uid);
-    void set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt);
+    void set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now);
     void leave(Job& job, std::uint32_t task, Task::State next, TimePoint now);
     // The task is gone from its machine, by evidence, without having completed.
     void lost(Job& job, std::uint32_t task, TimePoint now);
@@ -90,6 +92,16 @@
     std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
     bool round_heard(TimePoint now) const;
     void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
+    struct Move {
+        std::string uid, to;
+        std::uint32_t task = 0;
+        TimePoint until{};
+    };
+    void start_move(const Job& job, std::uint32_t task, const std::string& to, TimePoint now);
+    void finish_moves(placement::Planner& plan, TimePoint now, bool& any);
+    void move_fetching(placement::Planner& plan, TimePoint now);
+    void consolidate(placement::Planner& plan, TimePoint now);
+    placement::JobHosts hosts_without(const Job& job, std::uint32_t task, TimePoint now) const;
     placement::Planner booting(TimePoint now) const;
     void place_each(Job& job, placement::Planner& plan, std::uint32_t together, placement::Planner& soon, TimePoint now,
                     bool& any);
@@ -112,6 +124,8 @@
     std::vector<std::pair<std::string, std::uint64_t>> orphans_;  // keys of jobs that are over
     std::map<std::string, placement::Resources> team_use_;
     std::set<std::string> counts_changed_;
+    std::vector<Move> moves_;
+    TimePoint short_at_{};  // when something last had to wait for room
 };
 
 }  // namespace flintdale::agent
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -24,13 +24,15 @@
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;    // how a price per slot is discounted by the slots that services fill
 constexpr double boot_usual = 1.1;     // times boot_s within which most machines are up
+constexpr double slow_fetch = 1.33;    // times the nominal time that an image may take
+constexpr Seconds calm{20};            // without anything waiting before services are moved together
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
 
 bool Overseer::usable(const Machine& m, TimePoint now) const {
-    return m.reported && !m.releasing && !m.suspect && !m.taken_at && !m.listed_failed &&
+    return m.reported && !m.releasing && !m.retiring && !m.suspect && !m.taken_at && !m.listed_failed &&
            now - m.last_report < wire::to_clock(settings_.report * quiet_reports);
 }
 
@@ -114,7 +116,7 @@
             const auto at = plan.place(job.spec, hosts);
             if (at == Planner::none) return;
             const auto i = take_waiting(job);
-            set_placed(job, i, *ledger_.find(plan.host(at).name), job.gang_attempt);
+            set_placed(job, i, *ledger_.find(plan.host(at).name), job.gang_attempt, now);
             touch(job, i);
             any = true;
         }
@@ -133,7 +135,7 @@
     job.again.clear();
     job.fresh = job.spec.tasks;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
-        set_placed(job, i, *ledger_.find(plan.host(places[i]).name), job.gang_attempt);
+        set_placed(job, i, *ledger_.find(plan.host(places[i]).name), job.gang_attempt, now);
         touch(job, i);
     }
     any = true;
@@ -170,7 +172,7 @@
         const auto at = plan.place(job.spec, hosts);
         if (at == Planner::none) return;  // its tasks are all alike
         const auto i = take_waiting(job);
-        set_placed(job, i, *ledger_.find(plan.host(at).name), job.tasks[i].attempt + 1);
+        set_placed(job, i, *ledger_.find(plan.host(at).name), job.tasks[i].attempt + 1, now);
         touch(job, i);
         any = true;
     }
@@ -182,10 +184,131 @@
     return !inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms);
 }
 
+// --- moves ---
+
+JobHosts Overseer::hosts_without(const Job& job, std::uint32_t task, TimePoint now) const {
+    auto hosts = hosts_of(job, now);
+    const auto& m = *job.tasks[task].machine;
+    --hosts.per_zone[m.zone];
+    hosts.own.erase(m.name);
+    hosts.excluded.insert(m.name);
+    return hosts;
+}
+
+void Overseer::start_move(const Job& job, std::uint32_t task, const std::string& to, TimePoint now) {
+    spdlog::debug("event=move task={}/{} from={} to={}", job.spec.uid, task, job.tasks[task].machine->name, to);
+    find(job.spec.uid)->tasks[task].draining = true;
+    moves_.push_back({job.spec.uid, to, task, after(now, settings_.report * 4)});
+}
+
+// A task that moves starts at its goal as soon as it is gone from where it was; until then its room is kept.
+void Overseer::finish_moves(Planner& plan, TimePoint now, bool& any) {
+    std::erase_if(moves_, [&](const Move& move) {
+        auto* job = find(move.uid);
+        if (!job || job->cancelled || job->finished || now > move.until) return true;
+        auto& t = job->tasks[move.task];
+        if (t.state == State::placed && t.draining) {
+            plan.reserve(move.to, job->spec);
+            return false;
+        }
+        if (t.state != State::waiting) return true;
+        auto hosts = hosts_of(*job, now);
+        if (within_limit(*job, 1) == 0 || !plan.place_on(move.to, job->spec, hosts)) return true;
+        std::erase(job->again, move.task);
+        set_placed(*job, move.task, *ledger_.find(move.to), t.attempt + 1, now);
+        touch(*job, move.task);
+        any = true;
+        return true;
+    });
+}
+
+// A task that still waits for its image starts sooner on a machine that has got it meanwhile.
+void Overseer::move_fetching(Planner& plan, TimePoint now) {
+    for (auto& [uid, job] : jobs_) {
+        if (job->is(Shape::gang) || job->cancelled || job->finished || job->placed <= job->running) continue;
+        for (std::uint32_t i = 0; i < job->spec.tasks; ++i) {
+            const auto& t = job->tasks[i];
+            if (t.state != State::placed || !t.seen || t.started || t.draining) continue;
+            const auto here = t.machine->host();
+            if (here.images.contains(job->spec.image)) continue;
+            const Seconds left = here.image_wait(job->spec.image, job->spec.image_gb) * slow_fetch - (now - t.placed_at);
+            if (left < settings_.report * 2) continue;
+            auto hosts = hosts_without(*job, i, now);
+            const auto at = plan.peek(job->spec, hosts);
+            if (at == Planner::none || !plan.host(at).images.contains(job->spec.image)) continue;
+            const auto to = plan.host(at).name;
+            plan.reserve(to, job->spec);
+            start_move(*job, i, to, now);
+        }
+    }
+}
+
+// When load has fallen, a machine that only a few services keep costs more than moving them does.
+void Overseer::consolidate(Planner& plan, TimePoint now) {
+    if (!moves_.empty() || now < after(short_at_, calm)) return;
+    Machine* worst = nullptr;
+    double worst_price = 0;
+    for (auto& [name, m] : ledger_.all()) {
+        const auto* type = ledger_.type(m->type);
+        if (!type || m->tasks.empty() || !usable(*m, now) || m->reported_tasks != m->tasks.size()) continue;
+        double cheapest = 0;  // a slot of the kind, on any machine
+        bool movable = true;
+        for (const auto& [uid, i] : m->tasks) {
+            const auto* j = job(uid);
+            movable = movable && j && j->is(Shape::service) && j->tasks[i].started && !j->cancelled &&
+                      now - j->tasks[i].running_since > wire::to_clock(calm);
+            if (!movable) break;
+            for (const auto& t : ledger_.types())
+                if (const auto n = placement::slots(j->spec.need, t.capacity);
+                    n > 0 && (cheapest == 0 || t.price / n < cheapest))
+                    cheapest = t.price / n;
+        }
+        const double price = (m->spot ? type->spot_price : type->price) / static_cast<double>(m->tasks.size());
+        if (!movable || price < cheapest * tunables_.sparse || price <= worst_price) continue;
+        auto trial = plan;
+        bool all = true;
+        for (const auto& [uid, i] : m->tasks) {
+            const auto* j = job(uid);
+            auto hosts = hosts_without(*j, i, now);
+            const auto at = trial.peek(j->spec, hosts);
+            all = all && at != Planner::none && trial.host(at).load > 0 && trial.host(at).images.contains(j->spec.image);
+            if (!all) break;
+            trial.reserve(trial.host(at).name, j->spec);
+        }
+        if (!all) continue;
+        worst = m.get();
+        worst_price = price;
+    }
+    if (!worst) return;
+    spdlog::info("event=consolidate machine={} type={} tasks={}", worst->name, worst->type, worst->tasks.size());
+    worst->retiring = true;
+    for (const auto& [uid, i] : worst->tasks) {
+        const auto* j = job(uid);
+        auto hosts = hosts_without(*j, i, now);
+        const auto at = plan.peek(j->spec, hosts);
+        if (at == Planner::none) continue;
+        const auto to = plan.host(at).name;
+        plan.reserve(to, j->spec);
+        start_move(*j, i, to, now);
+    }
+}
+
+void Overseer::improve(TimePoint now) {
+    if (!round_heard(now)) return;
+    auto plan = planner(now);
+    bool placed = false;
+    finish_moves(plan, now, placed);
+    move_fetching(plan, now);
+    for (const auto& [uid, job] : jobs_)
+        if (!job->cancelled && !job->finished && job->waiting()) short_at_ = now;
+    consolidate(plan, now);
+}
+
 bool Overseer::place(TimePoint now) {
     if (!round_heard(now)) return false;
     bool any = false;
     auto plan = planner(now), soon = booting(now);
+    finish_moves(plan, now, any);
     const auto waiting = queue(now, true);
     // Only many services that come together, as after a cold start, are worth the wait.
     std::map<std::string, std::uint32_t> services;
@@ -376,7 +499,7 @@
             if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease))) why = "silent";
             const Seconds idle = now - m->idle_since;
             if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
-                (m->suspect || idle > boot * tunables_.idle_boots))
+                (m->suspect || m->retiring || idle > boot * tunables_.idle_boots))
                 why = "idle";
         }
         if (!why) continue;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -208,7 +208,7 @@
 
 // Plans when something changed, at most every plan_gap, and when a window closes.
 awaitable<void> Reign::tick_loop() {
-    auto next_full = Clock::now(), next_summary = next_full;
+    auto next_full = Clock::now(), next_summary = next_full, next_improve = next_full;
     while (!stopped_) {
         co_await plan_.wait(500ms);
         if (stopped_) break;
@@ -219,6 +219,11 @@
             if (overseer_.place(now)) commit_.notify();
             if (overseer_.dirty()) commit_.notify();
         }
+        if (loaded_ && now >= next_improve) {
+            next_improve = now + 1s;
+            overseer_.improve(now);
+            if (overseer_.dirty()) commit_.notify();
+        }
         if (now >= next_summary && spdlog::should_log(spdlog::level::debug)) {
             next_summary = now + 10s;
             spdlog::debug("event=load {}", overseer_.summary(now));
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -206,6 +206,7 @@
         {"fleet.idle_boots", amount_into(t.idle_boots, 0, 100)},
         {"fleet.horizon", amount_into(t.horizon, 0.05, 10)},
         {"fleet.dear", amount_into(t.dear, 1, 1000)},
+        {"fleet.sparse", amount_into(t.sparse, 1, 1000)},
         {"fleet.reserve", amount_into(t.reserve, 0, 1)},
         {"election.lease_s", seconds_into(t.election_lease, 0.5, 60)},
     };
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -33,6 +33,7 @@
 
     bool listed_failed = false;
     bool releasing = false;  // a release was sent, which may be carried out at any time: never used again
+    bool retiring = false;   // its tasks are moved away, and then it is returned
     bool suspect = false;    // several jobs failed on it
 
     placement::Resources capacity, free, standing;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -105,6 +105,24 @@
     return best;
 }
 
+bool Planner::place_on(const std::string& name, const JobSpec& spec, JobHosts& job) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        if (hosts_[i].name == name) {
+            if (!candidate(spec, job, hosts_[i])) return false;
+            put(i, spec, job);
+            return true;
+        }
+    return false;
+}
+
+void Planner::reserve(const std::string& name, const JobSpec& spec) {
+    for (auto& host : hosts_)
+        if (host.name == name) {
+            take(host.free, spec.need);
+            ++host.load;
+        }
+}
+
 std::vector<std::size_t> Planner::place_together(const JobSpec& spec, JobHosts& job, std::size_t count) {
     const auto attempt = [&](JobHosts trial_job) {
         auto saved = hosts_;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -64,6 +64,11 @@
     // Places one task and takes its room, or returns none.
     std::size_t place(const JobSpec& spec, JobHosts& job);
 
+    // Places one task on that machine if it is a candidate.
+    bool place_on(const std::string& name, const JobSpec& spec, JobHosts& job);
+    // Keeps room there for a task that is on its way.
+    void reserve(const std::string& name, const JobSpec& spec);
+
     // Places so many tasks together, or none of them.
     std::vector<std::size_t> place_together(const JobSpec& spec, JobHosts& job, std::size_t count);
 
