--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -225,7 +225,7 @@
 // A task that still waits for its image starts sooner on a machine that has got it meanwhile.
 void Overseer::move_fetching(Planner& plan, TimePoint now) {
     for (auto& [uid, job] : jobs_) {
-        if (job->is(Shape::gang) || job->cancelled || job->finished || job->placed <= job->running) continue;
+        if (!job->is(Shape::service) || job->cancelled || job->finished || job->placed <= job->running) continue;
         for (std::uint32_t i = 0; i < job->spec.tasks; ++i) {
             const auto& t = job->tasks[i];
             if (t.state != State::placed || !t.seen || t.started || t.draining) continue;
