--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -498,8 +498,12 @@
                     patience = Seconds(0);
             if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease))) why = "silent";
             const Seconds idle = now - m->idle_since;
+            // What it would take to have its like again: a boot, or to fetch what it holds where that takes longer.
+            double held_gb = 0;
+            for (const auto& [image, gb] : m->images) held_gb += gb;
+            const Seconds again = std::max(boot, Seconds(m->fetch_gb_per_s > 0 ? held_gb / m->fetch_gb_per_s : 0));
             if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
-                (m->suspect || m->retiring || idle > boot * tunables_.idle_boots))
+                (m->suspect || m->retiring || idle > again * tunables_.idle_boots))
                 why = "idle";
         }
         if (!why) continue;
