--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -102,9 +102,7 @@
     void move_fetching(placement::Planner& plan, TimePoint now);
     void consolidate(placement::Planner& plan, TimePoint now);
     placement::JobHosts hosts_without(const Job& job, std::uint32_t task, TimePoint now) const;
-    placement::Planner booting(TimePoint now) const;
-    void place_each(Job& job, placement::Planner& plan, std::uint32_t together, placement::Planner& soon, TimePoint now,
-                    bool& any);
+    void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
     Seconds target_of(const JobSpec& spec) const;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -23,7 +23,6 @@
 constexpr int max_rent = 50;                      // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;    // how a price per slot is discounted by the slots that services fill
-constexpr double boot_usual = 1.1;     // times boot_s within which most machines are up
 constexpr double slow_fetch = 1.33;    // times the nominal time that an image may take
 constexpr Seconds calm{20};            // without anything waiting before services are moved together
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
@@ -141,34 +140,10 @@
     any = true;
 }
 
-// The machines that are about to be up, as places a new service can wait for.
-Planner Overseer::booting(TimePoint now) const {
-    std::vector<Host> hosts;
-    for (const auto& [name, m] : ledger_.all()) {
-        const auto* type = ledger_.type(m->type);
-        if (type && !m->reported && !m->releasing && m->tasks.empty() &&
-            now - m->known_since < wire::to_clock(type->boot * boot_usual))
-            hosts.push_back(m->host());
-    }
-    return Planner(std::move(hosts), rules_);
-}
-
-void Overseer::place_each(Job& job, Planner& plan, std::uint32_t together, Planner& soon, TimePoint now, bool& any) {
+void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
     auto hosts = hosts_of(job, now);
     const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
     for (std::uint32_t k = 0; k < most; ++k) {
-        if (job.is(Shape::service) && job.again.empty()) {
-            // A large machine was rented for services that came together: taking the small ones that are up
-            // sooner would break those up for gangs, for good.
-            auto later_hosts = hosts;
-            const auto later = soon.peek(job.spec, later_hosts), here = plan.peek(job.spec, hosts);
-            const auto size = [&](const Host& h) { return placement::slots(job.spec.need, h.capacity); };
-            if (later != Planner::none && here != Planner::none && together >= size(soon.host(later)) &&
-                size(soon.host(later)) > size(plan.host(here))) {
-                soon.place(job.spec, later_hosts);
-                continue;
-            }
-        }
         const auto at = plan.place(job.spec, hosts);
         if (at == Planner::none) return;  // its tasks are all alike
         const auto i = take_waiting(job);
@@ -307,18 +282,13 @@
 bool Overseer::place(TimePoint now) {
     if (!round_heard(now)) return false;
     bool any = false;
-    auto plan = planner(now), soon = booting(now);
+    auto plan = planner(now);
     finish_moves(plan, now, any);
-    const auto waiting = queue(now, true);
-    // Only many services that come together, as after a cold start, are worth the wait.
-    std::map<std::string, std::uint32_t> services;
-    for (const auto* job : waiting)
-        if (job->is(Shape::service)) services[job->spec.job_class] += job->waiting();
-    for (auto* job : waiting) {
+    for (auto* job : queue(now, true)) {
         if (job->is(Shape::gang))
             place_gang(*job, plan, now, any);
         else
-            place_each(*job, plan, services[job->spec.job_class], soon, now, any);
+            place_each(*job, plan, now, any);
     }
     return any;
 }
