--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -156,7 +156,8 @@
 // A new leader hears one round of reports first: until then it does not know the load. If no work was on record
 // when it began, there is no load to hear of.
 bool Overseer::round_heard(TimePoint now) const {
-    return !inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms);
+    if (!inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms)) return true;
+    return std::all_of(ledger_.all().begin(), ledger_.all().end(), [](const auto& m) { return m.second->current; });
 }
 
 // --- moves ---
