--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t max_counts = 20'000;
+constexpr const char* catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
 
 net::Reply reply(unsigned status, std::string body) {
@@ -79,13 +80,44 @@
     for (;;) {
         auto types = co_await cloud_.catalog();
         if (types && !types->empty()) {
+            const bool news = types_.size() != types->size();
             types_ = std::move(*types);
             if (reign_) reign_->catalog(types_);
+            if (news) co_await keep_catalog();
+        } else if (types_.empty()) {
+            co_await recall_catalog();
         }
         co_await net::sleep_for(types_.empty() ? std::chrono::seconds(2) : std::chrono::seconds(elector_.leading() ? 30 : 300));
     }
 }
 
+// A controller that starts while the cloud is out of order still has to tell what can run: the machine types are
+// kept in the state service too.
+awaitable<void> Controller::keep_catalog() {
+    auto kept = co_await store_.get(catalog_key, state::Urgency::bookkeeping);
+    if (kept.outcome != state::Outcome::ok) co_return;
+    auto record = wire::catalog_record(types_);
+    if (kept.item.stamp) try {
+            if (wire::parse_catalog(boost::json::serialize(kept.item.value)).size() == types_.size()) co_return;
+        } catch (const wire::BadBody&) {
+        }
+    state::Txn txn;
+    txn.conditions.push_back({catalog_key, kept.item.stamp});
+    txn.changes.push_back({catalog_key, std::move(record), 0});
+    co_await store_.commit(std::move(txn), state::Urgency::bookkeeping);
+}
+
+awaitable<void> Controller::recall_catalog() {
+    auto kept = co_await store_.get(catalog_key, state::Urgency::bookkeeping);
+    if (kept.outcome != state::Outcome::ok || !kept.item.stamp || !types_.empty()) co_return;
+    try {
+        types_ = wire::parse_catalog(boost::json::serialize(kept.item.value));
+        if (reign_) reign_->catalog(types_);
+    } catch (const wire::BadBody& e) {
+        spdlog::error("event=record_unreadable key={} why=\"{}\"", catalog_key, e.what());
+    }
+}
+
 awaitable<void> Controller::peer_loop() {
     for (;;) {
         peer::Beat b;
@@ -103,12 +135,19 @@
 
 void Controller::received(const peer::Beat& beat) {
     elector_.heard(beat.term, beat.leader);
+    peer_state_[beat.member] = {Clock::now(), beat.state_ok};
     if (counts_.size() > max_counts) counts_.clear();
     for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
 }
 
+// A controller that alone is cut off from the state service leaves the users to the others. In an outage that all
+// share there is nobody better, and the load balancer takes back slowly what it has once removed.
 net::Reply Controller::ready() const {
-    if (!store_.healthy(Clock::now())) return reply(503, wire::error_body("the state service cannot be reached"));
+    const auto now = Clock::now();
+    if (!store_.healthy(now))
+        for (const auto& [member, heard] : peer_state_)
+            if (heard.second && now - heard.first < 3s)
+                return reply(503, wire::error_body("the state service cannot be reached from here"));
     if (types_.empty()) return reply(503, wire::error_body("the machine types are not known yet"));
     return reply(200, "{\"ready\":true}");
 }
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -18,7 +18,8 @@
     awaitable<net::Reply> beat(std::string body);
     awaitable<void> catalog_loop();
     awaitable<void> peer_loop();
-    awaitable<void> keep_catalog(const std::vector<wire::MachineType>& types, std::string body);
+    awaitable<void> keep_catalog();
+    awaitable<void> recall_catalog();
     net::Reply ready() const;
     void received(const peer::Beat& beat);
 
@@ -31,6 +32,7 @@
     std::shared_ptr<Reign> reign_;
     std::vector<wire::MachineType> types_;
     std::unordered_map<std::string, api::DisplayCount> counts_;
+    std::unordered_map<std::string, std::pair<wire::TimePoint, bool>> peer_state_;  // when heard, and its access
     api::Desk desk_;
     peer::Links peers_;
     net::HttpServer server_;
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -353,6 +353,22 @@
     return out;
 }
 
+json::object catalog_record(const std::vector<MachineType>& types) {
+    json::array list;
+    for (const auto& t : types)
+        list.push_back(json::object{{"name", t.name},
+                                    {"cores", t.capacity.cpus},
+                                    {"accelerators", t.capacity.gpus},
+                                    {"mem_gb", t.capacity.memory_gb},
+                                    {"local_gb", t.cache_gb},
+                                    {"pull_gb_per_s", t.fetch_gb_per_s},
+                                    {"price", t.price},
+                                    {"market_price", t.spot_price},
+                                    {"boot_s", t.boot.count()},
+                                    {"halls", json::value_from(t.zones)}});
+    return {{"hosttypes", std::move(list)}};
+}
+
 MachinePage parse_machines(std::string_view body) {
     const auto o = parse_object(body);
     MachinePage page;
--- a/src/wire/json.hpp
+++ b/src/wire/json.hpp
@@ -41,6 +41,7 @@
 
 // Cloud.
 std::vector<MachineType> parse_catalog(std::string_view text);
+json::object catalog_record(const std::vector<MachineType>& types);  // in the same form, to be kept
 struct MachinePage {
     std::vector<ListedMachine> machines;
     bool more = false;
