--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -21,6 +21,11 @@
     bool empty() const { return txn.changes.empty(); }
 };
 
+struct Release {
+    std::string machine;
+    const char* why;
+};
+
 struct JobCount {
     std::uint32_t done = 0, running = 0;
 };
@@ -49,7 +54,11 @@
     // Moves tasks to where they start sooner, and services off machines that are not worth their price.
     void improve(TimePoint now);
     std::vector<fleet::Order> rent(TimePoint now);
-    std::vector<std::string> release(TimePoint now);
+    std::vector<Release> release(TimePoint now) const;
+    // The release is about to be sent: whatever becomes of it, these machines are not used again.
+    void releasing(const std::vector<Release>& machines);
+    // This process stood still for so long: what it did not hear meanwhile says nothing about the machines.
+    void stood_still(std::chrono::steady_clock::duration gap);
 
     Batch next_batch();
     void committed(const Batch& batch, std::uint64_t revision, TimePoint now);
@@ -63,6 +72,7 @@
     std::optional<JobCount> count(const std::string& uid) const;
     std::vector<std::pair<std::string, JobCount>> take_counts();
     std::uint64_t term() const { return term_; }
+    std::uint64_t term_stamp() const { return term_stamp_; }
     fleet::Ledger& ledger() { return ledger_; }
     const Job* job(const std::string& uid) const;
     std::size_t machines_up(TimePoint now) const;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -433,7 +433,7 @@
     }
 }
 
-std::vector<std::string> Overseer::release(TimePoint now) {
+std::vector<Release> Overseer::release(TimePoint now) const {
     // Many machines silent at once more likely means that this controller is cut off than that all have died.
     std::map<bool, std::pair<int, int>> silent;  // by spot: silent, all
     for (const auto& [name, m] : ledger_.all()) {
@@ -442,8 +442,8 @@
         ++total;
         quiet += now - m->last_report > wire::to_clock(settings_.report * quiet_reports);
     }
-    std::vector<std::string> out;
-    for (auto& [name, m] : ledger_.all()) {
+    std::vector<Release> out;
+    for (const auto& [name, m] : ledger_.all()) {
         const char* why = nullptr;
         const auto* type = ledger_.type(m->type);
         const Seconds boot = type ? type->boot : Seconds(60);
@@ -478,14 +478,27 @@
                 why = "idle";
         }
         if (!why) continue;
-        if (!m->releasing) spdlog::info("event=machine_release machine={} type={} spot={} tasks={} why={}", name, m->type, m->spot, m->tasks.size(), why);
-        m->releasing = true;
-        out.push_back(name);
+        out.push_back({name, why});
         if (out.size() >= max_release) break;
     }
     return out;
 }
 
+void Overseer::releasing(const std::vector<Release>& machines) {
+    for (const auto& [name, why] : machines) {
+        auto* m = ledger_.find(name);
+        if (!m || m->releasing) continue;
+        spdlog::info("event=machine_release machine={} type={} spot={} tasks={} why={}", name, m->type, m->spot,
+                     m->tasks.size(), why);
+        m->releasing = true;
+    }
+}
+
+void Overseer::stood_still(std::chrono::steady_clock::duration gap) {
+    since_ += gap;
+    for (auto& [name, m] : ledger_.all()) m->last_report += gap;
+}
+
 void Overseer::released(const std::vector<std::string>& machines, TimePoint now) {
     for (const auto& name : machines) {
         auto* m = ledger_.find(name);
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -15,6 +15,8 @@
 namespace {
 constexpr std::chrono::milliseconds follow_hold{1000};
 constexpr auto plan_gap = 200ms;
+constexpr int max_tries = 30;
+constexpr auto stall = 2500ms;  // between two turns of the planning loop, which are due within one second
 }  // namespace
 
 Reign::Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
@@ -206,13 +208,28 @@
     }
 }
 
+// A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
+// remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
+awaitable<bool> Reign::still_leading() {
+    state::Txn txn;
+    txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
+    const auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
+    if (result.outcome == Outcome::conflict) links_.doubt();
+    co_return result.outcome == Outcome::ok && !stopped_;
+}
+
 // Plans when something changed, at most every plan_gap, and when a window closes.
 awaitable<void> Reign::tick_loop() {
-    auto next_full = Clock::now(), next_summary = next_full, next_improve = next_full;
+    auto next_full = Clock::now(), next_summary = next_full, next_improve = next_full, last_tick = next_full;
     while (!stopped_) {
         co_await plan_.wait(500ms);
         if (stopped_) break;
         const auto now = Clock::now();
+        if (const auto gap = now - last_tick; gap > stall) {
+            spdlog::info("event=stood_still seconds={:.1f}", Seconds(gap).count());
+            overseer_.stood_still(gap);
+        }
+        last_tick = now;
         if (loaded_ && (stir_ || now >= next_full)) {
             stir_ = false;
             if (now >= next_full) next_full = now + 500ms;
@@ -247,61 +264,75 @@
 }
 
 awaitable<void> Reign::cloud_loop() {
-    struct Pending {
-        fleet::Order order;
-        std::string name;
-        int tries = 0;
-    };
-    std::deque<Pending> unclear;
-    bool again = false;  // a refusal leaves a need that another pool may meet
+    bool again = false;
     while (!stopped_) {
         co_await net::sleep_for(again ? 50ms : 1000ms);
-        again = false;
         if (stopped_ || !loaded_) continue;
-        const auto going = overseer_.release(Clock::now());
-        if (!going.empty()) {
-            const bool done = co_await cloud_.release(going);
-            if (stopped_) break;
-            if (done) {
-                overseer_.released(going, Clock::now());
-                stir_ = true;
-                plan_.notify();
-                commit_.notify();
-            }
+        co_await return_machines();
+        if (stopped_) break;
+        again = co_await rent_machines();
+    }
+}
+
+awaitable<void> Reign::return_machines() {
+    if (overseer_.release(Clock::now()).empty()) co_return;
+    const bool leading = co_await still_leading();
+    if (!leading) co_return;
+    const auto leaving = overseer_.release(Clock::now());
+    overseer_.releasing(leaving);
+    std::vector<std::string> names;
+    for (const auto& r : leaving) names.push_back(r.machine);
+    if (names.empty()) co_return;
+    const bool done = co_await cloud_.release(names);
+    if (!done || stopped_) co_return;
+    overseer_.released(names, Clock::now());
+    stir_ = true;
+    plan_.notify();
+    commit_.notify();
+}
+
+// Rents what is wanted, first of all what an earlier request left unclear. True if a refusal leaves a need that
+// another pool may meet at once.
+awaitable<bool> Reign::rent_machines() {
+    if (unclear_.empty())
+        for (auto& order : overseer_.rent(Clock::now())) {
+            // Named after the term, so that no two leaders ever use the same name.
+            unclear_.push_back({order, std::to_string(term_) + "-" + std::to_string(++rents_), 0});
         }
-        std::deque<Pending> now_due;
-        now_due.swap(unclear);
-        if (now_due.empty())
-            for (auto& order : overseer_.rent(Clock::now())) {
-                Pending p;
-                p.order = order;
-                // Named after the term, so that no two leaders ever use the same name.
-                p.name = std::to_string(term_) + "-" + std::to_string(++rents_);
-                now_due.push_back(std::move(p));
-            }
-        for (auto& p : now_due) {
-            if (stopped_) break;
-            auto result = co_await cloud_.rent(p.name, p.order.pool.type, p.order.pool.zone, p.order.pool.spot, p.order.count);
-            if (stopped_) break;
-            const auto now = Clock::now();
-            if (result.outcome == cloud::Rent::granted) {
-                spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", p.name, p.order.pool.type,
-                             p.order.pool.zone, p.order.pool.spot, p.order.count, result.machines.size());
-                overseer_.rented(p.order.pool, result.machines, now);
-                if (static_cast<int>(result.machines.size()) < p.order.count) {
-                    overseer_.rent_refused(p.order.pool, now);
-                    again = true;
-                }
-            } else if (result.outcome == cloud::Rent::unclear) {
-                // Asked again under the same name: if it was granted, the same machines are named.
-                if (++p.tries < 30) unclear.push_back(std::move(p));
-            } else {
-                spdlog::info("event=rent_refused type={} zone={} spot={}", p.order.pool.type, p.order.pool.zone, p.order.pool.spot);
-                overseer_.rent_refused(p.order.pool, now);
-                again = true;
-            }
+    if (unclear_.empty()) co_return false;
+    const bool leading = co_await still_leading();
+    std::deque<Rental> due;
+    due.swap(unclear_);
+    bool again = false;
+    for (auto& rental : due) {
+        if (!leading) {
+            // What was never sent is planned anew; what was may have been granted, and must be asked for again.
+            if (rental.tries > 0) unclear_.push_back(std::move(rental));
+            continue;
+        }
+        const auto& pool = rental.order.pool;
+        ++rental.tries;
+        const auto result = co_await cloud_.rent(rental.name, pool.type, pool.zone, pool.spot, rental.order.count);
+        if (stopped_) co_return false;
+        const auto now = Clock::now();
+        const auto got = static_cast<int>(result.machines.size());
+        if (result.outcome == cloud::Rent::granted) {
+            spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", rental.name, pool.type, pool.zone,
+                         pool.spot, rental.order.count, got);
+            overseer_.rented(pool, result.machines, now);
+        } else if (result.outcome == cloud::Rent::unclear) {
+            // Asked again under the same name: if it was granted, the same machines are named.
+            if (rental.tries < max_tries) unclear_.push_back(std::move(rental));
+            continue;
+        } else {
+            spdlog::info("event=rent_refused type={} zone={} spot={}", pool.type, pool.zone, pool.spot);
+        }
+        if (got < rental.order.count) {
+            overseer_.rent_refused(pool, now);
+            again = true;
         }
     }
+    co_return again;
 }
 
 }  // namespace flintdale::app
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -32,6 +32,11 @@
 
   private:
     using TimePoint = wire::TimePoint;
+    struct Rental {
+        fleet::Order order;
+        std::string name;
+        int tries = 0;
+    };
     awaitable<void> learn_loop();
     awaitable<bool> load();
     awaitable<bool> check_open_jobs();
@@ -39,8 +44,11 @@
     awaitable<void> tick_loop();
     awaitable<void> list_loop();
     awaitable<void> cloud_loop();
+    awaitable<void> return_machines();
+    awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
     bool entitled(TimePoint now) const;
+    awaitable<bool> still_leading();
 
     net::Executor ex_;
     state::Store& store_;
@@ -53,6 +61,7 @@
     net::Wakeup commit_, plan_;
     bool stopped_ = false, loaded_ = false, stir_ = false;
     std::uint64_t followed_ = 0, rents_ = 0;
+    std::deque<Rental> unclear_;  // requests without an answer yet
     TimePoint fresh_{};  // when the last read began that showed all cancellations up to then
 };
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -18,6 +18,7 @@
     JobSpec s;
     s.uid = "run-1";
     s.image = "image";
+    s.image_gb = 2;
     s.need = {2, gpus, memory};
     return s;
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -50,14 +50,12 @@
         place();
         ASSERT_EQ(machine_of("run-1", 0), "n-000001") << "silence is no evidence";
     }
-    const auto going = leader->release(now);
+    const auto going = returns();
     ASSERT_EQ(std::count(going.begin(), going.end(), "n-000001"), 1);
     ASSERT_EQ(machine_of("run-1", 0), "n-000001") << "a release that is not answered is no evidence either";
     leader->released({"n-000001"}, now);
-    auto third = machine("n-000003", "b");
-    meet(third);
     ASSERT_TRUE(place());
-    EXPECT_EQ(machine_of("run-1", 0), "n-000003");
+    EXPECT_EQ(machine_of("run-1", 0), "n-000002");
     EXPECT_FALSE(leader->report(m1.report(), now)) << "a late report of a released machine is not believed";
 }
 
@@ -243,7 +241,7 @@
     const auto told = now;
     while (going.empty() && now < told + wire::to_clock(settings.cancel)) {
         pass(1s);
-        going = leader->release(now);
+        going = returns();
     }
     ASSERT_FALSE(going.empty());
     EXPECT_LT(now, told + wire::to_clock(settings.cancel * 0.8));
@@ -366,7 +364,49 @@
         beat(idle);
         beat(m1);
     }
-    EXPECT_EQ(leader->release(now), std::vector<std::string>{"n-000009"});
+    EXPECT_EQ(returns(), std::vector<std::string>{"n-000009"});
+}
+
+// inc-d158: a leader stood still for 40 s, woke, found every machine silent and returned them all, while its
+// successor was using them.
+TEST_F(Story, fleet_a_leader_that_stood_still_does_not_blame_the_machines) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    pass(40s);
+    leader->stood_still(40s);
+    EXPECT_TRUE(returns().empty());
+    pass(40s);
+    EXPECT_FALSE(returns().empty()) << "real silence still counts";
+}
+
+TEST_F(Story, moves_a_service_goes_to_the_machine_that_has_its_image_and_only_once_it_is_gone) {
+    elect();
+    auto slow = job("run-1", Shape::service, 1), quick = job("run-2", Shape::service, 1);
+    slow.image_gb = quick.image_gb = 10;
+    accept(slow);
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());
+    beat(m1);
+    beat(m1);
+    accept(quick);
+    settle();
+    meet(m2);
+    ASSERT_TRUE(place());
+    ASSERT_EQ(machine_of("run-1", 0), "n-000001");
+    beat(m1);
+    beat(m2);
+    ASSERT_EQ(machine_of("run-2", 0), "n-000002");
+    beat(m2);  // both fetch the image, and n-000002 has it first
+    m2.run_all();
+    beat(m2);
+    leader->improve(now);
+    place();
+    EXPECT_EQ(machine_of("run-1", 0), "n-000001") << "it may still be there";
+    EXPECT_TRUE(ordered(beat(m1), Verb::kill, "run-1", 0));
+    beat(m1);
+    place();
+    EXPECT_EQ(machine_of("run-1", 0), "n-000002");
 }
 
 TEST_F(Story, fleet_a_machine_that_fails_several_jobs_is_set_aside_but_a_bad_job_spoils_none) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -62,6 +62,7 @@
     small.name = "small";
     small.capacity = {8, 2, 64};
     small.cache_gb = 50;
+    small.fetch_gb_per_s = 0.1;
     small.price = 2;
     small.spot_price = 1;
     small.boot = Seconds(30);
@@ -227,6 +228,12 @@
     return any;
 }
 
+std::vector<std::string> World::returns() const {
+    std::vector<std::string> out;
+    for (const auto& r : leader->release(now)) out.push_back(r.machine);
+    return out;
+}
+
 std::string World::state_of(const std::string& uid) const {
     const auto item = keys.get(agent::job_key(uid));
     return item.stamp ? std::string(item.value.as_object().at("state").as_string()) : "absent";
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -69,6 +69,7 @@
     std::vector<Order> beat(Worker& w, bool answer_arrives = true);
     void commit();  // everything the leader wants on record
     bool place();   // place, and put it on record
+    std::vector<std::string> returns() const;  // the machines that the leader wants returned now
     void pass(Seconds s) { now += wire::to_clock(s); }
     // Far enough that windows have closed and a new leader has heard its round of reports.
     void settle() { pass(Seconds(10)); }
