--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -111,6 +111,8 @@
     void finish_moves(placement::Planner& plan, TimePoint now, bool& any);
     void move_fetching(placement::Planner& plan, TimePoint now);
     void consolidate(placement::Planner& plan, TimePoint now);
+    Machine* sparsest(const placement::Planner& plan, TimePoint now);
+    std::vector<std::string> rehouse(const Machine& m, placement::Planner& plan, TimePoint now) const;
     placement::JobHosts hosts_without(const Job& job, std::uint32_t task, TimePoint now) const;
     void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     std::uint32_t take_waiting(Job& job);
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -24,7 +24,9 @@
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;    // how a price per slot is discounted by the slots that services fill
 constexpr double slow_fetch = 1.33;    // times the nominal time that an image may take
-constexpr Seconds calm{20};            // without anything waiting before services are moved together
+constexpr Seconds calm{8};             // without anything waiting before services are moved together
+constexpr Seconds settled{20};         // that a service must have run before it is moved again
+constexpr int max_retiring = 3;        // machines emptied at a time
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
@@ -219,9 +221,8 @@
     }
 }
 
-// When load has fallen, a machine that only a few services keep costs more than moving them does.
-void Overseer::consolidate(Planner& plan, TimePoint now) {
-    if (!moves_.empty() || now < after(short_at_, calm)) return;
+// The machine whose services pay most for their slots and would all find a place, with their image, on others.
+Machine* Overseer::sparsest(const Planner& plan, TimePoint now) {
     Machine* worst = nullptr;
     double worst_price = 0;
     for (auto& [name, m] : ledger_.all()) {
@@ -232,7 +233,7 @@
         for (const auto& [uid, i] : m->tasks) {
             const auto* j = job(uid);
             movable = movable && j && j->is(Shape::service) && j->tasks[i].started && !j->cancelled &&
-                      now - j->tasks[i].running_since > wire::to_clock(calm);
+                      !j->tasks[i].draining && now - j->tasks[i].running_since > wire::to_clock(settled);
             if (!movable) break;
             for (const auto& t : ledger_.types())
                 if (const auto n = placement::slots(j->spec.need, t.capacity);
@@ -242,30 +243,40 @@
         const double price = (m->spot ? type->spot_price : type->price) / static_cast<double>(m->tasks.size());
         if (!movable || price < cheapest * tunables_.sparse || price <= worst_price) continue;
         auto trial = plan;
-        bool all = true;
-        for (const auto& [uid, i] : m->tasks) {
-            const auto* j = job(uid);
-            auto hosts = hosts_without(*j, i, now);
-            const auto at = trial.peek(j->spec, hosts);
-            all = all && at != Planner::none && trial.host(at).load > 0 && trial.host(at).images.contains(j->spec.image);
-            if (!all) break;
-            trial.reserve(trial.host(at).name, j->spec);
+        if (!rehouse(*m, trial, now).empty()) {
+            worst = m.get();
+            worst_price = price;
         }
-        if (!all) continue;
-        worst = m.get();
-        worst_price = price;
     }
-    if (!worst) return;
-    spdlog::info("event=consolidate machine={} type={} tasks={}", worst->name, worst->type, worst->tasks.size());
-    worst->retiring = true;
-    for (const auto& [uid, i] : worst->tasks) {
+    return worst;
+}
+
+// Where all tasks of a machine could go at once, their room taken from the plan; empty if one of them could not.
+std::vector<std::string> Overseer::rehouse(const Machine& m, Planner& plan, TimePoint now) const {
+    std::vector<std::string> out;
+    for (const auto& [uid, i] : m.tasks) {
         const auto* j = job(uid);
-        auto hosts = hosts_without(*j, i, now);
+        const auto hosts = hosts_without(*j, i, now);
         const auto at = plan.peek(j->spec, hosts);
-        if (at == Planner::none) continue;
-        const auto to = plan.host(at).name;
-        plan.reserve(to, j->spec);
-        start_move(*j, i, to, now);
+        if (at == Planner::none || plan.host(at).load == 0 || !plan.host(at).images.contains(j->spec.image)) return {};
+        out.push_back(plan.host(at).name);
+        plan.reserve(out.back(), j->spec);
+    }
+    return out;
+}
+
+// When load has fallen, a machine that only a few services keep costs more than moving them does.
+void Overseer::consolidate(Planner& plan, TimePoint now) {
+    if (!moves_.empty() || now < after(short_at_, calm)) return;
+    for (int k = 0; k < max_retiring; ++k) {
+        auto* m = sparsest(plan, now);
+        if (!m) return;
+        const auto to = rehouse(*m, plan, now);
+        spdlog::info("event=consolidate machine={} type={} tasks={}", m->name, m->type, m->tasks.size());
+        m->retiring = true;
+        plan.remove(m->name);
+        std::size_t next = 0;
+        for (const auto& [uid, i] : m->tasks) start_move(*job(uid), i, to[next++], now);
     }
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -156,6 +156,10 @@
     return out;
 }
 
+void Planner::remove(const std::string& name) {
+    std::erase_if(hosts_, [&](const Host& h) { return h.name == name; });
+}
+
 void Planner::hold_for(const JobSpec& spec, std::size_t count) {
     std::string zone;
     for (std::size_t k = 0; k < count; ++k) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -79,6 +79,7 @@
         hosts_.push_back(std::move(host));
         return hosts_.size() - 1;
     }
+    void remove(const std::string& name);
     const Host& host(std::size_t i) const { return hosts_[i]; }
     const std::vector<Host>& hosts() const { return hosts_; }
 
