--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -53,8 +53,10 @@
     job->arrived = now;
     const auto window = wire::to_clock(tunables_.window);
     job->window = spec.accepted_ms / std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(window).count());
-    // A window that a former leader opened has closed by now.
-    job->eligible_at = known_before ? now : TimePoint((now.time_since_epoch() / window + 1) * window);
+    // A window that a former leader opened has closed by now. And a critical service would come first in any window,
+    // having no length: there is nothing to gather before it is placed.
+    const bool first = spec.shape == Shape::service && spec.rank == wire::Rank::critical;
+    job->eligible_at = known_before || first ? now : TimePoint((now.time_since_epoch() / window + 1) * window);
     job->spec = std::move(spec);
     auto& ref = *job;
     jobs_[ref.spec.uid] = std::move(job);
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -85,6 +85,8 @@
     if (!loaded_ || stopped_) return;
     overseer_.job_changed(item, Clock::now());
     commit_.notify();
+    stir_ = true;
+    plan_.notify();
 }
 
 awaitable<bool> Reign::load() {
@@ -170,7 +172,11 @@
         const auto now = Clock::now();
         for (std::size_t i = 0; i < seen.events.size(); ++i)
             if (!seen.deleted[i]) overseer_.job_changed(seen.events[i], now);
-        if (!seen.events.empty()) commit_.notify();
+        if (!seen.events.empty()) {
+            commit_.notify();
+            stir_ = true;
+            plan_.notify();
+        }
     }
 }
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -72,7 +72,7 @@
     double idle_boots = 1.0;     // times boot_s that a machine without work is kept
     double horizon = 0.2;        // share of an array's objective within which its work should fit
     double dear = 3.0;           // times the cheapest price a slot may cost that an array rents at once
-    double sparse = 1.9;         // times the cheapest price a service's slot may cost before services are moved together
+    double sparse = 2.5;         // times the cheapest price a service's slot may cost before services are moved together
     double reserve = 0.0;        // share of the rented machines kept free for critical work
     Seconds election_lease{2.5};   // how long the leader's claim outlives its last renewal
     std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
