--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -27,6 +27,7 @@
 constexpr Seconds calm{8};             // without anything waiting before services are moved together
 constexpr Seconds settled{20};         // that a service must have run before it is moved again
 constexpr int max_retiring = 3;        // machines emptied at a time
+constexpr std::int64_t merged_window = -1;
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
@@ -60,7 +61,9 @@
         if (eligible_only && now < job->eligible_at) continue;
         placement::Waiting w;
         w.rank = job->spec.rank;
-        w.window = job->window;
+        // What its window could not place waits in one queue with the rest of that kind, ahead of new windows:
+        // else, under load, the order would be that of arrival, and the short would wait for the long.
+        w.window = job->passed_over ? merged_window : job->window;
         w.length = job->spec.estimate * job->waiting();
         w.waited = now - job->arrived;
         w.uid = uid;
@@ -301,6 +304,7 @@
             place_gang(*job, plan, now, any);
         else
             place_each(*job, plan, now, any);
+        job->passed_over = job->waiting() > 0;
     }
     return any;
 }
