--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include "election/elector.hpp"
-
 namespace flintdale::agent {
 
 using namespace std::chrono_literals;
@@ -18,7 +16,6 @@
 
 namespace {
 constexpr std::size_t max_orders = 300;  // of some 100 bytes each: well within a line's limit
-constexpr std::size_t max_txn_bytes = 44 * 1024;
 constexpr unsigned suspect_jobs = 2;  // that failed on a machine and not everywhere
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -96,7 +96,7 @@
               TimePoint now);
     void absent(Job& job, std::uint32_t task, Machine& m, std::vector<wire::Order>& orders, TimePoint now);
     bool usable(const Machine& m, TimePoint now) const;
-    placement::JobHosts hosts_of(const Job& job, TimePoint now) const;
+    placement::JobHosts hosts_of(const Job& job) const;
     std::vector<Job*> queue(TimePoint now, bool eligible_only);
     placement::Planner planner(TimePoint now) const;
     std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
@@ -112,8 +112,8 @@
     void move_fetching(placement::Planner& plan, TimePoint now);
     void consolidate(placement::Planner& plan, TimePoint now);
     Machine* sparsest(const placement::Planner& plan, TimePoint now);
-    std::vector<std::string> rehouse(const Machine& m, placement::Planner& plan, TimePoint now) const;
-    placement::JobHosts hosts_without(const Job& job, std::uint32_t task, TimePoint now) const;
+    std::vector<std::string> rehouse(const Machine& m, placement::Planner& plan) const;
+    placement::JobHosts hosts_without(const Job& job, std::uint32_t task) const;
     void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -38,7 +38,7 @@
            now - m.last_report < wire::to_clock(settings_.report * quiet_reports);
 }
 
-JobHosts Overseer::hosts_of(const Job& job, TimePoint now) const {
+JobHosts Overseer::hosts_of(const Job& job) const {
     JobHosts out;
     if (job.placed)
         for (const auto& t : job.tasks)
@@ -50,7 +50,6 @@
             }
     // Once every machine in use has failed the job, the machines are not to blame.
     if (job.failed_on.size() <= 2) out.excluded.insert(job.failed_on.begin(), job.failed_on.end());
-    (void)now;
     return out;
 }
 
@@ -113,7 +112,7 @@
         // Tasks of an attempt that is ending must all be gone before the next one starts. Until an attempt has
         // started, tasks that it lost are replaced under its own number.
         if (job.gang_failing || job.gang_started) return;
-        auto hosts = hosts_of(job, now);
+        auto hosts = hosts_of(job);
         const auto missing = job.waiting();
         if (within_limit(job, missing) < missing) return;
         for (std::uint32_t k = 0; k < missing; ++k) {
@@ -127,7 +126,7 @@
         return;
     }
     if (within_limit(job, job.spec.tasks) < job.spec.tasks) return;
-    auto hosts = hosts_of(job, now);
+    auto hosts = hosts_of(job);
     const auto places = plan.place_together(job.spec, hosts, job.spec.tasks);
     if (places.empty()) {
         // Room for a whole gang seldom comes about by itself while smaller tasks take all that frees.
@@ -146,7 +145,7 @@
 }
 
 void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
-    auto hosts = hosts_of(job, now);
+    auto hosts = hosts_of(job);
     const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
     for (std::uint32_t k = 0; k < most; ++k) {
         const auto at = plan.place(job.spec, hosts);
@@ -167,8 +166,8 @@
 
 // --- moves ---
 
-JobHosts Overseer::hosts_without(const Job& job, std::uint32_t task, TimePoint now) const {
-    auto hosts = hosts_of(job, now);
+JobHosts Overseer::hosts_without(const Job& job, std::uint32_t task) const {
+    auto hosts = hosts_of(job);
     const auto& m = *job.tasks[task].machine;
     --hosts.per_zone[m.zone];
     hosts.own.erase(m.name);
@@ -193,7 +192,7 @@
             return false;
         }
         if (t.state != State::waiting) return true;
-        auto hosts = hosts_of(*job, now);
+        auto hosts = hosts_of(*job);
         if (within_limit(*job, 1) == 0 || !plan.place_on(move.to, job->spec, hosts)) return true;
         std::erase(job->again, move.task);
         set_placed(*job, move.task, *ledger_.find(move.to), t.attempt + 1, now);
@@ -214,7 +213,7 @@
             if (here.images.contains(job->spec.image)) continue;
             const Seconds left = here.image_wait(job->spec.image, job->spec.image_gb) * slow_fetch - (now - t.placed_at);
             if (left < settings_.report * 2) continue;
-            auto hosts = hosts_without(*job, i, now);
+            auto hosts = hosts_without(*job, i);
             const auto at = plan.peek(job->spec, hosts);
             if (at == Planner::none || !plan.host(at).images.contains(job->spec.image)) continue;
             const auto to = plan.host(at).name;
@@ -246,7 +245,7 @@
         const double price = (m->spot ? type->spot_price : type->price) / static_cast<double>(m->tasks.size());
         if (!movable || price < cheapest * tunables_.sparse || price <= worst_price) continue;
         auto trial = plan;
-        if (!rehouse(*m, trial, now).empty()) {
+        if (!rehouse(*m, trial).empty()) {
             worst = m.get();
             worst_price = price;
         }
@@ -255,11 +254,11 @@
 }
 
 // Where all tasks of a machine could go at once, their room taken from the plan; empty if one of them could not.
-std::vector<std::string> Overseer::rehouse(const Machine& m, Planner& plan, TimePoint now) const {
+std::vector<std::string> Overseer::rehouse(const Machine& m, Planner& plan) const {
     std::vector<std::string> out;
     for (const auto& [uid, i] : m.tasks) {
         const auto* j = job(uid);
-        const auto hosts = hosts_without(*j, i, now);
+        const auto hosts = hosts_without(*j, i);
         const auto at = plan.peek(j->spec, hosts);
         if (at == Planner::none || plan.host(at).load == 0 || !plan.host(at).images.contains(j->spec.image)) return {};
         out.push_back(plan.host(at).name);
@@ -274,7 +273,7 @@
     for (int k = 0; k < max_retiring; ++k) {
         auto* m = sparsest(plan, now);
         if (!m) return;
-        const auto to = rehouse(*m, plan, now);
+        const auto to = rehouse(*m, plan);
         spdlog::info("event=consolidate machine={} type={} tasks={}", m->name, m->type, m->tasks.size());
         m->retiring = true;
         plan.remove(m->name);
@@ -394,7 +393,7 @@
     for (const auto* job : waiting)
         if (job->is(Shape::service)) services[job->spec.job_class] += job->waiting();
     for (auto* job : waiting) {
-        auto hosts = hosts_of(*job, now);
+        auto hosts = hosts_of(*job);
         if (job->is(Shape::gang) && job->placed == 0) {
             if (within_limit(*job, job->spec.tasks) < job->spec.tasks) continue;
             if (!plan.place_together(job->spec, hosts, job->spec.tasks).empty()) continue;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -207,7 +207,6 @@
         {"fleet.horizon", amount_into(t.horizon, 0.05, 10)},
         {"fleet.dear", amount_into(t.dear, 1, 1000)},
         {"fleet.sparse", amount_into(t.sparse, 1, 1000)},
-        {"fleet.reserve", amount_into(t.reserve, 0, 1)},
         {"election.lease_s", seconds_into(t.election_lease, 0.5, 60)},
     };
     for (const auto& [section, entries] : tree) {
--- /dev/null
+++ b/tests/election_test.cpp
@@ -0,0 +1,72 @@
+// Who leads, when answers are lost and former lives linger.
+#include "election/elector.hpp"
+#include "fake_store.hpp"
+
+namespace flintdale::test {
+
+namespace {
+
+struct ElectionStory : ::testing::Test {
+    net::asio::io_context io;
+    FakeStore store;
+
+    struct Node {
+        std::vector<std::uint64_t> won;
+        int lost = 0;
+        election::Elector elector;
+        Node(net::asio::io_context& io, state::Store& store, const std::string& name)
+            : elector(io.get_executor(), store, name, Seconds(5),
+                      {[this](election::Term t) { won.push_back(t.number); }, [this] { ++lost; }}) {
+            net::asio::co_spawn(io, elector.run(), net::asio::detached);
+        }
+    };
+    // All that can happen without the passing of time.
+    void settle() {
+        io.restart();
+        while (io.poll() > 0) {
+        }
+    }
+};
+
+}  // namespace
+
+TEST_F(ElectionStory, the_first_leads_and_the_second_learns_of_it) {
+    Node one(io, store, "one");
+    settle();
+    Node two(io, store, "two");
+    settle();
+    EXPECT_EQ(one.won, std::vector<std::uint64_t>{1});
+    EXPECT_TRUE(two.won.empty());
+    EXPECT_EQ(two.elector.leader(), "one");
+    EXPECT_EQ(two.elector.term(), 1u);
+}
+
+TEST_F(ElectionStory, a_lost_answer_to_the_winning_claim_is_found_out) {
+    store.lose_answers = 1;
+    Node one(io, store, "one");
+    settle();
+    EXPECT_EQ(one.won, std::vector<std::uint64_t>{1});
+}
+
+TEST_F(ElectionStory, a_restarted_leader_takes_over_from_its_former_life_under_a_higher_term) {
+    Node before(io, store, "one");
+    settle();
+    Node after(io, store, "one");
+    settle();
+    EXPECT_EQ(after.won, std::vector<std::uint64_t>{2});
+    before.elector.heard(2, "one");
+    EXPECT_EQ(before.lost, 1);
+    EXPECT_FALSE(before.elector.leading());
+}
+
+TEST_F(ElectionStory, a_leader_that_hears_of_a_higher_term_steps_down_at_once_but_not_for_an_equal_one) {
+    Node one(io, store, "one");
+    settle();
+    one.elector.heard(1, "two");
+    EXPECT_TRUE(one.elector.leading());
+    one.elector.heard(2, "two");
+    EXPECT_FALSE(one.elector.leading());
+    EXPECT_EQ(one.elector.leader(), "two");
+}
+
+}  // namespace flintdale::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -379,6 +379,40 @@
     EXPECT_FALSE(returns().empty()) << "real silence still counts";
 }
 
+TEST_F(Story, queue_what_found_no_room_waits_shortest_first_and_ahead_of_new_windows) {
+    elect();
+    auto filler = job("run-1", Shape::array, 2);
+    start(filler, {&m1});  // n-000001 is full
+    auto long_job = job("run-2", Shape::array, 1), short_job = job("run-3", Shape::array, 1);
+    long_job.estimate = Seconds(600);
+    long_job.accepted_ms = 1'000;
+    short_job.accepted_ms = 21'000;  // some windows later
+    accept(long_job);
+    settle();
+    EXPECT_FALSE(place());
+    accept(short_job);
+    settle();
+    EXPECT_FALSE(place());
+    beat(m1);
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(machine_of("run-3", 0), "n-000001");
+    EXPECT_EQ(machine_of("run-2", 0), "");
+}
+
+TEST_F(Story, queue_a_critical_service_does_not_wait_for_its_window) {
+    elect();
+    meet(m1);
+    auto critical = job("run-1", Shape::service, 1);
+    critical.rank = wire::Rank::critical;
+    accept(critical);
+    accept(job("run-2", Shape::array, 1));
+    EXPECT_TRUE(place());
+    EXPECT_EQ(machine_of("run-1", 0), "n-000001");
+    EXPECT_EQ(machine_of("run-2", 0), "");
+}
+
 TEST_F(Story, moves_a_service_goes_to_the_machine_that_has_its_image_and_only_once_it_is_gone) {
     elect();
     auto slow = job("run-1", Shape::service, 1), quick = job("run-2", Shape::service, 1);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -100,6 +100,17 @@
     EXPECT_THROW(wire::parse_report("{}"), wire::BadBody);
 }
 
+TEST(Wire, machine_types_survive_being_kept) {
+    const auto types = wire::parse_catalog(
+        R"({"hosttypes":[{"name":"g8","cores":96,"accelerators":8,"mem_gb":768,"local_gb":200,"pull_gb_per_s":1.0,)"
+        R"("price":12.0,"market_price":4.5,"boot_s":45,"halls":["a","b"]}]})");
+    const auto again = wire::parse_catalog(boost::json::serialize(wire::catalog_record(types)));
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again[0].capacity.memory_gb, 768.0);
+    EXPECT_EQ(again[0].zones, types[0].zones);
+    EXPECT_EQ(again[0].boot, types[0].boot);
+}
+
 TEST(Wire, task_ranges_stay_within_a_value_at_their_worst) {
     agent::Job job;
     job.spec.tasks = 100'000;
