--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -47,7 +47,7 @@
     std::uint32_t fresh = 0;          // tasks from here on were never placed
     std::int64_t window = 0;
     bool passed_over = false;  // when its turn came, not all of it found room
-    TimePoint arrived{}, eligible_at{}, cancelled_at{};
+    TimePoint arrived{}, eligible_at{}, cancelled_at{}, preempt_again{};
     Seconds waited_before{0};
 
     // Gangs only.
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -115,6 +115,7 @@
     std::vector<std::string> rehouse(const Machine& m, placement::Planner& plan) const;
     placement::JobHosts hosts_without(const Job& job, std::uint32_t task) const;
     void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
+    void preempt(Job& job, const placement::Planner& plan, TimePoint now);
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
     Seconds target_of(const JobSpec& spec) const;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -27,6 +27,7 @@
 constexpr Seconds calm{8};             // without anything waiting before services are moved together
 constexpr Seconds settled{20};         // that a service must have run before it is moved again
 constexpr int max_retiring = 3;        // machines emptied at a time
+constexpr auto preempt_gap = 10s;  // enough for what was stopped to go and for its room to be taken
 constexpr std::int64_t merged_window = -1;
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
@@ -293,6 +294,49 @@
     consolidate(plan, now);
 }
 
+// Makes room for a critical task that found none: stops tasks of arrays of lower rank on the one machine where
+// that loses the least work. What is stopped can never do the same in turn, so this cannot go on in circles.
+void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
+    if (job.spec.rank != Rank::critical || job.waiting() == 0 || now < job.preempt_again || within_limit(job, 1) == 0) return;
+    const auto hosts = hosts_of(job);
+    std::vector<TaskKey> best;
+    Seconds best_loss{0};
+    for (const auto& [name, m] : ledger_.all()) {
+        if (!usable(*m, now) || !m->current) continue;
+        auto host = m->host();
+        std::vector<std::pair<Seconds, TaskKey>> stoppable;
+        for (const auto& key : m->tasks) {
+            const auto* other = this->job(key.first);
+            if (!other || other->spec.rank >= job.spec.rank || !other->is(Shape::array)) continue;
+            const auto& t = other->tasks[key.second];
+            const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
+            stoppable.emplace_back(other->spec.checkpoint.count() > 0 ? other->spec.save : ran, key);
+        }
+        std::sort(stoppable.begin(), stoppable.end());
+        std::vector<TaskKey> victims;
+        Seconds loss = host.image_wait(job.spec.image, job.spec.image_gb);
+        for (const auto& [lost, key] : stoppable) {
+            if (plan.would_take(host, job.spec, hosts)) break;
+            placement::give(host.free, this->job(key.first)->spec.need);
+            --host.load;
+            loss += lost;
+            victims.push_back(key);
+        }
+        if (victims.empty() || !plan.would_take(host, job.spec, hosts)) continue;
+        if (best.empty() || loss < best_loss) {
+            best = std::move(victims);
+            best_loss = loss;
+        }
+    }
+    if (best.empty()) return;
+    job.preempt_again = now + preempt_gap;
+    for (const auto& [uid, i] : best) {
+        auto& t = find(uid)->tasks[i];
+        spdlog::info("event=preempt task={}/{} machine={} for={}", uid, i, t.machine->name, job.spec.uid);
+        t.draining = true;
+    }
+}
+
 bool Overseer::place(TimePoint now) {
     if (!round_heard(now)) return false;
     bool any = false;
@@ -303,6 +347,7 @@
             place_gang(*job, plan, now, any);
         else
             place_each(*job, plan, now, any);
+        if (job->passed_over) preempt(*job, plan, now);
         job->passed_over = job->waiting() > 0;
     }
     return any;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -61,6 +61,9 @@
     // Where one task would be placed, or none.
     std::size_t peek(const JobSpec& spec, const JobHosts& job) const;
 
+    // Whether a machine in that condition would be a candidate.
+    bool would_take(const Host& host, const JobSpec& spec, const JobHosts& job) const { return candidate(spec, job, host); }
+
     // Places one task and takes its room, or returns none.
     std::size_t place(const JobSpec& spec, JobHosts& job);
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -413,6 +413,30 @@
     EXPECT_EQ(machine_of("run-2", 0), "");
 }
 
+TEST_F(Story, preemption_makes_room_for_a_critical_task_and_never_for_an_equal_one) {
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});  // n-000001 is full
+    accept(job("run-2", Shape::array, 1));
+    auto critical = job("run-3", Shape::service, 1);
+    for (int i = 0; i < 4; ++i) {
+        settle();
+        beat(m1);
+        place();
+        EXPECT_EQ(leader->job("run-1")->placed, 2u) << "equals wait";
+    }
+    critical.rank = wire::Rank::critical;
+    accept(critical);
+    place();  // found no room
+    place();
+    std::vector<Order> orders = beat(m1);
+    const int kills = ordered(orders, Verb::kill, "run-1", 0) + ordered(orders, Verb::kill, "run-1", 1);
+    EXPECT_EQ(kills, 1) << "no more than it takes";
+    EXPECT_EQ(machine_of("run-3", 0), "") << "the room is not free before the task is gone";
+    beat(m1);
+    place();
+    EXPECT_EQ(machine_of("run-3", 0), "n-000001");
+}
+
 TEST_F(Story, moves_a_service_goes_to_the_machine_that_has_its_image_and_only_once_it_is_gone) {
     elect();
     auto slow = job("run-1", Shape::service, 1), quick = job("run-2", Shape::service, 1);
