--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -19,10 +19,10 @@
 struct Task {
     enum class State : std::uint8_t { waiting, placed, done };
     State state = State::waiting;
-    bool sent = false;      // a `run` may have left, from this leader or an earlier one
-    bool seen = false;      // reported on its machine
-    bool started = false;   // seen past its image
-    bool draining = false;  // to be stopped, for its machine's sake or another job's
+    bool sent = false;             // a `run` may have left, from this leader or an earlier one
+    bool seen = false;             // reported on its machine
+    bool started = false;          // seen past its image
+    bool draining = false;         // to be stopped, for its machine's sake or another job's
     std::uint32_t generation = 0;  // of the change that the record must hold before the worker may forget the task
     std::uint64_t attempt = 0;
     Machine* machine = nullptr;
@@ -30,7 +30,7 @@
 };
 
 struct Chunk {
-    std::uint64_t stamp = 0;  // of the key; 0: absent
+    std::uint64_t stamp = 0;                 // of the key; 0: absent
     std::uint32_t changed = 0, durable = 0;  // generations
 };
 
@@ -58,13 +58,9 @@
     unsigned errors = 0;
 
     bool is(wire::Shape s) const { return spec.shape == s; }
-    std::uint32_t waiting() const {
-        return spec.tasks - done - placed;
-    }
+    std::uint32_t waiting() const { return spec.tasks - done - placed; }
     std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
-    bool durable(std::uint32_t task) const {
-        return chunks[chunk_of(task)].durable >= tasks[task].generation;
-    }
+    bool durable(std::uint32_t task) const { return chunks[chunk_of(task)].durable >= tasks[task].generation; }
 };
 
 std::string job_key(const std::string& uid);
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 constexpr std::size_t max_orders = 300;  // of some 100 bytes each: well within a line's limit
-constexpr unsigned suspect_jobs = 2;  // that failed on a machine and not everywhere
+constexpr unsigned suspect_jobs = 2;     // that failed on a machine and not everywhere
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
@@ -49,7 +49,8 @@
     job->chunks.resize((spec.tasks + chunk_tasks - 1) / chunk_tasks);
     job->arrived = now;
     const auto window = wire::to_clock(tunables_.window);
-    job->window = spec.accepted_ms / std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(window).count());
+    job->window = spec.accepted_ms /
+                  std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(window).count());
     // A window that a former leader opened has closed by now. And a critical service would come first in any window,
     // having no length: there is nothing to gather before it is placed.
     const bool first = spec.shape == Shape::service && spec.rank == wire::Rank::critical;
@@ -206,7 +207,8 @@
     t.sent = t.seen = t.started = t.draining = false;
     ++job.placed;
     ledger_.assign(m, {job.spec.uid, task}, job.spec);
-    spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class, attempt, m.name);
+    spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class,
+                  attempt, m.name);
     auto& use = team_use_[job.spec.team];
     placement::give(use, job.spec.need);
 }
@@ -325,7 +327,8 @@
     if (ledger_.gone(r.machine)) return std::nullopt;
     auto& m = ledger_.add(r.machine, r.type, r.zone, r.spot, now);
     if (m.reported && std::pair(r.tenure, r.tick) <= std::pair(m.tenure, m.tick)) return std::nullopt;
-    if (!m.reported) spdlog::debug("event=machine_up machine={} type={} zone={} spot={}", r.machine, r.type, r.zone, r.spot);
+    if (!m.reported)
+        spdlog::debug("event=machine_up machine={} type={} zone={} spot={}", r.machine, r.type, r.zone, r.spot);
     if (m.reported && r.tenure > m.tenure) {
         spdlog::info("event=worker_lease_lost machine={} tasks={}", m.name, m.tasks.size());
         all_lost(m, true, now);
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -22,12 +22,12 @@
 constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a tick
 constexpr int max_rent = 50;                      // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
-constexpr double bulk_worth = 0.25;    // how a price per slot is discounted by the slots that services fill
-constexpr double slow_fetch = 1.33;    // times the nominal time that an image may take
-constexpr Seconds calm{8};             // without anything waiting before services are moved together
-constexpr Seconds settled{20};         // that a service must have run before it is moved again
-constexpr int max_retiring = 3;        // machines emptied at a time
-constexpr auto preempt_gap = 10s;  // enough for what was stopped to go and for its room to be taken
+constexpr double bulk_worth = 0.25;  // how a price per slot is discounted by the slots that services fill
+constexpr double slow_fetch = 1.33;  // times the nominal time that an image may take
+constexpr Seconds calm{8};           // without anything waiting before services are moved together
+constexpr Seconds settled{20};       // that a service must have run before it is moved again
+constexpr int max_retiring = 3;      // machines emptied at a time
+constexpr auto preempt_gap = 10s;    // enough for what was stopped to go and for its room to be taken
 constexpr std::int64_t merged_window = -1;
 constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
 
@@ -69,9 +69,8 @@
         w.uid = uid;
         waiting.emplace_back(std::move(w), job.get());
     }
-    std::sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
-        return placement::before(a.first, b.first, tunables_.ageing);
-    });
+    std::sort(waiting.begin(), waiting.end(),
+              [&](const auto& a, const auto& b) { return placement::before(a.first, b.first, tunables_.ageing); });
     std::vector<Job*> out;
     for (auto& [w, job] : waiting) out.push_back(job);
     return out;
@@ -212,7 +211,8 @@
             if (t.state != State::placed || !t.seen || t.started || t.draining) continue;
             const auto here = t.machine->host();
             if (here.images.contains(job->spec.image)) continue;
-            const Seconds left = here.image_wait(job->spec.image, job->spec.image_gb) * slow_fetch - (now - t.placed_at);
+            const Seconds left =
+                here.image_wait(job->spec.image, job->spec.image_gb) * slow_fetch - (now - t.placed_at);
             if (left < settings_.report * 2) continue;
             auto hosts = hosts_without(*job, i);
             const auto at = plan.peek(job->spec, hosts);
@@ -297,7 +297,8 @@
 // Makes room for a critical task that found none: stops tasks of arrays of lower rank on the one machine where
 // that loses the least work. What is stopped can never do the same in turn, so this cannot go on in circles.
 void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
-    if (job.spec.rank != Rank::critical || job.waiting() == 0 || now < job.preempt_again || within_limit(job, 1) == 0) return;
+    if (job.spec.rank != Rank::critical || job.waiting() == 0 || now < job.preempt_again || within_limit(job, 1) == 0)
+        return;
     const auto hosts = hosts_of(job);
     std::vector<TaskKey> best;
     Seconds best_loss{0};
@@ -428,7 +429,9 @@
     int serial = 0;
     const auto add_machine = [&](const fleet::Pool& pool) {
         const auto* type = ledger_.type(pool.type);
-        Host h{"+" + std::to_string(serial++), pool.type, pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {}, type->fetch_gb_per_s, Rank::idle, {}, {}};
+        Host h{
+            "+" + std::to_string(serial++), pool.type,  pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {},
+            type->fetch_gb_per_s,           Rank::idle, {},        {}};
         ++ordered[pool];
         plan.add(std::move(h));
     };
@@ -526,7 +529,8 @@
                 if (const auto* j = job(uid); j && j->cancelled && unheard > settings_.report * 3 &&
                                               now > after(j->cancelled_at, settings_.cancel * 0.5))
                     patience = Seconds(0);
-            if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease))) why = "silent";
+            if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease)))
+                why = "silent";
             const Seconds idle = now - m->idle_since;
             // What it would take to have its like again: a boot, or to fetch what it holds where that takes longer.
             double held_gb = 0;
@@ -609,7 +613,8 @@
                 batch.parts.push_back({uid, c, job->generation, Batch::Part::Kind::remove});
                 batch.keys.push_back(work_key(uid, c));
             }
-            if (!left && over && std::all_of(job->chunks.begin(), job->chunks.end(), [](const Chunk& c) { return c.stamp == 0; })) {
+            if (!left && over &&
+                std::all_of(job->chunks.begin(), job->chunks.end(), [](const Chunk& c) { return c.stamp == 0; })) {
                 // Nothing of it is on record: forget it, and tell workers to clear what they still show.
                 jobs_.erase(uid);
                 continue;
@@ -655,7 +660,8 @@
                 job->chunks[p.chunk].durable = std::max(job->chunks[p.chunk].durable, p.generation);
                 break;
             case Batch::Part::Kind::finish:
-                spdlog::info("event=job_done job={} class={} seconds={:.1f}", p.uid, job->spec.job_class, Seconds(now - job->arrived).count());
+                spdlog::info("event=job_done job={} class={} seconds={:.1f}", p.uid, job->spec.job_class,
+                             Seconds(now - job->arrived).count());
                 job->stamp = revision;
                 job->finished = true;
                 break;
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -99,7 +99,8 @@
     std::string uid, complaint;
     try {
         const auto o = wire::parse_object(body);
-        if (const auto* id = o.if_contains("uid"); id && id->is_string() && wire::valid_uid(std::string_view(id->get_string())))
+        if (const auto* id = o.if_contains("uid");
+            id && id->is_string() && wire::valid_uid(std::string_view(id->get_string())))
             uid = std::string(id->get_string());
         spec = wire::parse_submission(o);
     } catch (const wire::BadBody& e) {
@@ -191,7 +192,8 @@
         }
         const auto result = co_await store_.commit(std::move(txn), Urgency::user);
         for (const auto& w : batch) {
-            const bool failed = std::find(result.failed.begin(), result.failed.end(), agent::job_key(w->uid)) != result.failed.end();
+            const bool failed =
+                std::find(result.failed.begin(), result.failed.end(), agent::job_key(w->uid)) != result.failed.end();
             if (result.outcome == Outcome::ok || (result.outcome == Outcome::conflict && !failed)) {
                 w->fresh = true;
             } else if (result.outcome == Outcome::conflict) {
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -64,7 +64,8 @@
              }}),
       peers_(ex_, settings_, [this](const peer::Beat& b) { received(b); }),
       // Some sockets are needed for our own connections.
-      server_(ex_, settings_.listen.host, settings_.listen.port, settings_.max_sockets - std::min<std::size_t>(settings_.max_sockets / 4, 64),
+      server_(ex_, settings_.listen.host, settings_.listen.port,
+              settings_.max_sockets - std::min<std::size_t>(settings_.max_sockets / 4, 64),
               [this](net::Request request) { return handle(std::move(request)); }) {}
 
 void Controller::start() {
@@ -87,7 +88,8 @@
         } else if (types_.empty()) {
             co_await recall_catalog();
         }
-        co_await net::sleep_for(types_.empty() ? std::chrono::seconds(2) : std::chrono::seconds(elector_.leading() ? 30 : 300));
+        co_await net::sleep_for(types_.empty() ? std::chrono::seconds(2)
+                                               : std::chrono::seconds(elector_.leading() ? 30 : 300));
     }
 }
 
@@ -163,7 +165,8 @@
     auto reign = reign_;
     if (!reign) {
         const auto& leader = elector_.leader();
-        co_return reply(421, wire::redirect_body(leader == settings_.member ? std::string_view() : std::string_view(leader)));
+        co_return reply(
+            421, wire::redirect_body(leader == settings_.member ? std::string_view() : std::string_view(leader)));
     }
     auto answer = co_await reign->report(std::move(r));
     if (!answer) co_return reply(503, wire::error_body("not entitled to answer now"));
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -201,7 +201,8 @@
                 co_await net::sleep_for(200ms);
                 continue;
             }
-            spdlog::info("event=write_failed outcome={} failed={}", static_cast<int>(result.outcome), result.failed.size());
+            spdlog::info("event=write_failed outcome={} failed={}", static_cast<int>(result.outcome),
+                         result.failed.size());
             if (result.outcome == Outcome::refused) {
                 co_await net::sleep_for(150ms);
             } else {
@@ -323,8 +324,8 @@
         const auto now = Clock::now();
         const auto got = static_cast<int>(result.machines.size());
         if (result.outcome == cloud::Rent::granted) {
-            spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", rental.name, pool.type, pool.zone,
-                         pool.spot, rental.order.count, got);
+            spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", rental.name, pool.type,
+                         pool.zone, pool.spot, rental.order.count, got);
             overseer_.rented(pool, result.machines, now);
         } else if (result.outcome == cloud::Rent::unclear) {
             // Asked again under the same name: if it was granted, the same machines are named.
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -62,7 +62,7 @@
     bool stopped_ = false, loaded_ = false, stir_ = false;
     std::uint64_t followed_ = 0, rents_ = 0;
     std::deque<Rental> unclear_;  // requests without an answer yet
-    TimePoint fresh_{};  // when the last read began that showed all cancellations up to then
+    TimePoint fresh_{};           // when the last read began that showed all cancellations up to then
 };
 
 }  // namespace flintdale::app
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -20,7 +20,8 @@
     virtual ~Cloud() = default;
     virtual awaitable<std::optional<std::vector<wire::MachineType>>> catalog() = 0;
     virtual awaitable<std::optional<std::vector<wire::ListedMachine>>> machines() = 0;
-    virtual awaitable<RentResult> rent(std::string request, std::string type, std::string zone, bool spot, int count) = 0;
+    virtual awaitable<RentResult> rent(std::string request, std::string type, std::string zone, bool spot,
+                                       int count) = 0;
     virtual awaitable<bool> release(std::vector<std::string> names) = 0;
 };
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,12 +1,13 @@
 #include "config/settings.hpp"
 
+#include <toml++/toml.h>
+
 #include <boost/property_tree/ini_parser.hpp>
 #include <charconv>
 #include <cmath>
 #include <fstream>
 #include <functional>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace flintdale::config {
 
@@ -145,7 +146,8 @@
                            f.amount("gpus_max", 0)});
     });
     cluster.each("objectives", [&](const Fields& f) {
-        s.objectives.push_back({f.text("kind"), f.text("class"), Seconds(f.amount("within_s", 0)), f.amount("share", 0)});
+        s.objectives.push_back(
+            {f.text("kind"), f.text("class"), Seconds(f.amount("within_s", 0)), f.amount("share", 0)});
     });
     const auto workers = cluster.section("workers");
     s.report = workers.duration("report_s");
@@ -192,7 +194,8 @@
         return v;
     };
     const auto seconds_into = [&](Seconds& into, double least, double most) {
-        return [&, least, most](const std::string& k, const std::string& v) { into = Seconds(number(k, v, least, most)); };
+        return
+            [&, least, most](const std::string& k, const std::string& v) { into = Seconds(number(k, v, least, most)); };
     };
     const auto amount_into = [&](double& into, double least, double most) {
         return [&, least, most](const std::string& k, const std::string& v) { into = number(k, v, least, most); };
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -67,13 +67,13 @@
     Seconds window{5};           // jobs are gathered this long, then sorted
     double memory_margin = 0.1;  // free memory wanted above the need, as a share of it
     double ageing = 1.0;         // seconds of length a job loses per second waited
-    Seconds silent{9};          // a machine with work that has not reported for so long is given up
+    Seconds silent{9};           // a machine with work that has not reported for so long is given up
     double boot_patience = 2.5;  // times boot_s until a machine that is not up is given up
     double idle_boots = 1.6;     // times what having its like again takes that a machine without work is kept
     double horizon = 0.2;        // share of an array's objective within which its tasks may follow one another
     double dear = 3.0;           // times the cheapest price a slot may cost that an array rents at once
-    double sparse = 2.5;         // times the cheapest price a service's slot may cost before services are moved together
-    Seconds election_lease{2.5};   // how long the leader's claim outlives its last renewal
+    double sparse = 2.5;  // times the cheapest price a service's slot may cost before services are moved together
+    Seconds election_lease{2.5};                             // how long the leader's claim outlives its last renewal
     std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
 };
 
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -16,7 +16,19 @@
 }
 
 placement::Host Machine::host() const {
-    placement::Host h{name, type, zone, spot, capacity, free, static_cast<unsigned>(tasks.size()), {}, {}, fetch_gb_per_s, wire::Rank::idle, standing, {}};
+    placement::Host h{name,
+                      type,
+                      zone,
+                      spot,
+                      capacity,
+                      free,
+                      static_cast<unsigned>(tasks.size()),
+                      {},
+                      {},
+                      fetch_gb_per_s,
+                      wire::Rank::idle,
+                      standing,
+                      {}};
     for (const auto& [image, gb] : images) h.images.insert(image);
     for (const auto& [task, fetch] : fetching) {
         if (h.images.contains(fetch.image)) continue;
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -37,8 +37,8 @@
     bool suspect = false;    // several jobs failed on it
 
     placement::Resources capacity, free, standing;
-    std::set<TaskKey> tasks;           // all that may be on it
-    std::size_t reported_tasks = 0;    // what it held by its last report, exited ones included
+    std::set<TaskKey> tasks;         // all that may be on it
+    std::size_t reported_tasks = 0;  // what it held by its last report, exited ones included
     TimePoint idle_since{};
     std::set<std::string> failed_jobs;
     std::vector<std::pair<std::string, double>> images;  // oldest use first
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -77,8 +77,8 @@
         stream.expires_after(request_limit);
         auto [ec, n] = co_await http::async_read(stream, buffer, parser, quietly);
         if (ec) {
-            if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::connection_reset ||
-                ec == asio::error::operation_aborted)
+            if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
+                ec == asio::error::connection_reset || ec == asio::error::operation_aborted)
                 co_return;
             Reply reply;
             reply.status = 400;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -8,7 +8,7 @@
 namespace {
 constexpr Seconds image_step{5};
 constexpr double slack = 1e-6;  // amounts are decimal fractions; sums of them are not exact
-}
+}  // namespace
 
 unsigned slots(const Resources& need, const Resources& capacity) {
     double n = 1e6;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -25,10 +25,10 @@
     std::string name, type, zone;
     bool spot = false;
     Resources capacity, free;
-    unsigned load = 0;  // tasks assigned
-    std::set<std::string> images;             // that it holds
-    std::map<std::string, double> fetching;   // GB of each image that tasks there still wait for
-    double fetch_gb_per_s = 0;                // shared by all that it fetches
+    unsigned load = 0;                           // tasks assigned
+    std::set<std::string> images;                // that it holds
+    std::map<std::string, double> fetching;      // GB of each image that tasks there still wait for
+    double fetch_gb_per_s = 0;                   // shared by all that it fetches
     wire::Rank fetching_for = wire::Rank::idle;  // the highest rank that waits for an image
     Resources standing;                          // what services hold, which do not end by themselves
     std::optional<wire::Rank> held_for;          // its room is kept for a gang of this rank
@@ -62,7 +62,9 @@
     std::size_t peek(const JobSpec& spec, const JobHosts& job) const;
 
     // Whether a machine in that condition would be a candidate.
-    bool would_take(const Host& host, const JobSpec& spec, const JobHosts& job) const { return candidate(spec, job, host); }
+    bool would_take(const Host& host, const JobSpec& spec, const JobHosts& job) const {
+        return candidate(spec, job, host);
+    }
 
     // Places one task and takes its room, or returns none.
     std::size_t place(const JobSpec& spec, JobHosts& job);
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -13,12 +13,17 @@
 
 Outcome outcome_of(unsigned status) {
     switch (status) {
-        case 200: return Outcome::ok;
-        case 409: return Outcome::conflict;
-        case 410: return Outcome::too_old;
+        case 200:
+            return Outcome::ok;
+        case 409:
+            return Outcome::conflict;
+        case 410:
+            return Outcome::too_old;
         case 429:
-        case 503: return Outcome::refused;
-        default: return Outcome::unknown;
+        case 503:
+            return Outcome::refused;
+        default:
+            return Outcome::unknown;
     }
 }
 
@@ -152,7 +157,8 @@
     auto o = object_of(answer.body);
     if (answer.status == 400) {
         const bool lease = o && text(*o, "error").find("lease") != std::string::npos;
-        r.outcome = lease || answer.body.find("no such lease") != std::string::npos ? Outcome::no_lease : Outcome::refused;
+        r.outcome =
+            lease || answer.body.find("no such lease") != std::string::npos ? Outcome::no_lease : Outcome::refused;
         if (r.outcome == Outcome::refused) spdlog::error("event=txn_rejected body={}", answer.body);
         co_return r;
     }
@@ -175,9 +181,10 @@
         if (wait.count() == 0) break;
         co_await net::sleep_for(std::chrono::duration_cast<steady_clock::duration>(wait));
     }
-    std::string target = "/follow?starts=" + prefix + "&from=" + std::to_string(from) +
-                         "&hold_ms=" + std::to_string(hold.count());
-    auto answer = co_await watches_.request(net::http::verb::get, std::move(target), std::string(), hold + request_limit);
+    std::string target =
+        "/follow?starts=" + prefix + "&from=" + std::to_string(from) + "&hold_ms=" + std::to_string(hold.count());
+    auto answer =
+        co_await watches_.request(net::http::verb::get, std::move(target), std::string(), hold + request_limit);
     FollowResult r;
     if (answer.never_sent) answer.status = 503;
     r.outcome = outcome_of(answer.status);
@@ -207,8 +214,8 @@
 awaitable<LeaseResult> HttpStore::grant(std::chrono::milliseconds life) {
     std::string target = "/grants";
     auto body = json::serialize(json::object{{"life_ms", life.count()}});
-    auto answer = co_await call(net::http::verb::post, std::move(target), std::move(body), 0, Urgency::leadership,
-                                request_limit);
+    auto answer =
+        co_await call(net::http::verb::post, std::move(target), std::move(body), 0, Urgency::leadership, request_limit);
     LeaseResult r;
     r.outcome = outcome_of(answer.status);
     if (r.outcome == Outcome::ok) {
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -112,8 +112,7 @@
     if (v.is_uint64()) return v.get_uint64();
     if (v.is_int64() && v.get_int64() >= 0) return static_cast<std::uint64_t>(v.get_int64());
     // Some writers print whole numbers with a point; accept those that are exact.
-    if (v.is_double() && v.get_double() >= 0 && v.get_double() < 9e15 &&
-        v.get_double() == std::floor(v.get_double()))
+    if (v.is_double() && v.get_double() >= 0 && v.get_double() < 9e15 && v.get_double() == std::floor(v.get_double()))
         return static_cast<std::uint64_t>(v.get_double());
     bad(field, "must be a whole number");
 }
@@ -397,8 +396,8 @@
 }
 
 std::string rent_body(std::string_view request, std::string_view type, std::string_view zone, bool spot, int number) {
-    return json::serialize(json::object{
-        {"hire", request}, {"hosttype", type}, {"hall", zone}, {"loaners", spot}, {"number", number}});
+    return json::serialize(
+        json::object{{"hire", request}, {"hosttype", type}, {"hall", zone}, {"loaners", spot}, {"number", number}});
 }
 
 std::string release_body(const std::vector<std::string>& names) {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -34,7 +34,8 @@
 }
 
 TEST(Config, operators_settings_are_checked) {
-    EXPECT_EQ(config::parse_tunables("[placement]\nwindow_s = 2.5\n[groups]\ntrain = g8 g4\n", "f").window, Seconds(2.5));
+    EXPECT_EQ(config::parse_tunables("[placement]\nwindow_s = 2.5\n[groups]\ntrain = g8 g4\n", "f").window,
+              Seconds(2.5));
     EXPECT_EQ(config::parse_tunables("[groups]\ntrain = g8 g4\n", "f").groups.at("train").size(), 2u);
     EXPECT_NE(tunables_error("[placement]\nwindow = 3\n").find("placement.window: unknown"), std::string::npos);
     EXPECT_NE(tunables_error("[placement]\nwindow_s = soon\n").find("expected a number"), std::string::npos);
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -1,5 +1,6 @@
 // What users are told, by one controller and by another.
 #include "api/desk.hpp"
+
 #include "fake_store.hpp"
 
 namespace flintdale::test {
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -7,8 +7,8 @@
 class FakeStore : public state::Store {
   public:
     Keys keys;
-    bool refuse = false;           // an outage, or a refusal of this controller alone
-    int lose_answers = 0;          // so many transactions are carried out, but their answers are lost
+    bool refuse = false;   // an outage, or a refusal of this controller alone
+    int lose_answers = 0;  // so many transactions are carried out, but their answers are lost
     int commits = 0;
 
     net::awaitable<state::GetResult> get(std::string key, state::Urgency) override {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 Host host(const std::string& name, double gpus, double memory, unsigned load, const std::string& zone = "a") {
-    Host h{name, "type", zone, false, {16, gpus, memory}, {16, gpus, memory}, load, {}, {}, 0.1, wire::Rank::idle, {}, {}};
+    Host h{name, "type",           zone, false, {16, gpus, memory}, {16, gpus, memory}, load, {}, {},
+           0.1,  wire::Rank::idle, {},   {}};
     return h;
 }
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -67,8 +67,8 @@
     void tell(const std::string& uid);       // the leader learns what is on record of the job
     // One report and its answer; the orders are carried out unless the answer is lost.
     std::vector<Order> beat(Worker& w, bool answer_arrives = true);
-    void commit();  // everything the leader wants on record
-    bool place();   // place, and put it on record
+    void commit();                             // everything the leader wants on record
+    bool place();                              // place, and put it on record
     std::vector<std::string> returns() const;  // the machines that the leader wants returned now
     void pass(Seconds s) { now += wire::to_clock(s); }
     // Far enough that windows have closed and a new leader has heard its round of reports.
