Remove what nothing used, and one catalogue fetch made twice

Elector::usurp, Job::waited_before and Reign's tunables had no users; the list loop fetched the machine types that the controller's own loop already fetches and hands over; waking the loops is one function instead of three copies.

--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -48,7 +48,6 @@
     std::int64_t window = 0;
     bool passed_over = false;  // when its turn came, not all of it found room
     TimePoint arrived{}, eligible_at{}, cancelled_at{}, preempt_again{};
-    Seconds waited_before{0};
 
     // Gangs only.
     std::uint64_t gang_attempt = 0;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -25,7 +25,6 @@
       store_(store),
       cloud_(cloud),
       settings_(settings),
-      tunables_(tunables),
       links_(std::move(links)),
       term_(term.number),
       overseer_(settings, tunables, term.number, term.stamp, Clock::now()),
@@ -84,6 +83,11 @@
 void Reign::job_changed(const state::Item& item) {
     if (!loaded_ || stopped_) return;
     overseer_.job_changed(item, Clock::now());
+    wake();
+}
+
+// Something changed: write what must be written, and plan again.
+void Reign::wake() {
     commit_.notify();
     stir_ = true;
     plan_.notify();
@@ -172,11 +176,7 @@
         const auto now = Clock::now();
         for (std::size_t i = 0; i < seen.events.size(); ++i)
             if (!seen.deleted[i]) overseer_.job_changed(seen.events[i], now);
-        if (!seen.events.empty()) {
-            commit_.notify();
-            stir_ = true;
-            plan_.notify();
-        }
+        if (!seen.events.empty()) wake();
     }
 }
 
@@ -259,10 +259,6 @@
 awaitable<void> Reign::list_loop() {
     const auto gap = wire::to_clock(std::max(settings_.list_lag, Seconds(5)));
     while (!stopped_) {
-        if (overseer_.ledger().types().empty()) {
-            auto types = co_await cloud_.catalog();
-            if (types && !stopped_) overseer_.catalog(*types);
-        }
         auto list = co_await cloud_.machines();
         if (stopped_) break;
         if (list && loaded_) overseer_.listed(*list, Clock::now());
@@ -293,9 +289,7 @@
     const bool done = co_await cloud_.release(names);
     if (!done || stopped_) co_return;
     overseer_.released(names, Clock::now());
-    stir_ = true;
-    plan_.notify();
-    commit_.notify();
+    wake();
 }
 
 // Rents what is wanted, first of all what an earlier request left unclear. True if a refusal leaves a need that
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -48,13 +48,13 @@
     awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
     bool entitled(TimePoint now) const;
+    void wake();
     awaitable<bool> still_leading();
 
     net::Executor ex_;
     state::Store& store_;
     cloud::Cloud& cloud_;
     const config::Settings& settings_;
-    const config::Tunables& tunables_;
     Links links_;
     std::uint64_t term_;
     agent::Overseer overseer_;
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -71,8 +71,7 @@
         const bool vacant = holder.item.stamp == 0;
         // A claim under our own name, while we do not lead, is that of our previous life or of a lost answer.
         const bool own = !vacant && text_in(holder.item, "member") == member_;
-        if (vacant || own || usurp_) {
-            usurp_ = false;
+        if (vacant || own) {
             if (co_await campaign(holder.item, term.item)) co_await lead();
             continue;
         }
@@ -149,7 +148,7 @@
     for (const auto& item : now.items) held = held || item.key == holder_key;
     if (!held) co_return;
     std::uint64_t from = now.revision;
-    while (!usurp_) {
+    for (;;) {
         auto seen = co_await store_.follow("lead/", from, 10s);
         if (seen.outcome != Outcome::ok) {
             co_await net::sleep_for(400ms);
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -31,8 +31,6 @@
     void heard(std::uint64_t term, const std::string& leader);
     // A condition on the term's stamp failed: find out what happened.
     void doubt() { doubted_ = true, wake_.notify(); }
-    // The holder gave up or is known to be gone: try to take over without waiting for its lease.
-    void usurp() { usurp_ = true, wake_.notify(); }
 
     bool leading() const { return leading_; }
     std::uint64_t term() const { return seen_term_; }
@@ -50,7 +48,7 @@
     std::chrono::milliseconds life_;
     Events events_;
     net::Wakeup wake_;
-    bool leading_ = false, doubted_ = false, usurp_ = false;
+    bool leading_ = false, doubted_ = false;
     std::uint64_t seen_term_ = 0, lease_ = 0, own_term_ = 0;
     std::string leader_;
 };
