--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -36,7 +36,8 @@
 
 struct Job {
     JobSpec spec;
-    std::uint64_t stamp = 0;  // of the job's own key
+    mutable placement::Ask ask;  // its wishes in numbers, made when first needed
+    std::uint64_t stamp = 0;     // of the job's own key
     bool cancelled = false;
     bool finished = false;  // the outcome is durable; only records remain to be removed
     std::vector<Task> tasks;
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -253,6 +253,7 @@
     spdlog::debug("event=task_exited task={}/{} attempt={} machine={} cause={}", job.spec.uid, task, r.attempt, m.name,
                   static_cast<int>(r.cause));
     if (r.cause == Cause::done) {
+        ledger_.has_image(m, {job.spec.uid, task}, job.spec);
         m.failed_jobs.clear();
         if (job.is(Shape::gang)) {
             // A gang completes as one: whichever member says so first speaks for all.
@@ -286,9 +287,7 @@
     auto& t = job.tasks[task];
     t.seen = t.sent = true;
     if (r.status != TaskStatus::fetching) {
-        const auto* type = ledger_.type(m.type);
-        m.fetching.erase({job.spec.uid, task});
-        m.used_image(job.spec.image, job.spec.image_gb, type ? type->cache_gb : 0);
+        ledger_.has_image(m, {job.spec.uid, task}, job.spec);
         const bool runs = r.status == TaskStatus::running || r.status == TaskStatus::saving;
         if (runs && !t.started) {
             t.started = true;
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -96,6 +96,7 @@
               TimePoint now);
     void absent(Job& job, std::uint32_t task, Machine& m, std::vector<wire::Order>& orders, TimePoint now);
     bool usable(const Machine& m, TimePoint now) const;
+    const placement::Ask& ask_of(const Job& job) const;
     placement::JobHosts hosts_of(const Job& job) const;
     std::vector<Job*> queue(TimePoint now, bool eligible_only);
     placement::Planner planner(TimePoint now) const;
@@ -103,24 +104,28 @@
     bool round_heard(TimePoint now) const;
     void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     struct Move {
-        std::string uid, to;
+        std::string uid;
+        placement::Id to = 0;  // slot of a machine
         std::uint32_t task = 0;
         TimePoint until{};
     };
-    void start_move(const Job& job, std::uint32_t task, const std::string& to, TimePoint now);
+    void start_move(const Job& job, std::uint32_t task, placement::Id to, TimePoint now);
     void finish_moves(placement::Planner& plan, TimePoint now, bool& any);
     void move_fetching(placement::Planner& plan, TimePoint now);
     void consolidate(placement::Planner& plan, TimePoint now);
-    Machine* sparsest(const placement::Planner& plan, TimePoint now);
-    std::vector<std::string> rehouse(const Machine& m, placement::Planner& plan) const;
+    Machine* sparsest(placement::Planner& plan, TimePoint now);
+    std::vector<placement::Id> rehouse(const Machine& m, placement::Planner& plan) const;
     placement::JobHosts hosts_without(const Job& job, std::uint32_t task) const;
     void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     void preempt(Job& job, const placement::Planner& plan, TimePoint now);
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
     Seconds target_of(const JobSpec& spec) const;
+    struct Basket;
     std::optional<fleet::Pool> cheapest(const Job& job, const placement::JobHosts& hosts, std::uint32_t count,
-                                        const std::map<fleet::Pool, int>& ordered, TimePoint now) const;
+                                        const Basket& basket, TimePoint now) const;
+    std::size_t put_in(Basket& basket, const fleet::Pool& pool, placement::Planner& plan) const;
+    void rent_for_gang(const Job& job, Basket& basket, placement::Planner& plan, TimePoint now) const;
 
     const config::Settings& settings_;
     const config::Tunables& tunables_;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -39,18 +39,27 @@
            now - m.last_report < wire::to_clock(settings_.report * quiet_reports);
 }
 
+const placement::Ask& Overseer::ask_of(const Job& job) const {
+    // Pools become known as machines of theirs appear.
+    if (job.ask.pools.size() != ledger_.directory().pools().size() || !job.ask.spec)
+        job.ask = placement::make_ask(job.spec, rules_, ledger_.directory());
+    return job.ask;
+}
+
 JobHosts Overseer::hosts_of(const Job& job) const {
     JobHosts out;
     if (job.placed)
         for (const auto& t : job.tasks)
             if (t.state == State::placed) {
-                ++out.per_zone[t.machine->zone];
-                out.own.insert(t.machine->name);
-                // The replacement of a gang's task must not meet its own earlier exit.
-                if (job.is(Shape::gang)) out.excluded.insert(t.machine->name);
+                out.add_to_zone(t.machine->row.zone);
+                out.own.push_back(t.machine->row.slot);
             }
+    // The replacement of a gang's task must not meet its own earlier exit.
+    if (job.is(Shape::gang)) out.excluded = out.own;
     // Once every machine in use has failed the job, the machines are not to blame.
-    if (job.failed_on.size() <= 2) out.excluded.insert(job.failed_on.begin(), job.failed_on.end());
+    if (job.failed_on.size() <= 2)
+        for (const auto& name : job.failed_on)
+            if (const auto* m = ledger_.find(name)) out.excluded.push_back(m->row.slot);
     return out;
 }
 
@@ -67,7 +76,7 @@
         w.length = job->spec.estimate * job->waiting();
         w.waited = now - job->arrived;
         w.uid = uid;
-        waiting.emplace_back(std::move(w), job.get());
+        waiting.emplace_back(w, job.get());
     }
     std::sort(waiting.begin(), waiting.end(),
               [&](const auto& a, const auto& b) { return placement::before(a.first, b.first, tunables_.ageing); });
@@ -79,8 +88,8 @@
 Planner Overseer::planner(TimePoint now) const {
     std::vector<Host> hosts;
     for (const auto& [name, m] : ledger_.all())
-        if (usable(*m, now)) hosts.push_back(m->host());
-    return Planner(std::move(hosts), rules_);
+        if (usable(*m, now)) hosts.push_back(m->row);
+    return Planner(std::move(hosts), rules_.memory_margin);
 }
 
 // How many of so many tasks the team's limit leaves room for. All tasks that may be on a machine count.
@@ -108,6 +117,7 @@
 }
 
 void Overseer::place_gang(Job& job, Planner& plan, TimePoint now, bool& any) {
+    const auto& ask = ask_of(job);
     if (job.placed > 0) {
         // Tasks of an attempt that is ending must all be gone before the next one starts. Until an attempt has
         // started, tasks that it lost are replaced under its own number.
@@ -115,11 +125,9 @@
         auto hosts = hosts_of(job);
         const auto missing = job.waiting();
         if (within_limit(job, missing) < missing) return;
-        for (std::uint32_t k = 0; k < missing; ++k) {
-            const auto at = plan.place(job.spec, hosts);
-            if (at == Planner::none) return;
+        for (const auto at : plan.place_many(ask, hosts, missing)) {
             const auto i = take_waiting(job);
-            set_placed(job, i, *ledger_.find(plan.host(at).name), job.gang_attempt, now);
+            set_placed(job, i, *ledger_.at(plan.host(at).slot), job.gang_attempt, now);
             touch(job, i);
             any = true;
         }
@@ -127,10 +135,10 @@
     }
     if (within_limit(job, job.spec.tasks) < job.spec.tasks) return;
     auto hosts = hosts_of(job);
-    const auto places = plan.place_together(job.spec, hosts, job.spec.tasks);
+    const auto places = plan.place_together(ask, hosts, job.spec.tasks);
     if (places.empty()) {
         // Room for a whole gang seldom comes about by itself while smaller tasks take all that frees.
-        plan.hold_for(job.spec, job.spec.tasks);
+        plan.hold_for(ask, job.spec.tasks);
         return;
     }
     ++job.gang_attempt;
@@ -138,7 +146,7 @@
     job.again.clear();
     job.fresh = job.spec.tasks;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
-        set_placed(job, i, *ledger_.find(plan.host(places[i]).name), job.gang_attempt, now);
+        set_placed(job, i, *ledger_.at(plan.host(places[i]).slot), job.gang_attempt, now);
         touch(job, i);
     }
     any = true;
@@ -147,11 +155,9 @@
 void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
     auto hosts = hosts_of(job);
     const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
-    for (std::uint32_t k = 0; k < most; ++k) {
-        const auto at = plan.place(job.spec, hosts);
-        if (at == Planner::none) return;  // its tasks are all alike
+    for (const auto at : plan.place_many(ask_of(job), hosts, most)) {
         const auto i = take_waiting(job);
-        set_placed(job, i, *ledger_.find(plan.host(at).name), job.tasks[i].attempt + 1, now);
+        set_placed(job, i, *ledger_.at(plan.host(at).slot), job.tasks[i].attempt + 1, now);
         touch(job, i);
         any = true;
     }
@@ -169,14 +175,15 @@
 JobHosts Overseer::hosts_without(const Job& job, std::uint32_t task) const {
     auto hosts = hosts_of(job);
     const auto& m = *job.tasks[task].machine;
-    --hosts.per_zone[m.zone];
-    hosts.own.erase(m.name);
-    hosts.excluded.insert(m.name);
+    --hosts.per_zone[m.row.zone];
+    std::erase(hosts.own, m.row.slot);
+    hosts.excluded.push_back(m.row.slot);
     return hosts;
 }
 
-void Overseer::start_move(const Job& job, std::uint32_t task, const std::string& to, TimePoint now) {
-    spdlog::debug("event=move task={}/{} from={} to={}", job.spec.uid, task, job.tasks[task].machine->name, to);
+void Overseer::start_move(const Job& job, std::uint32_t task, placement::Id to, TimePoint now) {
+    spdlog::debug("event=move task={}/{} from={} to={}", job.spec.uid, task, job.tasks[task].machine->name,
+                  ledger_.at(to)->name);
     find(job.spec.uid)->tasks[task].draining = true;
     moves_.push_back({job.spec.uid, to, task, after(now, settings_.report * 4)});
 }
@@ -187,15 +194,16 @@
         auto* job = find(move.uid);
         if (!job || job->cancelled || job->finished || now > move.until) return true;
         auto& t = job->tasks[move.task];
+        const auto to = plan.find(move.to);
         if (t.state == State::placed && t.draining) {
-            plan.reserve(move.to, job->spec);
+            if (to != Planner::none) plan.reserve(to, ask_of(*job));
             return false;
         }
-        if (t.state != State::waiting) return true;
+        if (t.state != State::waiting || to == Planner::none) return true;
         auto hosts = hosts_of(*job);
-        if (within_limit(*job, 1) == 0 || !plan.place_on(move.to, job->spec, hosts)) return true;
+        if (within_limit(*job, 1) == 0 || !plan.place_at(to, ask_of(*job), hosts, 1)) return true;
         std::erase(job->again, move.task);
-        set_placed(*job, move.task, *ledger_.find(move.to), t.attempt + 1, now);
+        set_placed(*job, move.task, *ledger_.at(move.to), t.attempt + 1, now);
         touch(*job, move.task);
         any = true;
         return true;
@@ -209,23 +217,22 @@
         for (std::uint32_t i = 0; i < job->spec.tasks; ++i) {
             const auto& t = job->tasks[i];
             if (t.state != State::placed || !t.seen || t.started || t.draining) continue;
-            const auto here = t.machine->host();
-            if (here.images.contains(job->spec.image)) continue;
-            const Seconds left =
-                here.image_wait(job->spec.image, job->spec.image_gb) * slow_fetch - (now - t.placed_at);
+            const auto& here = t.machine->row;
+            const auto& ask = ask_of(*job);
+            if (here.has(ask.image)) continue;
+            const Seconds left = here.image_wait(ask.image, job->spec.image_gb) * slow_fetch - (now - t.placed_at);
             if (left < settings_.report * 2) continue;
             auto hosts = hosts_without(*job, i);
-            const auto at = plan.peek(job->spec, hosts);
-            if (at == Planner::none || !plan.host(at).images.contains(job->spec.image)) continue;
-            const auto to = plan.host(at).name;
-            plan.reserve(to, job->spec);
-            start_move(*job, i, to, now);
+            const auto at = plan.peek(ask, hosts);
+            if (at == Planner::none || !plan.host(at).has(ask.image)) continue;
+            plan.reserve(at, ask);
+            start_move(*job, i, plan.host(at).slot, now);
         }
     }
 }
 
 // The machine whose services pay most for their slots and would all find a place, with their image, on others.
-Machine* Overseer::sparsest(const Planner& plan, TimePoint now) {
+Machine* Overseer::sparsest(Planner& plan, TimePoint now) {
     Machine* worst = nullptr;
     double worst_price = 0;
     for (auto& [name, m] : ledger_.all()) {
@@ -245,8 +252,8 @@
         }
         const double price = (m->spot ? type->spot_price : type->price) / static_cast<double>(m->tasks.size());
         if (!movable || price < cheapest * tunables_.sparse || price <= worst_price) continue;
-        auto trial = plan;
-        if (!rehouse(*m, trial).empty()) {
+        Planner::Trial trial(plan);
+        if (!rehouse(*m, plan).empty()) {
             worst = m.get();
             worst_price = price;
         }
@@ -255,15 +262,15 @@
 }
 
 // Where all tasks of a machine could go at once, their room taken from the plan; empty if one of them could not.
-std::vector<std::string> Overseer::rehouse(const Machine& m, Planner& plan) const {
-    std::vector<std::string> out;
+std::vector<placement::Id> Overseer::rehouse(const Machine& m, Planner& plan) const {
+    std::vector<placement::Id> out;
     for (const auto& [uid, i] : m.tasks) {
         const auto* j = job(uid);
-        const auto hosts = hosts_without(*j, i);
-        const auto at = plan.peek(j->spec, hosts);
-        if (at == Planner::none || plan.host(at).load == 0 || !plan.host(at).images.contains(j->spec.image)) return {};
-        out.push_back(plan.host(at).name);
-        plan.reserve(out.back(), j->spec);
+        const auto& ask = ask_of(*j);
+        const auto at = plan.peek(ask, hosts_without(*j, i));
+        if (at == Planner::none || plan.host(at).load == 0 || !plan.host(at).has(ask.image)) return {};
+        out.push_back(plan.host(at).slot);
+        plan.reserve(at, ask);
     }
     return out;
 }
@@ -277,7 +284,7 @@
         const auto to = rehouse(*m, plan);
         spdlog::info("event=consolidate machine={} type={} tasks={}", m->name, m->type, m->tasks.size());
         m->retiring = true;
-        plan.remove(m->name);
+        plan.remove(m->row.slot);
         std::size_t next = 0;
         for (const auto& [uid, i] : m->tasks) start_move(*job(uid), i, to[next++], now);
     }
@@ -300,11 +307,12 @@
     if (job.spec.rank != Rank::critical || job.waiting() == 0 || now < job.preempt_again || within_limit(job, 1) == 0)
         return;
     const auto hosts = hosts_of(job);
+    const auto& ask = ask_of(job);
     std::vector<TaskKey> best;
     Seconds best_loss{0};
     for (const auto& [name, m] : ledger_.all()) {
-        if (!usable(*m, now) || !m->current) continue;
-        auto host = m->host();
+        if (!usable(*m, now) || !m->current || !ask.takes(m->row.pool)) continue;
+        auto host = m->row;
         std::vector<std::pair<Seconds, TaskKey>> stoppable;
         for (const auto& key : m->tasks) {
             const auto* other = this->job(key.first);
@@ -315,15 +323,15 @@
         }
         std::sort(stoppable.begin(), stoppable.end());
         std::vector<TaskKey> victims;
-        Seconds loss = host.image_wait(job.spec.image, job.spec.image_gb);
+        Seconds loss = host.image_wait(ask.image, job.spec.image_gb);
         for (const auto& [lost, key] : stoppable) {
-            if (plan.would_take(host, job.spec, hosts)) break;
+            if (plan.would_take(host, ask, hosts)) break;
             placement::give(host.free, this->job(key.first)->spec.need);
             --host.load;
             loss += lost;
             victims.push_back(key);
         }
-        if (victims.empty() || !plan.would_take(host, job.spec, hosts)) continue;
+        if (victims.empty() || !plan.would_take(host, ask, hosts)) continue;
         if (best.empty() || loss < best_loss) {
             best = std::move(victims);
             best_loss = loss;
@@ -376,10 +384,18 @@
     return std::min(waiting, total > job.placed ? total - job.placed : 0);
 }
 
+// What one round of renting has put together.
+struct Overseer::Basket {
+    std::map<fleet::Pool, int> ordered;
+    std::vector<unsigned> per_zone;  // machines there, ordered ones included
+};
+
 std::optional<fleet::Pool> Overseer::cheapest(const Job& job, const JobHosts& hosts, std::uint32_t count,
-                                              const std::map<fleet::Pool, int>& ordered, TimePoint now) const {
+                                              const Basket& basket, TimePoint now) const {
+    const auto& ask = ask_of(job);
+    auto& directory = ledger_.directory();
     std::optional<fleet::Pool> best;
-    std::pair<double, double> best_cost{};
+    std::pair<double, unsigned> best_cost{};
     double cheapest_each = 0;  // of all kinds of machine, those without capacity included
     for (const auto& type : ledger_.types()) {
         if (!placement::fits(job.spec.need, type.capacity)) continue;
@@ -390,22 +406,16 @@
         const bool bulk = job.is(Shape::service) && count >= full;
         for (const auto& zone : type.zones)
             for (const bool spot : {true, false}) {
-                if (!placement::allowed(job.spec, rules_, type.name, zone, spot)) continue;
+                if (!ask.takes(directory.pool(type.name, zone, spot))) continue;
                 fleet::Pool pool{type.name, zone, spot};
                 const double each_cost = (spot ? type.spot_price : type.price) / std::max(1.0, each);
                 if (cheapest_each == 0 || each_cost < cheapest_each) cheapest_each = each_cost;
                 if (!ledger_.open(pool, now)) continue;
-                if (job.spec.one_zone && std::any_of(hosts.per_zone.begin(), hosts.per_zone.end(),
-                                                     [&](const auto& z) { return z.second > 0 && z.first != zone; }))
-                    continue;
-                if (job.spec.spread)
-                    if (const auto z = hosts.per_zone.find(zone);
-                        z != hosts.per_zone.end() && z->second >= (job.spec.tasks + 1) / 2)
-                        continue;
+                const auto zone_id = directory.zone(zone);
+                if (job.spec.one_zone && hosts.anywhere() && hosts.in_zone(zone_id) == 0) continue;
+                if (job.spec.spread && hosts.in_zone(zone_id) >= (job.spec.tasks + 1) / 2) continue;
                 // Between equals, the zone with the fewest machines: the loss of one zone then costs least.
-                double there = 0;
-                for (const auto& [name, m] : ledger_.all()) there += m->zone == zone;
-                for (const auto& [p, n] : ordered) there += p.zone == zone ? n : 0;
+                const auto there = zone_id < basket.per_zone.size() ? basket.per_zone[zone_id] : 0;
                 const std::pair cost{bulk ? each_cost * std::pow(each, -bulk_worth) : each_cost, there};
                 if (!best || cost < best_cost) {
                     best = pool;
@@ -420,59 +430,90 @@
     return best;
 }
 
+// Puts one machine more into the basket and into the plan.
+std::size_t Overseer::put_in(Basket& basket, const fleet::Pool& pool, Planner& plan) const {
+    const auto* type = ledger_.type(pool.type);
+    Host h;
+    h.slot = Planner::no_slot;
+    h.pool = ledger_.directory().pool(pool.type, pool.zone, pool.spot);
+    h.zone = ledger_.directory().zone(pool.zone);
+    h.spot = pool.spot;
+    h.capacity = h.free = type->capacity;
+    h.fetch_gb_per_s = type->fetch_gb_per_s;
+    ++basket.ordered[pool];
+    if (h.zone >= basket.per_zone.size()) basket.per_zone.resize(h.zone + 1);
+    ++basket.per_zone[h.zone];
+    return plan.add(std::move(h));
+}
+
+// Room for a whole gang: all in one zone if it asks for that, with as many machines as it takes.
+void Overseer::rent_for_gang(const Job& job, Basket& basket, Planner& plan, TimePoint now) const {
+    const auto tasks = job.spec.tasks;
+    if (within_limit(job, tasks) < tasks) return;
+    const auto& ask = ask_of(job);
+    auto hosts = hosts_of(job);
+    if (!plan.place_together(ask, hosts, tasks).empty()) return;
+    const auto first = cheapest(job, hosts, tasks, basket, now);
+    if (!first) return;
+    std::optional<placement::Id> zone;
+    auto there = hosts;
+    if (job.spec.one_zone) {
+        zone = ledger_.directory().zone(first->zone);
+        there.add_to_zone(*zone);
+    }
+    auto room = plan.room_in(ask, hosts, tasks, zone);
+    for (std::uint32_t k = 0; k < tasks; ++k) {
+        const auto lacking = room < tasks ? static_cast<std::uint32_t>(tasks - room) : 1;
+        const auto pool = cheapest(job, there, lacking, basket, now);
+        if (!pool) return;
+        room += placement::slots(job.spec.need, plan.host(put_in(basket, *pool, plan)).free);
+        if (room >= tasks && !plan.place_together(ask, hosts, tasks, zone).empty()) return;
+    }
+}
+
 std::vector<fleet::Order> Overseer::rent(TimePoint now) {
     if (!round_heard(now)) return {};
+    for (const auto& t : ledger_.types())
+        for (const auto& zone : t.zones)
+            for (const bool spot : {true, false}) ledger_.directory().pool(t.name, zone, spot);
     auto plan = planner(now);
-    for (const auto& [name, m] : ledger_.all())
-        if (!m->reported && !m->releasing && m->capacity.cpus > 0 && m->tasks.empty()) plan.add(m->host());
-    std::map<fleet::Pool, int> ordered;
-    int serial = 0;
-    const auto add_machine = [&](const fleet::Pool& pool) {
-        const auto* type = ledger_.type(pool.type);
-        Host h{
-            "+" + std::to_string(serial++), pool.type,  pool.zone, pool.spot, type->capacity, type->capacity, 0, {}, {},
-            type->fetch_gb_per_s,           Rank::idle, {},        {}};
-        ++ordered[pool];
-        plan.add(std::move(h));
-    };
+    Basket basket;
+    for (const auto& [name, m] : ledger_.all()) {
+        if (!m->reported && !m->releasing && m->row.capacity.cpus > 0 && m->tasks.empty()) plan.add(m->row);
+        if (m->row.zone >= basket.per_zone.size()) basket.per_zone.resize(m->row.zone + 1);
+        ++basket.per_zone[m->row.zone];
+    }
     const auto waiting = queue(now, false);
     // Services come one by one as well as many to a job: what counts is how many of a class wait together.
     std::map<std::string, std::uint32_t> services;
     for (const auto* job : waiting)
         if (job->is(Shape::service)) services[job->spec.job_class] += job->waiting();
-    for (auto* job : waiting) {
-        auto hosts = hosts_of(*job);
+    for (const auto* job : waiting) {
         if (job->is(Shape::gang) && job->placed == 0) {
-            if (within_limit(*job, job->spec.tasks) < job->spec.tasks) continue;
-            if (!plan.place_together(job->spec, hosts, job->spec.tasks).empty()) continue;
-            // All in one zone if it asks for that, with as many machines as it takes.
-            auto zone_hosts = hosts;
-            const auto first = cheapest(*job, hosts, job->spec.tasks, ordered, now);
-            if (!first) continue;
-            if (job->spec.one_zone) zone_hosts.per_zone[first->zone] = 1;
-            for (std::uint32_t k = 0; k < job->spec.tasks; ++k) {
-                auto trial = hosts;
-                const auto pool = cheapest(*job, zone_hosts, job->spec.tasks - k, ordered, now);
-                if (!pool) break;
-                add_machine(*pool);
-                if (!plan.place_together(job->spec, trial, job->spec.tasks).empty()) break;
-            }
+            rent_for_gang(*job, basket, plan, now);
             continue;
         }
         if (job->is(Shape::gang) && (job->gang_started || job->gang_failing)) continue;
-        const auto count = within_limit(*job, wanted_now(*job));
-        for (std::uint32_t k = 0; k < count; ++k) {
-            auto together = count - k;
-            if (job->is(Shape::service)) together = std::max(together, services[job->spec.job_class]--);
-            if (plan.place(job->spec, hosts) != Planner::none) continue;
-            const auto pool = cheapest(*job, hosts, together, ordered, now);
+        const auto& ask = ask_of(*job);
+        auto hosts = hosts_of(*job);
+        auto count = within_limit(*job, wanted_now(*job));
+        auto& alike = services[job->spec.job_class];
+        const auto housed = [&](std::size_t n) {
+            count -= static_cast<std::uint32_t>(n);
+            if (job->is(Shape::service)) alike -= std::min(alike, static_cast<std::uint32_t>(n));
+        };
+        housed(plan.place_many(ask, hosts, count).size());
+        while (count > 0) {
+            const auto pool = cheapest(*job, hosts, std::max(count, alike), basket, now);
             if (!pool) break;
-            add_machine(*pool);
-            if (plan.place(job->spec, hosts) == Planner::none) break;
+            const auto n = plan.place_at(put_in(basket, *pool, plan), ask, hosts, count);
+            if (n == 0) break;
+            housed(n);
         }
     }
     std::vector<fleet::Order> out;
-    for (const auto& [pool, n] : ordered) out.push_back({pool, std::min(n, max_rent)});
+    for (const auto& [pool, n] : basket.ordered)
+        for (int left = n; left > 0; left -= max_rent) out.push_back({pool, std::min(left, max_rent)});
     return out;
 }
 
@@ -525,17 +566,19 @@
             const bool many = quiet > 2 && quiet * 3 > total;
             auto patience = many ? settings_.lease + Seconds(5) : std::min(tunables_.silent, settings_.lease);
             // Cancelled work must be gone in time, whatever else is out of reach.
-            for (const auto& [uid, i] : m->tasks)
-                if (const auto* j = job(uid); j && j->cancelled && unheard > settings_.report * 3 &&
-                                              now > after(j->cancelled_at, settings_.cancel * 0.5))
-                    patience = Seconds(0);
+            if (unheard > settings_.report * 3)
+                for (const auto& [uid, i] : m->tasks)
+                    if (const auto* j = job(uid);
+                        j && j->cancelled && now > after(j->cancelled_at, settings_.cancel * 0.5))
+                        patience = Seconds(0);
             if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease)))
                 why = "silent";
             const Seconds idle = now - m->idle_since;
             // What it would take to have its like again: a boot, or to fetch what it holds where that takes longer.
             double held_gb = 0;
-            for (const auto& [image, gb] : m->images) held_gb += gb;
-            const Seconds again = std::max(boot, Seconds(m->fetch_gb_per_s > 0 ? held_gb / m->fetch_gb_per_s : 0));
+            for (const auto& image : m->images) held_gb += image.gb;
+            const double rate = m->row.fetch_gb_per_s;
+            const Seconds again = std::max(boot, Seconds(rate > 0 ? held_gb / rate : 0));
             if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
                 (m->suspect || m->retiring || idle > again * tunables_.idle_boots))
                 why = "idle";
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -4,44 +4,34 @@
 
 namespace flintdale::fleet {
 
-void Machine::used_image(const std::string& image, double gb, double cache_gb) {
-    std::erase_if(images, [&](const auto& e) { return e.first == image; });
-    images.emplace_back(image, gb);
+void Machine::used_image(const Image& image, double cache_gb) {
+    std::erase_if(images, [&](const Image& e) { return e.id == image.id; });
+    images.push_back(image);
     double held = 0;
-    for (const auto& [name, size] : images) held += size;
+    for (const auto& e : images) held += e.gb;
     while (images.size() > 1 && held > cache_gb) {
-        held -= images.front().second;
+        held -= images.front().gb;
         images.erase(images.begin());
     }
+    update_row();
 }
 
-placement::Host Machine::host() const {
-    placement::Host h{name,
-                      type,
-                      zone,
-                      spot,
-                      capacity,
-                      free,
-                      static_cast<unsigned>(tasks.size()),
-                      {},
-                      {},
-                      fetch_gb_per_s,
-                      wire::Rank::idle,
-                      standing,
-                      {}};
-    for (const auto& [image, gb] : images) h.images.insert(image);
+void Machine::update_row() {
+    row.images.clear();
+    for (const auto& e : images) row.images.push_back(e.id);
+    row.fetching.clear();
+    row.fetching_for = wire::Rank::idle;
     for (const auto& [task, fetch] : fetching) {
-        if (h.images.contains(fetch.image)) continue;
-        h.fetching[fetch.image] = fetch.gb;
-        h.fetching_for = std::max(h.fetching_for, fetch.rank);
+        if (row.has(fetch.image.id)) continue;
+        if (!row.fetches(fetch.image.id)) row.fetching.push_back({fetch.image.id, fetch.image.gb});
+        row.fetching_for = std::max(row.fetching_for, fetch.rank);
     }
-    return h;
 }
 
 void Ledger::set_types(std::vector<wire::MachineType> types) {
     types_ = std::move(types);
     for (auto& [name, m] : machines_)
-        if (m->capacity.cpus == 0) describe(*m, m->type, m->zone, m->spot);
+        if (m->row.capacity.cpus == 0) describe(*m, m->type, m->zone, m->spot);
 }
 
 const wire::MachineType* Ledger::type(const std::string& name) const {
@@ -50,7 +40,7 @@
     return nullptr;
 }
 
-Machine* Ledger::find(const std::string& name) {
+Machine* Ledger::find(const std::string& name) const {
     const auto it = machines_.find(name);
     return it == machines_.end() ? nullptr : it->second.get();
 }
@@ -61,6 +51,8 @@
     if (!slot) {
         slot = std::make_unique<Machine>();
         slot->name = name;
+        slot->row.slot = static_cast<placement::Id>(by_slot_.size());
+        by_slot_.push_back(slot.get());
         slot->known_since = slot->last_report = slot->idle_since = now;
     }
     if (slot->type.empty() && !type.empty()) describe(*slot, type, zone, spot);
@@ -71,31 +63,49 @@
     m.type = type_name;
     m.zone = zone;
     m.spot = spot;
-    if (const auto* t = type(type_name); t && m.capacity.cpus == 0) {
-        m.capacity = t->capacity;
-        m.fetch_gb_per_s = t->fetch_gb_per_s;
+    m.row.pool = directory_.pool(type_name, zone, spot);
+    m.row.zone = directory_.zone(zone);
+    m.row.spot = spot;
+    if (const auto* t = type(type_name); t && m.row.capacity.cpus == 0) {
+        m.row.capacity = t->capacity;
+        m.row.fetch_gb_per_s = t->fetch_gb_per_s;
         // Tasks assigned before the type was known have been taken from zero.
-        placement::give(m.free, m.capacity);
+        placement::give(m.row.free, m.row.capacity);
     }
 }
 
 void Ledger::remove(const std::string& name) {
+    if (const auto* m = find(name)) by_slot_[m->row.slot] = nullptr;
     machines_.erase(name);
     gone_.insert(name);
 }
 
 void Ledger::assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
     if (!m.tasks.insert(task).second) return;
-    placement::take(m.free, spec.need);
-    if (spec.shape == wire::Shape::service) placement::give(m.standing, spec.need);
-    m.fetching[task] = {spec.image, spec.image_gb, spec.rank};
+    placement::take(m.row.free, spec.need);
+    ++m.row.load;
+    if (spec.shape == wire::Shape::service) placement::give(m.row.standing, spec.need);
+    m.fetching[task] = {{directory_.image(spec.image), spec.image_gb}, spec.rank};
+    m.update_row();
+}
+
+void Ledger::has_image(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
+    if (!m.fetching.erase(task)) return;
+    const auto* t = type(m.type);
+    m.used_image({directory_.image(spec.image), spec.image_gb}, t ? t->cache_gb : 0);
 }
 
 void Ledger::unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now) {
     if (!m.tasks.erase(task)) return;
-    m.fetching.erase(task);
-    placement::give(m.free, spec.need);
-    if (spec.shape == wire::Shape::service) placement::take(m.standing, spec.need);
+    if (m.fetching.erase(task)) {
+        m.update_row();
+    } else {
+        const auto* t = type(m.type);
+        m.used_image({directory_.image(spec.image), spec.image_gb}, t ? t->cache_gb : 0);
+    }
+    placement::give(m.row.free, spec.need);
+    --m.row.load;
+    if (spec.shape == wire::Shape::service) placement::take(m.row.standing, spec.need);
     if (m.tasks.empty()) m.idle_since = now;
 }
 
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -36,22 +36,25 @@
     bool retiring = false;   // its tasks are moved away, and then it is returned
     bool suspect = false;    // several jobs failed on it
 
-    placement::Resources capacity, free, standing;
+    placement::Host row;             // of the load table, kept up to date with what follows
     std::set<TaskKey> tasks;         // all that may be on it
     std::size_t reported_tasks = 0;  // what it held by its last report, exited ones included
     TimePoint idle_since{};
     std::set<std::string> failed_jobs;
-    std::vector<std::pair<std::string, double>> images;  // oldest use first
-    struct Fetch {
-        std::string image;
+    struct Image {
+        placement::Id id = 0;
         double gb = 0;
+    };
+    std::vector<Image> images;  // oldest use first
+    struct Fetch {
+        Image image;
         wire::Rank rank = wire::Rank::normal;
     };
     std::map<TaskKey, Fetch> fetching;  // tasks that wait for their image here
-    double fetch_gb_per_s = 0;
 
-    void used_image(const std::string& image, double gb, double cache_gb);
-    placement::Host host() const;
+    void used_image(const Image& image, double cache_gb);
+    // After a change of its images or of what it fetches.
+    void update_row();
 };
 
 // One kind of machine that can be rented: its type, where, and how.
@@ -72,7 +75,10 @@
     const std::vector<wire::MachineType>& types() const { return types_; }
     const wire::MachineType* type(const std::string& name) const;
 
-    Machine* find(const std::string& name);
+    Machine* find(const std::string& name) const;
+    // The machine that a row of the load table stands for, if it is still there.
+    Machine* at(placement::Id slot) const { return slot < by_slot_.size() ? by_slot_[slot] : nullptr; }
+    placement::Directory& directory() const { return directory_; }
     // The machine of that name, new if it was not known.
     Machine& add(const std::string& name, const std::string& type, const std::string& zone, bool spot, TimePoint now);
     void describe(Machine& m, const std::string& type, const std::string& zone, bool spot);
@@ -84,6 +90,8 @@
     const std::map<std::string, std::unique_ptr<Machine>>& all() const { return machines_; }
 
     void assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
+    // The task has its image now, which it fetched or shares with others.
+    void has_image(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
     void unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now);
 
     // Pools that refused lately are left alone for a while, longer each time.
@@ -98,6 +106,8 @@
     };
     std::vector<wire::MachineType> types_;
     std::map<std::string, std::unique_ptr<Machine>> machines_;
+    mutable placement::Directory directory_;  // numbers names where they are first asked for
+    std::vector<Machine*> by_slot_;  // never used again, so that a slot names one machine for good
     std::set<std::string> gone_;
     std::map<Pool, BackOff> back_off_;
 };
--- /dev/null
+++ b/src/placement/directory.hpp
@@ -0,0 +1,44 @@
+// Pools of machines, zones and images as small numbers: placement compares them for every machine it looks at.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace flintdale::placement {
+
+using Id = std::uint32_t;
+
+constexpr Id unknown_zone = 0;  // of machines that have neither reported nor been listed yet
+constexpr Id no_pool = static_cast<Id>(-1);
+
+class Directory {
+  public:
+    struct Pool {
+        std::string type, zone;
+        bool spot = false;
+        Id zone_id = 0;
+    };
+
+    Id image(const std::string& name) { return number(images_, name); }
+    Id zone(const std::string& name) { return number(zones_, name); }
+
+    Id pool(const std::string& type, const std::string& zone_name, bool spot) {
+        const auto [it, fresh] = pool_ids_.try_emplace({type, zone_name, spot}, static_cast<Id>(pools_.size()));
+        if (fresh) pools_.push_back({type, zone_name, spot, zone(zone_name)});
+        return it->second;
+    }
+    const std::vector<Pool>& pools() const { return pools_; }
+
+  private:
+    static Id number(std::map<std::string, Id>& names, const std::string& name) {
+        return names.try_emplace(name, static_cast<Id>(names.size())).first->second;
+    }
+
+    std::map<std::string, Id> images_, zones_{{"", unknown_zone}};
+    std::map<std::tuple<std::string, std::string, bool>, Id> pool_ids_;
+    std::vector<Pool> pools_;
+};
+
+}  // namespace flintdale::placement
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,7 +1,6 @@
 #include "placement/planner.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace flintdale::placement {
 
@@ -43,144 +42,264 @@
     return group == rules.groups.end() || has(group->second);
 }
 
-Seconds Host::image_wait(const std::string& image, double gb) const {
-    if (images.contains(image) || fetch_gb_per_s <= 0) return Seconds(0);
-    double queue = fetching.contains(image) ? 0 : gb;
-    for (const auto& [name, size] : fetching) queue += size;
+bool Host::has(Id image) const { return std::find(images.begin(), images.end(), image) != images.end(); }
+
+bool Host::fetches(Id image) const {
+    return std::any_of(fetching.begin(), fetching.end(), [&](const Fetch& f) { return f.image == image; });
+}
+
+Seconds Host::image_wait(Id image, double gb) const {
+    if (fetch_gb_per_s <= 0 || has(image)) return Seconds(0);
+    double queue = fetches(image) ? 0 : gb;
+    for (const auto& f : fetching) queue += f.gb;
     return Seconds(queue / fetch_gb_per_s);
 }
 
-bool Planner::candidate(const JobSpec& spec, const JobHosts& job, const Host& host) const {
-    if (!allowed(spec, rules_, host.type, host.zone, host.spot)) return false;
-    if (job.excluded.contains(host.name)) return false;
-    if (!fits(spec.need, host.free)) return false;
+bool JobHosts::anywhere() const {
+    return std::any_of(per_zone.begin(), per_zone.end(), [](unsigned n) { return n > 0; });
+}
+
+bool JobHosts::excludes(Id slot) const { return std::find(excluded.begin(), excluded.end(), slot) != excluded.end(); }
+
+Ask make_ask(const JobSpec& spec, const Rules& rules, Directory& directory) {
+    Ask ask{&spec, directory.image(spec.image), {}};
+    for (const auto& p : directory.pools()) ask.pools.push_back(allowed(spec, rules, p.type, p.zone, p.spot));
+    return ask;
+}
+
+Planner::Planner(std::vector<Host> hosts, double memory_margin) : margin_(memory_margin) {
+    hosts_.reserve(hosts.size());
+    for (auto& h : hosts) add(std::move(h));
+}
+
+Planner::Trial::~Trial() {
+    plan_.trial_ = nullptr;
+    if (kept_) return;
+    // Backwards: the oldest copy of a row is the one to go back to.
+    for (auto it = before_.rbegin(); it != before_.rend(); ++it) plan_.hosts_[it->first] = std::move(it->second);
+}
+
+std::size_t Planner::add(Host host) {
+    const auto i = hosts_.size();
+    if (host.slot != no_slot) {
+        if (host.slot >= by_slot_.size()) by_slot_.resize(host.slot + 1, none);
+        by_slot_[host.slot] = i;
+    }
+    with_gpus_.push_back(i);
+    with_cpus_.push_back(i);
+    own_.push_back(0);
+    excluded_.push_back(0);
+    hosts_.push_back(std::move(host));
+    return i;
+}
+
+void Planner::remove(Id slot) {
+    const auto i = find(slot);
+    if (i == none) return;
+    // The row stays, so that the others keep their places, but nothing fits it.
+    by_slot_[slot] = none;
+    hosts_[i].capacity = hosts_[i].free = {-1, -1, -1};
+}
+
+// Rows without room are dropped from the list on the way, so that in a full fleet a scan costs what is free and not
+// what exists. Room only shrinks in a plan, but for trials, and during one nothing is dropped.
+template <class F>
+void Planner::each_roomy(const Resources& need, F visit) const {
+    if (need.gpus <= slack && need.cpus <= slack) {
+        for (std::size_t i = 0; i < hosts_.size(); ++i) visit(i);
+        return;
+    }
+    const bool gpus = need.gpus > slack;
+    auto& rows = gpus ? with_gpus_ : with_cpus_;
+    std::size_t kept = 0;
+    for (const auto i : rows) {
+        const auto& free = hosts_[i].free;
+        const bool room = (gpus ? free.gpus : free.cpus) > slack;
+        if (room) visit(i);
+        if (room || trial_) rows[kept++] = i;
+    }
+    rows.resize(kept);
+}
+
+bool Planner::candidate(const Ask& ask, const JobHosts& job, const Host& host) const {
+    const auto& spec = *ask.spec;
+    if (!ask.takes(host.pool) || !fits(spec.need, host.free)) return false;
     if (host.held_for && spec.rank <= *host.held_for) return false;
     // The margin is for what else the machine holds. An empty machine needs none, or a task that fills a machine
     // could never run.
-    if (host.load > 0 && host.free.memory_gb + slack < spec.need.memory_gb * (1 + rules_.memory_margin)) return false;
+    if (host.load > 0 && host.free.memory_gb + slack < spec.need.memory_gb * (1 + margin_)) return false;
     // Fetches share the machine's rate: one more would hold up the more important task that waits for its own.
-    if (spec.rank < host.fetching_for && !host.fetching.empty() && !host.images.contains(spec.image) &&
-        !host.fetching.contains(spec.image))
+    if (spec.rank < host.fetching_for && !host.fetching.empty() && !host.has(ask.image) && !host.fetches(ask.image))
         return false;
     if (spec.one_zone)
-        for (const auto& [zone, n] : job.per_zone)
-            if (n > 0 && zone != host.zone) return false;
-    if (spec.spread) {
-        const auto here = job.per_zone.find(host.zone);
-        if (here != job.per_zone.end() && here->second >= (spec.tasks + 1) / 2) return false;
-    }
-    return true;
+        for (Id zone = 0; zone < job.per_zone.size(); ++zone)
+            if (job.per_zone[zone] > 0 && zone != host.zone) return false;
+    // A task whose zone is not known yet may be in any of them.
+    return !spec.spread || job.in_zone(host.zone) + job.in_zone(unknown_zone) < (spec.tasks + 1) / 2;
 }
 
-void Planner::put(std::size_t i, const JobSpec& spec, JobHosts& job) {
+void Planner::mark(const JobHosts& job) const {
+    ++epoch_;
+    for (const auto slot : job.own)
+        if (const auto i = find(slot); i != none) own_[i] = epoch_;
+    for (const auto slot : job.excluded)
+        if (const auto i = find(slot); i != none) excluded_[i] = epoch_;
+}
+
+// The job's own machines come first, then those where its image is there soonest (in coarse steps, so that load still
+// counts), then spot ones, which not every job may use, then the least loaded. Services stay for good, so they go to
+// large machines and leave whole small ones to gangs.
+Planner::Order Planner::order(const Ask& ask, std::size_t i) const {
+    const auto& h = hosts_[i];
+    Order o;
+    o.foreign = own_[i] != epoch_;
+    o.wait = static_cast<int>(h.image_wait(ask.image, ask.spec->image_gb) / image_step);
+    o.ordinary = !h.spot;
+    o.size = ask.spec->shape == wire::Shape::service ? -static_cast<int>(slots(ask.spec->need, h.capacity)) : 0;
+    o.load = h.load;
+    o.at = i;
+    return o;
+}
+
+void Planner::put(std::size_t i, const Ask& ask, JobHosts& job) {
+    reserve(i, ask);
     auto& host = hosts_[i];
-    take(host.free, spec.need);
-    ++host.load;
-    if (!host.images.contains(spec.image)) {
-        host.fetching[spec.image] = spec.image_gb;
-        host.fetching_for = std::max(host.fetching_for, spec.rank);
+    if (!host.has(ask.image)) {
+        if (!host.fetches(ask.image)) host.fetching.push_back({ask.image, ask.spec->image_gb});
+        host.fetching_for = std::max(host.fetching_for, ask.spec->rank);
     }
-    ++job.per_zone[host.zone];
-    job.own.insert(host.name);
-}
-
-std::size_t Planner::peek(const JobSpec& spec, const JobHosts& job) const {
-    std::size_t best = none;
-    // Lowest wins: the job's own machines, then those where its image is there soonest (in coarse steps, so that
-    // load still counts), then spot ones, which not every job may use, then the least loaded. Services stay for
-    // good, so they go to large machines and leave whole small ones to gangs.
-    const auto rank = [&](const Host& h) {
-        const auto wait = static_cast<int>(h.image_wait(spec.image, spec.image_gb) / image_step);
-        const int size = spec.shape == wire::Shape::service ? -static_cast<int>(slots(spec.need, h.capacity)) : 0;
-        return std::make_tuple(!job.own.contains(h.name), wait, !h.spot, size, h.load, h.name);
-    };
-    for (std::size_t i = 0; i < hosts_.size(); ++i)
-        if (candidate(spec, job, hosts_[i]) && (best == none || rank(hosts_[i]) < rank(hosts_[best]))) best = i;
-    return best;
+    job.add_to_zone(host.zone);
+    job.own.push_back(host.slot);
+    own_[i] = epoch_;
 }
 
-std::size_t Planner::place(const JobSpec& spec, JobHosts& job) {
-    const auto best = peek(spec, job);
-    if (best != none) put(best, spec, job);
+std::size_t Planner::peek(const Ask& ask, const JobHosts& job) const {
+    mark(job);
+    std::optional<Order> best;
+    each_roomy(ask.spec->need, [&](std::size_t i) {
+        if (excluded_[i] == epoch_ || !candidate(ask, job, hosts_[i])) return;
+        if (const auto o = order(ask, i); !best || o < *best) best = o;
+    });
+    return best ? best->at : none;
+}
+
+std::size_t Planner::place(const Ask& ask, JobHosts& job) {
+    const auto best = peek(ask, job);
+    if (best != none) put(best, ask, job);
     return best;
 }
 
-bool Planner::place_on(const std::string& name, const JobSpec& spec, JobHosts& job) {
-    for (std::size_t i = 0; i < hosts_.size(); ++i)
-        if (hosts_[i].name == name) {
-            if (!candidate(spec, job, hosts_[i])) return false;
-            put(i, spec, job);
-            return true;
-        }
-    return false;
+std::vector<std::size_t> Planner::place_many(const Ask& ask, JobHosts& job, std::size_t count) {
+    return place_in(ask, job, count, {});
 }
 
-void Planner::reserve(const std::string& name, const JobSpec& spec) {
-    for (auto& host : hosts_)
-        if (host.name == name) {
-            take(host.free, spec.need);
-            ++host.load;
+// All candidates are put in order once. To place a task changes the order of its own machine alone, and otherwise
+// only takes candidates away (by the job's zones), which shows when their turn comes.
+std::vector<std::size_t> Planner::place_in(const Ask& ask, JobHosts& job, std::size_t count, std::optional<Id> zone) {
+    std::vector<std::size_t> out;
+    if (count == 0) return out;
+    mark(job);
+    std::vector<Order> heap;
+    each_roomy(ask.spec->need, [&](std::size_t i) {
+        if (excluded_[i] == epoch_ || (zone && hosts_[i].zone != *zone) || !candidate(ask, job, hosts_[i])) return;
+        heap.push_back(order(ask, i));
+    });
+    const auto later = [](const Order& a, const Order& b) { return b < a; };
+    std::make_heap(heap.begin(), heap.end(), later);
+    while (out.size() < count && !heap.empty()) {
+        std::pop_heap(heap.begin(), heap.end(), later);
+        const auto i = heap.back().at;
+        heap.pop_back();
+        if (!candidate(ask, job, hosts_[i])) continue;
+        put(i, ask, job);
+        out.push_back(i);
+        if (candidate(ask, job, hosts_[i])) {
+            heap.push_back(order(ask, i));
+            std::push_heap(heap.begin(), heap.end(), later);
         }
+    }
+    return out;
 }
 
-std::vector<std::size_t> Planner::place_together(const JobSpec& spec, JobHosts& job, std::size_t count) {
-    const auto attempt = [&](JobHosts trial_job) {
-        auto saved = hosts_;
+std::size_t Planner::place_at(std::size_t i, const Ask& ask, JobHosts& job, std::size_t count) {
+    std::size_t n = 0;
+    while (n < count && would_take(hosts_[i], ask, job)) {
+        put(i, ask, job);
+        ++n;
+    }
+    return n;
+}
+
+void Planner::reserve(std::size_t i, const Ask& ask) {
+    if (trial_) trial_->before_.emplace_back(i, hosts_[i]);
+    take(hosts_[i].free, ask.spec->need);
+    ++hosts_[i].load;
+}
+
+std::size_t Planner::room_in(const Ask& ask, const JobHosts& job, std::size_t count, std::optional<Id> zone) const {
+    std::size_t room = 0;
+    each_roomy(ask.spec->need, [&](std::size_t i) {
+        if (room >= count || (zone && hosts_[i].zone != *zone) || !would_take(hosts_[i], ask, job)) return;
+        room += slots(ask.spec->need, hosts_[i].free);
+    });
+    return std::min(room, count);
+}
+
+std::vector<std::size_t> Planner::place_together(const Ask& ask, JobHosts& job, std::size_t count,
+                                                 std::optional<Id> only_zone) {
+    const auto attempt = [&](std::optional<Id> zone) {
         std::vector<std::size_t> out;
-        while (out.size() < count) {
-            const auto i = place(spec, trial_job);
-            if (i == none) break;
-            out.push_back(i);
-        }
-        if (out.size() == count)
+        if (room_in(ask, job, count, zone) < count) return out;  // most attempts end here, having cost one scan
+        auto trial_job = job;
+        Trial trial(*this);
+        out = place_in(ask, trial_job, count, zone);
+        if (out.size() == count) {
+            trial.keep();
             job = std::move(trial_job);
-        else {
-            hosts_ = std::move(saved);
+        } else {
             out.clear();
         }
         return out;
     };
-    if (!spec.one_zone || !job.per_zone.empty()) return attempt(job);
-    // The zone of the first choice may lack room for all: try each zone in the order placement would prefer it.
-    std::set<std::string> zones;
-    for (const auto& h : hosts_) zones.insert(h.zone);
+    if (!ask.spec->one_zone || only_zone || job.anywhere()) return attempt(only_zone);
+    // The zone of the first choice may lack room for all.
+    std::map<Id, char> tried;
     std::vector<std::size_t> out;
-    for (const auto& zone : zones) {
-        JobHosts trial = job;
-        trial.per_zone[zone] = 0;
-        for (const auto& h : hosts_)
-            if (h.zone != zone) trial.excluded.insert(h.name);
-        out = attempt(std::move(trial));
+    for (const auto& h : hosts_) {
+        if (!tried.emplace(h.zone, 0).second) continue;
+        out = attempt(h.zone);
         if (!out.empty()) break;
     }
     return out;
 }
 
-void Planner::remove(const std::string& name) {
-    std::erase_if(hosts_, [&](const Host& h) { return h.name == name; });
-}
-
-void Planner::hold_for(const JobSpec& spec, std::size_t count) {
-    std::string zone;
-    for (std::size_t k = 0; k < count; ++k) {
-        Host* best = nullptr;
-        const auto lack = [&](const Host& h) {
-            return std::max({(spec.need.cpus - h.free.cpus) / std::max(1.0, h.capacity.cpus),
-                             (spec.need.gpus - h.free.gpus) / std::max(1.0, h.capacity.gpus),
-                             (spec.need.memory_gb - h.free.memory_gb) / std::max(1.0, h.capacity.memory_gb)});
-        };
-        for (auto& h : hosts_) {
-            if (h.held_for || !allowed(spec, rules_, h.type, h.zone, h.spot)) continue;
-            if (spec.one_zone && !zone.empty() && h.zone != zone) continue;
-            auto once_free = h.capacity;
-            take(once_free, h.standing);
-            if (!fits(spec.need, once_free)) continue;
-            if (!best || lack(h) < lack(*best)) best = &h;
-        }
-        if (!best) return;
-        best->held_for = spec.rank;
-        zone = best->zone;
+void Planner::hold_for(const Ask& ask, std::size_t count) {
+    const auto& spec = *ask.spec;
+    struct Choice {
+        double lack;
+        std::size_t at;
+        bool operator<(const Choice& o) const { return lack != o.lack ? lack < o.lack : at < o.at; }
+    };
+    std::vector<Choice> choices;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        const auto& h = hosts_[i];
+        if (h.held_for || !ask.takes(h.pool)) continue;
+        auto once_free = h.capacity;
+        take(once_free, h.standing);
+        if (!fits(spec.need, once_free)) continue;
+        const auto lack = std::max({(spec.need.cpus - h.free.cpus) / std::max(1.0, h.capacity.cpus),
+                                    (spec.need.gpus - h.free.gpus) / std::max(1.0, h.capacity.gpus),
+                                    (spec.need.memory_gb - h.free.memory_gb) / std::max(1.0, h.capacity.memory_gb)});
+        choices.push_back({lack, i});
+    }
+    if (choices.empty()) return;
+    if (spec.one_zone) {
+        const auto zone = hosts_[std::min_element(choices.begin(), choices.end())->at].zone;
+        std::erase_if(choices, [&](const Choice& c) { return hosts_[c.at].zone != zone; });
     }
+    count = std::min(count, choices.size());
+    std::nth_element(choices.begin(), choices.begin() + static_cast<std::ptrdiff_t>(count - 1), choices.end());
+    for (std::size_t k = 0; k < count; ++k) hosts_[choices[k].at].held_for = spec.rank;
 }
 
 bool before(const Waiting& a, const Waiting& b, double ageing) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -1,11 +1,13 @@
 // Which task goes where: the paper's section 4.2 and Algorithm 1 with the changes of docs/design.md. Pure and
 // deterministic: no clock, no I/O, no randomness.
 #pragma once
+#include <boost/container/small_vector.hpp>
+#include <compare>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "placement/directory.hpp"
 #include "wire/types.hpp"
 
 namespace flintdale::placement {
@@ -22,26 +24,42 @@
 
 // A machine as placement sees it: one row of the load table.
 struct Host {
-    std::string name, type, zone;
+    struct Fetch {
+        Id image = 0;
+        double gb = 0;
+    };
+
+    Id slot = 0;  // which machine it is to the caller
+    Id pool = no_pool, zone = unknown_zone;
     bool spot = false;
+    unsigned load = 0;  // tasks assigned
     Resources capacity, free;
-    unsigned load = 0;                           // tasks assigned
-    std::set<std::string> images;                // that it holds
-    std::map<std::string, double> fetching;      // GB of each image that tasks there still wait for
-    double fetch_gb_per_s = 0;                   // shared by all that it fetches
-    wire::Rank fetching_for = wire::Rank::idle;  // the highest rank that waits for an image
-    Resources standing;                          // what services hold, which do not end by themselves
-    std::optional<wire::Rank> held_for;          // its room is kept for a gang of this rank
-
+    Resources standing;                                 // what services hold, which do not end by themselves
+    double fetch_gb_per_s = 0;                          // shared by all that it fetches
+    wire::Rank fetching_for = wire::Rank::idle;         // the highest rank that waits for an image
+    std::optional<wire::Rank> held_for;                 // its room is kept for a gang of this rank
+    boost::container::small_vector<Id, 8> images;       // that it holds
+    boost::container::small_vector<Fetch, 2> fetching;  // images that tasks there still wait for
+
+    bool has(Id image) const;
+    bool fetches(Id image) const;
     // How long a task with that image would wait for it here.
-    Seconds image_wait(const std::string& image, double gb) const;
+    Seconds image_wait(Id image, double gb) const;
 };
 
 // Where a job's tasks may be at present; all of them count, whatever their attempt.
 struct JobHosts {
-    std::map<std::string, unsigned> per_zone;
-    std::set<std::string> own;       // machines with tasks of this job
-    std::set<std::string> excluded;  // machines that must not take another one
+    std::vector<unsigned> per_zone;  // by the zone's number
+    std::vector<Id> own;             // slots of machines with tasks of this job
+    std::vector<Id> excluded;        // slots of machines that must not take another one
+
+    unsigned in_zone(Id zone) const { return zone < per_zone.size() ? per_zone[zone] : 0; }
+    void add_to_zone(Id zone) {
+        if (zone >= per_zone.size()) per_zone.resize(zone + 1);
+        ++per_zone[zone];
+    }
+    bool anywhere() const;
+    bool excludes(Id slot) const;
 };
 
 struct Rules {
@@ -52,48 +70,105 @@
 // Whether a task of the job may ever be on such a machine, room aside.
 bool allowed(const JobSpec& spec, const Rules& rules, const std::string& type, const std::string& zone, bool spot);
 
+// A job's wishes in numbers. Outlives nothing: the job's description must stay where it is.
+struct Ask {
+    const JobSpec* spec = nullptr;
+    Id image = 0;
+    std::vector<char> pools;  // by the pool's number: whether its machines are allowed
+
+    bool takes(Id pool) const { return pool < pools.size() && pools[pool]; }
+};
+
+Ask make_ask(const JobSpec& spec, const Rules& rules, Directory& directory);
+
 class Planner {
   public:
     static constexpr std::size_t none = static_cast<std::size_t>(-1);
+    static constexpr Id no_slot = static_cast<Id>(-1);  // of a machine that is only thought of
 
-    Planner(std::vector<Host> hosts, Rules rules) : hosts_(std::move(hosts)), rules_(std::move(rules)) {}
+    Planner(std::vector<Host> hosts, double memory_margin);
 
     // Where one task would be placed, or none.
-    std::size_t peek(const JobSpec& spec, const JobHosts& job) const;
+    std::size_t peek(const Ask& ask, const JobHosts& job) const;
 
     // Whether a machine in that condition would be a candidate.
-    bool would_take(const Host& host, const JobSpec& spec, const JobHosts& job) const {
-        return candidate(spec, job, host);
+    bool would_take(const Host& host, const Ask& ask, const JobHosts& job) const {
+        return !job.excludes(host.slot) && candidate(ask, job, host);
     }
 
     // Places one task and takes its room, or returns none.
-    std::size_t place(const JobSpec& spec, JobHosts& job);
+    std::size_t place(const Ask& ask, JobHosts& job);
+
+    // Places up to so many tasks, each where `place` would put it after the one before.
+    std::vector<std::size_t> place_many(const Ask& ask, JobHosts& job, std::size_t count);
+
+    // Places up to so many tasks on that host, as long as it is a candidate. Returns how many.
+    std::size_t place_at(std::size_t i, const Ask& ask, JobHosts& job, std::size_t count);
 
-    // Places one task on that machine if it is a candidate.
-    bool place_on(const std::string& name, const JobSpec& spec, JobHosts& job);
     // Keeps room there for a task that is on its way.
-    void reserve(const std::string& name, const JobSpec& spec);
+    void reserve(std::size_t i, const Ask& ask);
 
     // Places so many tasks together, or none of them.
-    std::vector<std::size_t> place_together(const JobSpec& spec, JobHosts& job, std::size_t count);
+    std::vector<std::size_t> place_together(const Ask& ask, JobHosts& job, std::size_t count,
+                                            std::optional<Id> only_zone = {});
+
+    // How many of so many tasks would find room in that zone now.
+    std::size_t room_in(const Ask& ask, const JobHosts& job, std::size_t count, std::optional<Id> zone) const;
 
     // Keeps the room that frees on the likeliest machines for a gang that does not fit now, from jobs after it.
-    void hold_for(const JobSpec& spec, std::size_t count);
+    void hold_for(const Ask& ask, std::size_t count);
 
-    std::size_t add(Host host) {
-        hosts_.push_back(std::move(host));
-        return hosts_.size() - 1;
-    }
-    void remove(const std::string& name);
+    std::size_t add(Host host);
+    // The row of that machine, or none.
+    std::size_t find(Id slot) const { return slot < by_slot_.size() ? by_slot_[slot] : none; }
+    void remove(Id slot);
     const Host& host(std::size_t i) const { return hosts_[i]; }
     const std::vector<Host>& hosts() const { return hosts_; }
 
+    // What is placed or reserved until its end is taken back, unless it is kept.
+    class Trial {
+      public:
+        explicit Trial(Planner& plan) : plan_(plan) { plan_.trial_ = this; }
+        ~Trial();
+        Trial(const Trial&) = delete;
+        Trial& operator=(const Trial&) = delete;
+        void keep() { kept_ = true; }
+
+      private:
+        friend class Planner;
+        Planner& plan_;
+        std::vector<std::pair<std::size_t, Host>> before_;
+        bool kept_ = false;
+    };
+
   private:
-    bool candidate(const JobSpec& spec, const JobHosts& job, const Host& host) const;
-    void put(std::size_t i, const JobSpec& spec, JobHosts& job);
+    // Lowest wins.
+    struct Order {
+        bool foreign = false;  // not one of the job's own machines
+        int wait = 0;
+        bool ordinary = false;
+        int size = 0;
+        unsigned load = 0;
+        std::size_t at = 0;
+        auto operator<=>(const Order&) const = default;
+    };
+
+    bool candidate(const Ask& ask, const JobHosts& job, const Host& host) const;
+    Order order(const Ask& ask, std::size_t i) const;
+    // Notes which rows are the job's own and which are excluded, for the scans that follow.
+    void mark(const JobHosts& job) const;
+    void put(std::size_t i, const Ask& ask, JobHosts& job);
+    template <class F>
+    void each_roomy(const Resources& need, F visit) const;
+    std::vector<std::size_t> place_in(const Ask& ask, JobHosts& job, std::size_t count, std::optional<Id> zone);
 
     std::vector<Host> hosts_;
-    Rules rules_;
+    double margin_;
+    std::vector<std::size_t> by_slot_;
+    mutable std::vector<std::size_t> with_gpus_, with_cpus_;  // rows that had such room when last looked at
+    mutable std::vector<std::uint32_t> own_, excluded_;
+    mutable std::uint32_t epoch_ = 0;
+    Trial* trial_ = nullptr;
 };
 
 // The order of the queue: rank, then window, then length less what the wait has worn off it.
@@ -101,7 +176,7 @@
     wire::Rank rank = wire::Rank::normal;
     std::int64_t window = 0;
     Seconds length{0}, waited{0};
-    std::string uid;
+    std::string_view uid;
 };
 
 bool before(const Waiting& a, const Waiting& b, double ageing);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,6 +1,8 @@
 // Algorithm 1 and what docs/design.md changes of it, worked by hand.
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "placement/planner.hpp"
 
 namespace flintdale::test {
@@ -9,9 +11,23 @@
 
 namespace {
 
-Host host(const std::string& name, double gpus, double memory, unsigned load, const std::string& zone = "a") {
-    Host h{name, "type",           zone, false, {16, gpus, memory}, {16, gpus, memory}, load, {}, {},
-           0.1,  wire::Rank::idle, {},   {}};
+// One directory for all stories: its numbers depend on no order but that of first mention.
+Directory& directory() {
+    static Directory d;
+    return d;
+}
+
+// Slots number the machines of one story; m1 is the first.
+Host host(Id slot, double gpus, double memory, unsigned load, const std::string& zone = "a",
+          const std::string& type = "type", bool spot = false) {
+    Host h;
+    h.slot = slot;
+    h.pool = directory().pool(type, zone, spot);
+    h.zone = directory().zone(zone);
+    h.spot = spot;
+    h.load = load;
+    h.capacity = h.free = {16, gpus, memory};
+    h.fetch_gb_per_s = 0.1;
     return h;
 }
 
@@ -24,11 +40,20 @@
     return s;
 }
 
-std::vector<std::string> place_all(Planner& p, const JobSpec& s, int n, JobHosts& job) {
-    std::vector<std::string> out;
+struct Asked {
+    explicit Asked(JobSpec s, const Rules& rules = {}) : spec(std::move(s)) { ask = make_ask(spec, rules, directory()); }
+    JobSpec spec;
+    Ask ask;
+};
+
+constexpr Id none = Planner::no_slot;
+
+std::vector<Id> place_all(Planner& p, const JobSpec& s, int n, JobHosts& job) {
+    const Asked a(s);
+    std::vector<Id> out;
     for (int i = 0; i < n; ++i) {
-        const auto at = p.place(s, job);
-        out.push_back(at == Planner::none ? "" : p.host(at).name);
+        const auto at = p.place(a.ask, job);
+        out.push_back(at == Planner::none ? none : p.host(at).slot);
     }
     return out;
 }
@@ -36,84 +61,159 @@
 }  // namespace
 
 TEST(Placement, the_least_loaded_machine_wins_and_ties_go_by_name) {
-    Planner p({host("m1", 4, 90, 2), host("m2", 4, 90, 1), host("m3", 4, 90, 1)}, {});
+    Planner p({host(1, 4, 90, 2), host(2, 4, 90, 1), host(3, 4, 90, 1)}, 0.1);
     JobHosts job;
-    EXPECT_EQ(place_all(p, spec(1, 10), 1, job), std::vector<std::string>{"m2"});
+    EXPECT_EQ(place_all(p, spec(1, 10), 1, job), std::vector<Id>{2});
     JobHosts other;  // loads are now 2, 2, 1
-    EXPECT_EQ(place_all(p, spec(1, 10), 1, other), std::vector<std::string>{"m3"});
+    EXPECT_EQ(place_all(p, spec(1, 10), 1, other), std::vector<Id>{3});
 }
 
 TEST(Placement, a_jobs_own_machines_come_first) {
-    Planner p({host("m1", 4, 90, 3), host("m2", 4, 90, 0)}, {});
+    Planner p({host(1, 4, 90, 3), host(2, 4, 90, 0)}, 0.1);
     JobHosts job;
-    job.own.insert("m1");
-    EXPECT_EQ(place_all(p, spec(1, 10), 5, job), (std::vector<std::string>{"m1", "m1", "m1", "m1", "m2"}));
+    job.own.push_back(1);
+    EXPECT_EQ(place_all(p, spec(1, 10), 5, job), (std::vector<Id>{1, 1, 1, 1, 2}));
 }
 
 TEST(Placement, a_machine_with_the_image_is_preferred_to_a_less_loaded_one) {
-    auto with = host("m2", 4, 90, 2);
-    with.images.insert("image");
-    Planner p({host("m1", 4, 90, 0), with}, {});
+    auto with = host(2, 4, 90, 2);
+    with.images.push_back(directory().image("image"));
+    Planner p({host(1, 4, 90, 0), with}, 0.1);
     JobHosts job;
-    EXPECT_EQ(place_all(p, spec(1, 10), 1, job), std::vector<std::string>{"m2"});
+    EXPECT_EQ(place_all(p, spec(1, 10), 1, job), std::vector<Id>{2});
 }
 
 TEST(Placement, the_memory_margin_keeps_tasks_off_a_tight_machine_but_not_off_an_empty_one) {
-    Planner tight({host("m1", 4, 10.5, 1)}, {0.1, {}});
+    Planner tight({host(1, 4, 10.5, 1)}, 0.1);
     JobHosts job;
-    EXPECT_EQ(tight.place(spec(1, 10), job), Planner::none);
-    Planner roomy({host("m1", 4, 11, 1)}, {0.1, {}});
-    EXPECT_EQ(roomy.place(spec(1, 10), job), 0u);
-    Planner empty({host("m1", 4, 10, 0)}, {0.1, {}});
+    EXPECT_EQ(tight.place(Asked(spec(1, 10)).ask, job), Planner::none);
+    Planner roomy({host(1, 4, 11, 1)}, 0.1);
+    EXPECT_EQ(roomy.place(Asked(spec(1, 10)).ask, job), 0u);
+    Planner empty({host(1, 4, 10, 0)}, 0.1);
     JobHosts fresh;
-    EXPECT_EQ(empty.place(spec(1, 10), fresh), 0u);
+    EXPECT_EQ(empty.place(Asked(spec(1, 10)).ask, fresh), 0u);
 }
 
 TEST(Placement, gpu_tasks_wait_for_gpu_machines) {
-    Planner p({host("m1", 0, 90, 0)}, {});
+    Planner p({host(1, 0, 90, 0)}, 0.1);
     JobHosts job;
-    EXPECT_EQ(p.place(spec(1, 10), job), Planner::none);
-    EXPECT_EQ(p.place(spec(0, 10), job), 0u);
+    EXPECT_EQ(p.place(Asked(spec(1, 10)).ask, job), Planner::none);
+    EXPECT_EQ(p.place(Asked(spec(0, 10)).ask, job), 0u);
 }
 
 TEST(Placement, groups_say_which_types_a_class_may_use) {
     Rules rules;
     rules.groups["training"] = {"other"};
-    Planner p({host("m1", 4, 90, 0)}, rules);
+    Planner p({host(1, 4, 90, 0)}, 0.1);
     auto s = spec(1, 10);
     JobHosts job;
     s.job_class = "training";
-    EXPECT_EQ(p.place(s, job), Planner::none);
+    EXPECT_EQ(p.place(Asked(s, rules).ask, job), Planner::none);
     s.job_class = "serving";
-    EXPECT_EQ(p.place(s, job), 0u);
+    EXPECT_EQ(p.place(Asked(s, rules).ask, job), 0u);
 }
 
 TEST(Placement, a_gang_is_placed_whole_or_not_at_all_and_takes_no_room_when_not) {
-    Planner p({host("m1", 2, 90, 0), host("m2", 2, 90, 0)}, {});
+    Planner p({host(1, 2, 90, 0), host(2, 2, 90, 0)}, 0.1);
     auto s = spec(2, 50);
     JobHosts job;
-    EXPECT_TRUE(p.place_together(s, job, 3).empty());
-    EXPECT_EQ(p.place_together(s, job, 2), (std::vector<std::size_t>{0, 1}));
+    EXPECT_TRUE(p.place_together(Asked(s).ask, job, 3).empty());
+    EXPECT_EQ(p.place_together(Asked(s).ask, job, 2), (std::vector<std::size_t>{0, 1}));
 }
 
 TEST(Placement, a_one_zone_gang_finds_the_zone_with_room_for_all) {
-    Planner p({host("m1", 2, 90, 0, "a"), host("m2", 2, 90, 0, "b"), host("m3", 2, 90, 0, "b")}, {});
+    Planner p({host(1, 2, 90, 0, "a"), host(2, 2, 90, 0, "b"), host(3, 2, 90, 0, "b")}, 0.1);
     auto s = spec(2, 50);
     s.one_zone = true;
     JobHosts job;
-    EXPECT_EQ(p.place_together(s, job, 2), (std::vector<std::size_t>{1, 2}));
+    EXPECT_EQ(p.place_together(Asked(s).ask, job, 2), (std::vector<std::size_t>{1, 2}));
 }
 
 TEST(Placement, a_spread_job_puts_at_most_half_rounded_up_in_a_zone) {
-    Planner p({host("m1", 8, 900, 0, "a"), host("m2", 8, 900, 0, "b")}, {});
+    Planner p({host(1, 8, 900, 0, "a"), host(2, 8, 900, 0, "b")}, 0.1);
     auto s = spec(1, 10);
     s.spread = true;
     s.tasks = 5;
     JobHosts job;
     place_all(p, s, 5, job);
-    EXPECT_EQ(job.per_zone["a"] + job.per_zone["b"], 5u);
-    EXPECT_LE(job.per_zone["a"], 3u);
-    EXPECT_LE(job.per_zone["b"], 3u);
+    EXPECT_EQ(job.in_zone(directory().zone("a")) + job.in_zone(directory().zone("b")), 5u);
+    EXPECT_LE(job.in_zone(directory().zone("a")), 3u);
+    EXPECT_LE(job.in_zone(directory().zone("b")), 3u);
+}
+
+// The load table orders candidates once a job. That must give what a plain scan for each task gives, for machines and
+// jobs of every kind.
+TEST(Placement, many_tasks_at_once_go_where_one_scan_each_would_put_them) {
+    std::mt19937 dice(7);
+    const auto roll = [&](unsigned n) { return static_cast<unsigned>(dice() % n); };
+    const std::vector<std::string> zones{"a", "b", "c"}, images{"image", "other", "third"}, kinds{"type", "large"};
+    unsigned placed = 0, partly = 0;
+    for (int round = 0; round < 400; ++round) {
+        std::vector<Host> hosts;
+        const auto machines = 1 + roll(25);
+        for (Id i = 0; i < machines; ++i) {
+            auto h = host(i, roll(9), 20.0 + 10 * roll(8), 0, zones[roll(3)], kinds[roll(2)], roll(2));
+            h.load = roll(4);
+            h.free.gpus = std::min<double>(h.free.gpus, roll(9));
+            for (const auto& image : images) {
+                if (roll(3) == 0) h.images.push_back(directory().image(image));
+                if (roll(5) == 0) h.fetching.push_back({directory().image(image), 1.0 + roll(9)});
+            }
+            if (roll(6) == 0) h.fetching_for = wire::Rank::critical;
+            if (roll(6) == 0) h.held_for = wire::Rank::normal;
+            hosts.push_back(h);
+        }
+        auto s = spec(roll(3), 5 + 5 * roll(5));
+        s.image = images[roll(3)];
+        s.tasks = 1 + roll(12);
+        s.shape = roll(2) ? wire::Shape::service : wire::Shape::array;
+        s.rank = roll(2) ? wire::Rank::normal : wire::Rank::critical;
+        s.spot = roll(2);
+        s.spread = roll(3) == 0;
+        s.one_zone = !s.spread && roll(3) == 0;
+        if (roll(3) == 0) s.types = {kinds[roll(2)]};
+        const Asked a(s);
+        JobHosts one, all;
+        if (roll(2)) one.own.push_back(roll(machines));
+        if (roll(2)) one.excluded.push_back(roll(machines));
+        all = one;
+        Planner scanned(hosts, 0.1), ordered(hosts, 0.1);
+        std::vector<std::size_t> expected;
+        for (unsigned k = 0; k < s.tasks; ++k) {
+            const auto at = scanned.place(a.ask, one);
+            if (at == Planner::none) break;
+            expected.push_back(at);
+        }
+        EXPECT_EQ(ordered.place_many(a.ask, all, s.tasks), expected) << "round " << round;
+        placed += !expected.empty();
+        partly += !expected.empty() && expected.size() < s.tasks;
+    }
+    EXPECT_GT(placed, 200u);
+    EXPECT_GT(partly, 20u);
+}
+
+TEST(Placement, a_trial_that_is_not_kept_leaves_the_table_as_it_was) {
+    Planner p({host(1, 2, 90, 0), host(2, 2, 90, 0)}, 0.1);
+    const Asked a(spec(2, 50));
+    {
+        Planner::Trial trial(p);
+        JobHosts job;
+        EXPECT_EQ(p.place_many(a.ask, job, 3).size(), 2u);
+        EXPECT_EQ(p.peek(a.ask, job), Planner::none);
+    }
+    JobHosts job;
+    EXPECT_EQ(p.place_many(a.ask, job, 3), (std::vector<std::size_t>{0, 1}));
+}
+
+TEST(Placement, a_task_in_an_unknown_zone_counts_in_every_zone_of_a_spread_job) {
+    Planner p({host(1, 8, 900, 0, "a"), host(2, 8, 900, 0, "b")}, 0.1);
+    auto s = spec(1, 10);
+    s.spread = true;
+    s.tasks = 4;
+    JobHosts job;
+    job.add_to_zone(unknown_zone);
+    EXPECT_EQ(p.place_many(Asked(s).ask, job, 3).size(), 2u);
+    EXPECT_EQ(job.in_zone(directory().zone("a")), 1u);
 }
 
 TEST(Queue, rank_then_window_then_shortest_less_ageing) {
