--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_orders = 300;  // of some 100 bytes each: well within a line's limit
 constexpr unsigned suspect_jobs = 2;     // that failed on a machine and not everywhere
 
+constexpr Seconds write_later{8};        // how long the record of ended tasks may wait for other changes of the job
+
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
 
@@ -191,11 +193,22 @@
     if (dirty_set_.insert(uid).second) dirty_.push_back(uid);
 }
 
-void Overseer::touch(Job& job, std::uint32_t task) {
+void Overseer::touch(Job& job, std::uint32_t task, Write when, TimePoint now) {
     job.tasks[task].generation = ++job.generation;
     job.chunks[job.chunk_of(task)].changed = job.generation;
     counts_changed_.insert(job.spec.uid);
-    mark_dirty(job.spec.uid);
+    if (when == Write::at_once)
+        mark_dirty(job.spec.uid);
+    else if (later_set_.insert(job.spec.uid).second)
+        due_later_.emplace_back(after(now, write_later), job.spec.uid);
+}
+
+void Overseer::mark_due(TimePoint now) {
+    while (!due_later_.empty() && now >= due_later_.front().first) {
+        mark_dirty(due_later_.front().second);
+        later_set_.erase(due_later_.front().second);
+        due_later_.pop_front();
+    }
 }
 
 void Overseer::set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now) {
@@ -225,7 +238,11 @@
     t.sent = t.seen = t.started = t.draining = false;
     t.state = next;
     if (next == State::waiting) job.again.push_back(task);
-    touch(job, task);
+    // That a task ended needs no haste on record: its worker tells it again until then. Only the end of the whole job
+    // does. Else every task of every array would cost a write of its own.
+    const auto left = job.spec.tasks - job.done - (next == State::done);
+    const bool over = job.cancelled || job.finished ? job.placed == 0 : left == 0;
+    touch(job, task, over ? Write::at_once : Write::some_time, now);
 }
 
 void Overseer::lost(Job& job, std::uint32_t task, TimePoint now) {
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -83,8 +83,11 @@
     Job* find(const std::string& uid);
     Job& create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before);
     void cancel(Job& job, std::uint64_t stamp, TimePoint now);
-    void touch(Job& job, std::uint32_t task);
+    // The record must follow: at once, or some time, where only a later leader would do without it.
+    enum class Write : std::uint8_t { at_once, some_time };
+    void touch(Job& job, std::uint32_t task, Write when, TimePoint now);
     void mark_dirty(const std::string& uid);
+    void mark_due(TimePoint now);
     void set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now);
     void leave(Job& job, std::uint32_t task, Task::State next, TimePoint now);
     // The task is gone from its machine, by evidence, without having completed.
@@ -137,6 +140,8 @@
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     std::deque<std::string> dirty_;
     std::set<std::string> dirty_set_;
+    std::deque<std::pair<TimePoint, std::string>> due_later_;  // when they become dirty
+    std::set<std::string> later_set_;
     std::vector<std::pair<std::string, std::uint64_t>> orphans_;  // keys of jobs that are over
     std::map<std::string, placement::Resources> team_use_;
     std::set<std::string> counts_changed_;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -128,7 +128,7 @@
         for (const auto at : plan.place_many(ask, hosts, missing)) {
             const auto i = take_waiting(job);
             set_placed(job, i, *ledger_.at(plan.host(at).slot), job.gang_attempt, now);
-            touch(job, i);
+            touch(job, i, Write::at_once, now);
             any = true;
         }
         return;
@@ -147,7 +147,7 @@
     job.fresh = job.spec.tasks;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
         set_placed(job, i, *ledger_.at(plan.host(places[i]).slot), job.gang_attempt, now);
-        touch(job, i);
+        touch(job, i, Write::at_once, now);
     }
     any = true;
 }
@@ -158,7 +158,7 @@
     for (const auto at : plan.place_many(ask_of(job), hosts, most)) {
         const auto i = take_waiting(job);
         set_placed(job, i, *ledger_.at(plan.host(at).slot), job.tasks[i].attempt + 1, now);
-        touch(job, i);
+        touch(job, i, Write::at_once, now);
         any = true;
     }
 }
@@ -204,7 +204,7 @@
         if (within_limit(*job, 1) == 0 || !plan.place_at(to, ask_of(*job), hosts, 1)) return true;
         std::erase(job->again, move.task);
         set_placed(*job, move.task, *ledger_.at(move.to), t.attempt + 1, now);
-        touch(*job, move.task);
+        touch(*job, move.task, Write::at_once, now);
         any = true;
         return true;
     });
@@ -347,6 +347,7 @@
 }
 
 bool Overseer::place(TimePoint now) {
+    mark_due(now);
     if (!round_heard(now)) return false;
     bool any = false;
     auto plan = planner(now);
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cmath>
+
 #include "placement/planner.hpp"
 
 namespace flintdale::api {
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr std::size_t max_known = 20'000;
+constexpr std::chrono::milliseconds most_wait{2000};  // that a submission waits for its write; users give up after 5 s
 
 Reply reply(unsigned status, std::string body) {
     Reply r;
@@ -21,9 +24,9 @@
     return r;
 }
 
-Reply come_back(std::string_view why) {
+Reply come_back(std::string_view why, std::chrono::duration<double> after = std::chrono::seconds(1)) {
     auto r = reply(503, wire::error_body(why));
-    r.retry_after = 1;
+    r.retry_after = static_cast<unsigned>(std::clamp(std::ceil(after.count()), 1.0, 30.0));
     return r;
 }
 
@@ -128,6 +131,9 @@
         if (exists && *exists) co_return status_of(uid, true);
         co_return come_back("the machine types are not known yet");
     }
+    // What would wait too long is refused at once, with the time when it may be taken.
+    if (const auto wait = store_.write_wait(); wait > most_wait)
+        co_return come_back("too many submissions at once", wait);
     const auto record = agent::job_record(spec, JobState::open);
     state::Txn txn;
     txn.conditions.push_back({agent::job_key(uid), 0});
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -128,6 +128,8 @@
         b.term = elector_.term();
         b.state_ok = store_.healthy(Clock::now());
         b.leading = elector_.leading();
+        b.writes = store_.take_write_demand();
+        share_writes(b.writes);
         if (reign_)
             for (auto& [uid, c] : reign_->overseer().take_counts()) b.counts.push_back({uid, c.done, c.running});
         peers_.tell(b);
@@ -135,9 +137,21 @@
     }
 }
 
+// A peer that is not heard may go on writing: its last known demand keeps counting, and at least an even part does.
+void Controller::share_writes(double own) {
+    double all = own;
+    const auto now = Clock::now();
+    for (const auto& peer : settings_.peers) {
+        const auto it = peer_state_.find(peer.member);
+        const bool heard = it != peer_state_.end() && now - it->second.heard < 3s;
+        all += heard ? it->second.writes : std::max(own, it == peer_state_.end() ? 0.0 : it->second.writes);
+    }
+    store_.set_write_demand(own, all);
+}
+
 void Controller::received(const peer::Beat& beat) {
     elector_.heard(beat.term, beat.leader);
-    peer_state_[beat.member] = {Clock::now(), beat.state_ok};
+    peer_state_[beat.member] = {Clock::now(), beat.state_ok, beat.writes};
     if (counts_.size() > max_counts) counts_.clear();
     for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
 }
@@ -148,7 +162,7 @@
     const auto now = Clock::now();
     if (!store_.healthy(now))
         for (const auto& [member, heard] : peer_state_)
-            if (heard.second && now - heard.first < 3s)
+            if (heard.state_ok && now - heard.heard < 3s)
                 return reply(503, wire::error_body("the state service cannot be reached from here"));
     if (types_.empty()) return reply(503, wire::error_body("the machine types are not known yet"));
     return reply(200, "{\"ready\":true}");
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -20,6 +20,7 @@
     awaitable<void> peer_loop();
     awaitable<void> keep_catalog();
     awaitable<void> recall_catalog();
+    void share_writes(double own);
     net::Reply ready() const;
     void received(const peer::Beat& beat);
 
@@ -32,7 +33,12 @@
     std::shared_ptr<Reign> reign_;
     std::vector<wire::MachineType> types_;
     std::unordered_map<std::string, api::DisplayCount> counts_;
-    std::unordered_map<std::string, std::pair<wire::TimePoint, bool>> peer_state_;  // when heard, and its access
+    struct PeerState {
+        wire::TimePoint heard{};
+        bool state_ok = false;
+        double writes = 0;
+    };
+    std::unordered_map<std::string, PeerState> peer_state_;
     api::Desk desk_;
     peer::Links peers_;
     net::HttpServer server_;
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -27,6 +27,7 @@
     b.setTerm(beat.term);
     b.setStateOk(beat.state_ok);
     b.setLeading(beat.leading);
+    b.setWrites(beat.writes);
     const auto n = std::min(beat.counts.size(), max_counts);
     auto counts = b.initCounts(static_cast<unsigned>(n));
     for (unsigned i = 0; i < n; ++i) {
@@ -51,6 +52,7 @@
         beat.term = b.getTerm();
         beat.state_ok = b.getStateOk();
         beat.leading = b.getLeading();
+        beat.writes = b.getWrites();
         for (const auto c : b.getCounts()) beat.counts.push_back({c.getUid().cStr(), c.getDone(), c.getRunning()});
         return beat;
     } catch (const kj::Exception& e) {
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -19,6 +19,7 @@
     std::string member, leader;
     std::uint64_t term = 0;
     bool state_ok = false, leading = false;
+    double writes = 0;  // to the state service, that it lately asked for
     std::vector<Count> counts;
 };
 
--- a/src/state/budget.hpp
+++ b/src/state/budget.hpp
@@ -24,6 +24,8 @@
         writes_ = std::min(writes_, write_rate_);
     }
 
+    double write_rate() const { return write_rate_; }
+
     // Takes and returns zero, or returns how long to wait before asking again.
     std::chrono::duration<double> take(double writes, Urgency urgency, TimePoint now) {
         const double passed = std::chrono::duration<double>(now - last_).count();
--- /dev/null
+++ b/src/state/gate.cpp
@@ -0,0 +1,88 @@
+#include "state/gate.hpp"
+
+namespace flintdale::state {
+
+using std::chrono::steady_clock;
+
+namespace {
+// What is less urgent still has its turn after so long: placements must not starve while jobs pour in.
+constexpr std::chrono::milliseconds patience{400};
+}  // namespace
+
+Gate::Gate(net::Executor ex, Budget budget) : ex_(ex), budget_(budget), reads_(ex), writes_(ex) {}
+
+awaitable<void> Gate::enter(double writes, Urgency urgency) {
+    const auto now = steady_clock::now();
+    auto& lane = writes > 0 ? writes_ : reads_;
+    bool behind = false;
+    for (auto u = 0; u <= static_cast<int>(urgency); ++u) behind = behind || !lane.queues[u].empty();
+    if (!behind && budget_.take(writes, urgency, now).count() == 0) {
+        admitted_writes_ += writes;
+        co_return;
+    }
+    auto waiter = std::make_shared<Waiter>(ex_, writes, urgency);
+    waiter->since = now;
+    waiter->admitted.expires_at(steady_clock::time_point::max());
+    lane.queues[static_cast<int>(urgency)].push_back(waiter);
+    waiting_writes_ += writes;
+    if (lane.pumping) {
+        lane.changed.notify();
+    } else {
+        lane.pumping = true;
+        net::asio::co_spawn(ex_, pump(lane), net::asio::detached);
+    }
+    if (!waiter->in) {
+        auto [ec] = co_await waiter->admitted.async_wait(net::quietly);
+        (void)ec;
+    }
+}
+
+Gate::Queue* Gate::next(Lane& lane, steady_clock::time_point now) {
+    Queue* first = nullptr;
+    for (auto& queue : lane.queues) {
+        if (queue.empty()) continue;
+        if (!first) {
+            first = &queue;
+            // Leadership yields to nobody.
+            if (queue.front()->urgency == Urgency::leadership) return first;
+        } else if (now - queue.front()->since > patience && queue.front()->since < first->front()->since) {
+            first = &queue;
+        }
+    }
+    return first;
+}
+
+awaitable<void> Gate::pump(Lane& lane) {
+    for (;;) {
+        const auto now = steady_clock::now();
+        auto* queue = next(lane, now);
+        if (!queue) break;
+        auto waiter = queue->front();
+        // Whoever has waited long enough is let through like a user's request, without leaving a reserve for those.
+        const auto as = now - waiter->since > patience ? std::min(waiter->urgency, Urgency::user) : waiter->urgency;
+        const auto wait = budget_.take(waiter->writes, as, now);
+        if (wait.count() > 0) {
+            const auto most = std::chrono::duration_cast<steady_clock::duration>(wait);
+            co_await lane.changed.wait(std::min<steady_clock::duration>(most, patience));
+            continue;
+        }
+        queue->pop_front();
+        waiting_writes_ -= waiter->writes;
+        admitted_writes_ += waiter->writes;
+        waiter->in = true;
+        waiter->admitted.cancel();
+    }
+    lane.pumping = false;
+}
+
+std::chrono::duration<double> Gate::write_wait() const {
+    return std::chrono::duration<double>(waiting_writes_ / budget_.write_rate());
+}
+
+double Gate::take_demand() {
+    const double demand = admitted_writes_ + waiting_writes_;
+    admitted_writes_ = 0;
+    return demand;
+}
+
+}  // namespace flintdale::state
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -10,6 +10,7 @@
 constexpr std::chrono::milliseconds request_limit{1500};
 constexpr double safety = 0.9;  // of the published limits: the clocks and the buckets do not agree exactly
 constexpr double leader_share = 0.6;
+constexpr double by_demand = 0.6;  // of the writes, the part that follows demand
 
 Outcome outcome_of(unsigned status) {
     switch (status) {
@@ -61,14 +62,27 @@
       nodes_(std::max<std::size_t>(1, s.nodes)),
       http_(ex, s.state.host, s.state.port, 8),
       watches_(ex, s.state.host, s.state.port, 4),
-      budget_(rps_ / static_cast<double>(nodes_), write_rps_ / static_cast<double>(nodes_), steady_clock::now()) {
-    set_leading(false);
+      gate_(ex, Budget(rps_ / static_cast<double>(nodes_), write_rps_ / static_cast<double>(nodes_),
+                       steady_clock::now())),
+      demand_share_(1.0 / static_cast<double>(nodes_)) {
+    set_rates();
 }
 
 void HttpStore::set_leading(bool leading) {
+    leading_ = leading;
+    set_rates();
+}
+
+void HttpStore::set_write_demand(double own, double all) {
+    demand_share_ = all > 0 ? own / all : leading_ ? 1.0 : 0.0;
+    set_rates();
+}
+
+void HttpStore::set_rates() {
     const double others = nodes_ > 1 ? static_cast<double>(nodes_ - 1) : 1.0;
-    const double share = nodes_ == 1 ? 1.0 : leading ? leader_share : (1.0 - leader_share) / others;
-    budget_.set_rates(rps_ * share, write_rps_ * share);
+    const double share = nodes_ == 1 ? 1.0 : leading_ ? leader_share : (1.0 - leader_share) / others;
+    const double writes = nodes_ == 1 ? 1.0 : share * (1.0 - by_demand) + demand_share_ * by_demand;
+    gate_.budget().set_rates(rps_ * share, write_rps_ * writes);
 }
 
 bool HttpStore::healthy(steady_clock::time_point now) const {
@@ -77,11 +91,7 @@
 
 awaitable<net::HttpAnswer> HttpStore::call(net::http::verb verb, std::string target, std::string body, double writes,
                                            Urgency urgency, steady_clock::duration limit) {
-    for (;;) {
-        const auto wait = budget_.take(writes, urgency, steady_clock::now());
-        if (wait.count() == 0) break;
-        co_await net::sleep_for(std::chrono::duration_cast<steady_clock::duration>(wait));
-    }
+    co_await gate_.enter(writes, urgency);
     auto answer = co_await http_.request(verb, std::move(target), std::move(body), limit);
     if (answer.never_sent) answer.status = 503;  // without a connection nothing can have been carried out
     if (answer.status == 0 || answer.status == 503)
@@ -176,11 +186,7 @@
 }
 
 awaitable<FollowResult> HttpStore::follow(std::string prefix, std::uint64_t from, std::chrono::milliseconds hold) {
-    for (;;) {
-        const auto wait = budget_.take(0, Urgency::user, steady_clock::now());
-        if (wait.count() == 0) break;
-        co_await net::sleep_for(std::chrono::duration_cast<steady_clock::duration>(wait));
-    }
+    co_await gate_.enter(0, Urgency::user);
     std::string target =
         "/follow?starts=" + prefix + "&from=" + std::to_string(from) + "&hold_ms=" + std::to_string(hold.count());
     auto answer =
--- a/src/state/http_store.hpp
+++ b/src/state/http_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include "config/settings.hpp"
 #include "net/http_client.hpp"
-#include "state/budget.hpp"
+#include "state/gate.hpp"
 #include "state/store.hpp"
 
 namespace flintdale::state {
@@ -10,8 +10,12 @@
   public:
     HttpStore(net::Executor ex, const config::Settings& settings);
 
-    // The leader does most of the writing; the shares of all controllers together stay within the limits.
+    // The shares of all controllers together stay within the limits. The leader does most of the work; of the writes
+    // a part follows what each has lately asked for, so that a crowd of submissions at one of them need not wait for
+    // what the others leave unused.
     void set_leading(bool leading);
+    double take_write_demand() { return gate_.take_demand(); }
+    void set_write_demand(double own, double all);
 
     // Whether the service answered this controller lately; for /ready and for the peers.
     bool healthy(std::chrono::steady_clock::time_point now) const;
@@ -23,15 +27,19 @@
     awaitable<LeaseResult> grant(std::chrono::milliseconds life) override;
     awaitable<Outcome> renew(std::uint64_t lease) override;
     awaitable<void> revoke(std::uint64_t lease) override;
+    std::chrono::duration<double> write_wait() const override { return gate_.write_wait(); }
 
   private:
+    void set_rates();
     awaitable<net::HttpAnswer> call(net::http::verb verb, std::string target, std::string body, double writes,
                                     Urgency urgency, std::chrono::steady_clock::duration limit);
 
     double rps_, write_rps_;
     std::size_t nodes_;
     net::HttpClient http_, watches_;
-    Budget budget_;
+    Gate gate_;
+    bool leading_ = false;
+    double demand_share_ = 0;  // of the writes that are shared by demand
     std::chrono::steady_clock::time_point last_good_, last_bad_;
 };
 
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -16,4 +16,5 @@
     stateOk @3 :Bool;         # the sender's own access to the state service works
     counts @4 :List(JobCount); # from the leader: jobs whose display counts changed
     leading @5 :Bool;
+    writes @6 :Float64;       # to the state service, that the sender lately asked for
 }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "state/budget.hpp"
+#include "state/gate.hpp"
 #include "world.hpp"
 
 namespace flintdale::test {
@@ -56,6 +56,28 @@
     EXPECT_EQ(b.take(0, Urgency::leadership, start + 1s).count(), 0);
 }
 
+// Rates so low that the time a test takes counts for nothing.
+TEST(Gate, writes_wait_their_turn_and_neither_reads_nor_leadership_wait_behind_them) {
+    using state::Urgency;
+    net::asio::io_context io;
+    state::Gate gate(io.get_executor(), state::Budget(1e6, 1e-3, std::chrono::steady_clock::now()));
+    std::string order;
+    const auto enter = [&](double writes, Urgency urgency, char mark) {
+        net::asio::co_spawn(io, gate.enter(writes, urgency), [&order, mark](std::exception_ptr) { order += mark; });
+        io.restart();
+        io.poll();
+    };
+    enter(1, Urgency::user, 'a');  // the one that the bucket still allows
+    enter(1, Urgency::user, 'b');
+    enter(2, Urgency::bookkeeping, 'c');
+    EXPECT_EQ(gate.write_wait().count(), 3000.0);
+    enter(0, Urgency::user, 'd');
+    enter(0, Urgency::leadership, 'e');
+    EXPECT_EQ(order, "ade");
+    EXPECT_EQ(gate.take_demand(), 4.0);
+    EXPECT_EQ(gate.take_demand(), 3.0);  // what still waits is asked for all the same
+}
+
 TEST(Budget, writes_over_a_second_never_pass_the_rate) {
     using state::Urgency;
     TimePoint t{100s};
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -55,6 +55,16 @@
     EXPECT_EQ(run(two.submit("{")).status, 400u);
 }
 
+TEST_F(DeskStory, a_submission_that_would_wait_long_is_refused_at_once_and_told_when_to_come_back) {
+    store.wait_for_writes = std::chrono::duration<double>(3.2);
+    const auto refused = run(one.submit(body("run-1")));
+    EXPECT_EQ(refused.status, 503u);
+    EXPECT_EQ(refused.retry_after, 4u);
+    EXPECT_EQ(store.commits, 0);
+    store.wait_for_writes = std::chrono::duration<double>(0.5);
+    EXPECT_EQ(run(one.submit(body("run-1"))).status, 201u);
+}
+
 TEST_F(DeskStory, what_can_never_run_is_told_apart_from_what_is_not_known_yet) {
     auto huge = body("run-1");
     huge.replace(huge.find("4.0"), 3, "999");
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -10,6 +10,7 @@
     bool refuse = false;   // an outage, or a refusal of this controller alone
     int lose_answers = 0;  // so many transactions are carried out, but their answers are lost
     int commits = 0;
+    std::chrono::duration<double> wait_for_writes{0};
 
     net::awaitable<state::GetResult> get(std::string key, state::Urgency) override {
         state::GetResult r;
@@ -51,6 +52,7 @@
     }
     net::awaitable<state::Outcome> renew(std::uint64_t) override { co_return state::Outcome::ok; }
     net::awaitable<void> revoke(std::uint64_t) override { co_return; }
+    std::chrono::duration<double> write_wait() const override { return wait_for_writes; }
 
   private:
     std::uint64_t leases_ = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -296,10 +296,24 @@
     elect();  // the leader dies without having written it: the worker still tells
     meet(m1);
     EXPECT_EQ(leader->count("run-1")->done, 1u);
-    commit();
+    settle();
+    place();  // puts on record what is due
     EXPECT_TRUE(ordered(beat(m1), Verb::clear, "run-1", 0));
 }
 
+// With thousands of tasks ending all the time, a write for each would leave none for users and placements.
+TEST_F(Story, state_ended_tasks_share_a_write_and_the_last_one_is_written_at_once) {
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    EXPECT_TRUE(leader->next_batch().empty());
+    m1.finish("run-1", 1, Cause::done);
+    beat(m1);
+    commit();
+    EXPECT_EQ(state_of("run-1"), "done");
+}
+
 TEST_F(Story, forgotten_accepted_work_outlives_every_controller) {
     accept(job("run-1", Shape::array, 1));  // no leader was there to hear of it
     elect();
