--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -22,6 +22,7 @@
     bool sent = false;             // a `run` may have left, from this leader or an earlier one
     bool seen = false;             // reported on its machine
     bool started = false;          // seen past its image
+    bool parked = false;           // of a gang: gave up waiting for the others, its room and image are kept for it
     bool draining = false;         // to be stopped, for its machine's sake or another job's
     std::uint32_t generation = 0;  // of the change that the record must hold before the worker may forget the task
     std::uint64_t attempt = 0;
@@ -53,6 +54,7 @@
     // Gangs only.
     std::uint64_t gang_attempt = 0;
     bool gang_started = false, gang_failing = false;
+    std::uint32_t parked = 0;
 
     std::set<std::string> failed_on;
     unsigned errors = 0;
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -1,5 +1,6 @@
 #include "agent/overseer.hpp"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -217,7 +218,7 @@
     t.machine = &m;
     t.attempt = attempt;
     t.placed_at = now;
-    t.sent = t.seen = t.started = t.draining = false;
+    t.sent = t.seen = t.started = t.draining = t.parked = false;
     ++job.placed;
     ledger_.assign(m, {job.spec.uid, task}, job.spec);
     spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class,
@@ -233,9 +234,10 @@
         placement::take(team_use_[job.spec.team], job.spec.need);
         --job.placed;
         if (t.started) --job.running;
+        if (t.parked) --job.parked;
     }
     t.machine = nullptr;
-    t.sent = t.seen = t.started = t.draining = false;
+    t.sent = t.seen = t.started = t.draining = t.parked = false;
     t.state = next;
     if (next == State::waiting) job.again.push_back(task);
     // That a task ended needs no haste on record: its worker tells it again until then. Only the end of the whole job
@@ -293,10 +295,38 @@
     } else if (r.cause == Cause::unknown || r.cause == Cause::no_room || r.cause == Cause::busy) {
         job.eligible_at = std::max(job.eligible_at, now + 2s);
     }
+    if (r.cause == Cause::alone && !job.gang_started && !job.gang_failing && !job.cancelled && !m.taken_at &&
+        !job.tasks[task].draining) {
+        job.tasks[task].parked = true;
+        ++job.parked;
+        regroup(job, now);
+        return;
+    }
     if (job.is(Shape::gang)) job.gang_failing = true;
     leave(job, task, State::waiting, now);
 }
 
+// Where fetching takes longer on some machines than a member waits for the others, an attempt that is given up as a
+// whole loses what the slow ones have fetched so far, and the next one goes the same way. So a member that gave up
+// keeps its place, and when the last one has its image all start under the next attempt where they are.
+void Overseer::regroup(Job& job, TimePoint now) {
+    if (job.parked == 0 || job.placed < job.spec.tasks || job.gang_started || job.gang_failing || job.cancelled) return;
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+        const auto& t = job.tasks[i];
+        if (!t.parked && (!t.seen || t.machine->fetching.contains({job.spec.uid, i}))) return;
+    }
+    ++job.gang_attempt;
+    job.parked = 0;
+    spdlog::debug("event=regroup job={} attempt={}", job.spec.uid, job.gang_attempt);
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+        auto& t = job.tasks[i];
+        t.attempt = job.gang_attempt;
+        t.placed_at = now;
+        t.sent = t.seen = t.parked = false;
+        touch(job, i, Write::at_once, now);
+    }
+}
+
 // --- reports ---
 
 void Overseer::held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<Order>& orders,
@@ -315,6 +345,7 @@
             counts_changed_.insert(job.spec.uid);
         }
         if (runs) job.gang_started = true;
+        regroup(job, now);
     }
     Order kill{Verb::kill, r.id, r.attempt, Seconds(0)};
     if (job.cancelled || (job.is(Shape::gang) && job.gang_failing)) {
@@ -379,7 +410,7 @@
             reported.insert({t.id.uid, t.id.index});
             if (!ended)
                 held(*job, t.id.index, m, t, orders, now);
-            else
+            else if (!task.parked)
                 exited(*job, t.id.index, m, t, now);
             continue;
         }
@@ -426,19 +457,25 @@
     std::map<std::string, std::uint32_t> waiting;
     for (const auto& [uid, job] : jobs_)
         if (!job->cancelled && !job->finished && job->waiting()) waiting[job->spec.job_class] += job->waiting();
-    std::string out = "waiting=";
-    for (const auto& [name, n] : waiting) out += name + ":" + std::to_string(n) + ",";
-    out += " machines=";
+    struct Line {
+        unsigned up = 0, booting = 0, unusable = 0, empty = 0, by_shape[3] = {};
+        placement::Resources free;
+    };
+    std::map<std::string, Line> pools;
     for (const auto& [name, m] : ledger_.all()) {
-        unsigned by_shape[3] = {};
+        auto& line = pools[m->type + "/" + m->zone + (m->spot ? "/spot" : "")];
+        ++(!m->reported ? line.booting : usable(*m, now) ? line.up : line.unusable);
+        line.empty += m->reported && m->tasks.empty();
+        if (m->reported) placement::give(line.free, m->row.free);
         for (const auto& [uid, i] : m->tasks)
-            if (const auto* j = job(uid)) ++by_shape[static_cast<int>(j->spec.shape)];
-        out += name + ":" + m->type + (m->spot ? ":spot" : "") + (m->reported ? "" : ":booting") +
-               (m->reported && !usable(*m, now) ? ":unusable" : "");
-        for (const int shape : {0, 1, 2})
-            if (by_shape[shape]) out += std::string(":") + "ags"[shape] + std::to_string(by_shape[shape]);
-        out += ",";
+            if (const auto* j = job(uid)) ++line.by_shape[static_cast<int>(j->spec.shape)];
     }
+    std::string out = "waiting=";
+    for (const auto& [name, n] : waiting) out += name + ":" + std::to_string(n) + ",";
+    for (const auto& [pool, l] : pools)
+        out += fmt::format(" {}=up:{},booting:{},unusable:{},empty:{},arrays:{},gangs:{},services:{},free_gpus:{:.0f}",
+                           pool, l.up, l.booting, l.unusable, l.empty, l.by_shape[0], l.by_shape[1], l.by_shape[2],
+                           l.free.gpus);
     return out;
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -363,6 +363,40 @@
     EXPECT_EQ(leader->job("run-1")->tasks[1].attempt, 2u);
 }
 
+// On slow networks some members of a gang have their image a minute before others. Killing the whole attempt when the
+// first gave up waiting cost the slow ones their fetch, time and again: 350 s until a gang started.
+TEST_F(Story, gang_a_member_that_gave_up_waiting_keeps_its_place_until_the_others_have_their_image) {
+    elect();
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need = {8, 2, 40};
+    accept(gang);
+    settle();
+    meet(m1);
+    meet(m2);
+    ASSERT_TRUE(place());
+    beat(m1);
+    beat(m2);
+    const auto on_m1 = m1.tasks.at(0).id.index, on_m2 = m2.tasks.at(0).id.index;
+    m1.find("run-1", on_m1)->status = TaskStatus::waiting;
+    beat(m1);
+    beat(m2);
+    m1.finish("run-1", on_m1, Cause::alone);
+    beat(m1);
+    EXPECT_TRUE(beat(m2).empty()) << "it still fetches";
+    EXPECT_EQ(machine_of("run-1", on_m1), "n-000001");
+    m2.find("run-1", on_m2)->status = TaskStatus::waiting;
+    beat(m2);
+    commit();
+    EXPECT_TRUE(ordered(beat(m1), Verb::run, "run-1", on_m1));
+    const auto orders = beat(m2);
+    ASSERT_EQ(orders.size(), 2u);
+    EXPECT_EQ(orders[0].verb, Verb::kill);
+    EXPECT_EQ(orders[0].attempt, 1u);
+    EXPECT_EQ(orders[1].verb, Verb::run);
+    EXPECT_EQ(orders[1].attempt, 2u);
+    EXPECT_EQ(leader->job("run-1")->parked, 0u);
+}
+
 TEST_F(Story, fleet_a_machine_nobody_expected_is_used_or_returned) {
     elect();
     meet(m1);  // a late rental of a leader that is gone
