--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -60,7 +60,8 @@
     // This process stood still for so long: what it did not hear meanwhile says nothing about the machines.
     void stood_still(std::chrono::steady_clock::duration gap);
 
-    Batch next_batch();
+    // At most so many changes; no more than a transaction may hold.
+    Batch next_batch(std::size_t most);
     void committed(const Batch& batch, std::uint64_t revision, TimePoint now);
     // The batch failed or its fate is unknown, and its keys were read again.
     void reread(const state::Item& item, TimePoint now);
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -617,9 +617,9 @@
 
 // --- records ---
 
-Batch Overseer::next_batch() {
+Batch Overseer::next_batch(std::size_t most) {
     Batch batch;
-    const std::size_t most = settings_.txn_ops;
+    most = std::clamp<std::size_t>(most, 2, settings_.txn_ops);
     batch.txn.conditions.push_back({election::term_key, term_stamp_});
     std::size_t bytes = 0;
     std::size_t looked = 0;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -184,7 +184,8 @@
     while (!stopped_) {
         co_await commit_.wait(1s);
         while (!stopped_ && loaded_) {
-            auto batch = overseer_.next_batch();
+            // In small portions: a large one would use up the writes of a second and keep users waiting for as long.
+            auto batch = overseer_.next_batch(store_.write_portion());
             if (batch.empty()) break;
             state::Txn txn = batch.txn;
             const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
--- a/src/state/budget.hpp
+++ b/src/state/budget.hpp
@@ -17,6 +17,9 @@
         writes_ = write_rate_;
     }
 
+    // So many writes may users' requests borrow from the seconds to come.
+    void set_borrowing(double writes) { borrowed_ = writes; }
+
     void set_rates(double requests_per_s, double writes_per_s) {
         request_rate_ = requests_per_s;
         write_rate_ = writes_per_s;
@@ -32,9 +35,11 @@
         last_ = now;
         requests_ = std::min(request_rate_, requests_ + passed * request_rate_);
         writes_ = std::min(write_rate_, writes_ + passed * write_rate_);
-        const double kept = urgency == Urgency::leadership ? 0.0 : urgency == Urgency::user ? 0.1 : 0.3;
-        // A transaction may hold more writes than a whole second's share: let it run the bucket into debt.
-        const double want = std::min(writes + kept * write_rate_, write_rate_);
+        const double kept = urgency == Urgency::bookkeeping ? 0.3 : urgency == Urgency::user ? 0.1 : 0.0;
+        // A transaction may hold more writes than a whole second's share: let it run the bucket into debt. A user's
+        // write may borrow as well: submissions come in twos and threes, and a small share refills slowly.
+        const double want = urgency == Urgency::user ? std::min(writes, write_rate_) - borrowed_
+                                                     : std::min(writes + kept * write_rate_, write_rate_);
         const double short_requests = 1 + kept * request_rate_ - requests_;
         const double short_writes = writes > 0 ? want - writes_ : 0;
         if (short_requests <= 1e-9 && short_writes <= 1e-9) {
@@ -48,7 +53,7 @@
 
   private:
     TimePoint last_;
-    double request_rate_ = 1, write_rate_ = 1, requests_ = 0, writes_ = 0;
+    double request_rate_ = 1, write_rate_ = 1, requests_ = 0, writes_ = 0, borrowed_ = 0;
 };
 
 }  // namespace flintdale::state
--- a/src/state/gate.cpp
+++ b/src/state/gate.cpp
@@ -7,6 +7,7 @@
 namespace {
 // What is less urgent still has its turn after so long: placements must not starve while jobs pour in.
 constexpr std::chrono::milliseconds patience{400};
+constexpr double portion = 0.35;  // of a second's writes
 }  // namespace
 
 Gate::Gate(net::Executor ex, Budget budget) : ex_(ex), budget_(budget), reads_(ex), writes_(ex) {}
@@ -58,8 +59,9 @@
         auto* queue = next(lane, now);
         if (!queue) break;
         auto waiter = queue->front();
-        // Whoever has waited long enough is let through like a user's request, without leaving a reserve for those.
-        const auto as = now - waiter->since > patience ? std::min(waiter->urgency, Urgency::user) : waiter->urgency;
+        // Whoever has waited long enough need not leave a reserve for others.
+        const bool due = now - waiter->since > patience && waiter->urgency == Urgency::bookkeeping;
+        const auto as = due ? Urgency::leadership : waiter->urgency;
         const auto wait = budget_.take(waiter->writes, as, now);
         if (wait.count() > 0) {
             const auto most = std::chrono::duration_cast<steady_clock::duration>(wait);
@@ -79,6 +81,8 @@
     return std::chrono::duration<double>(waiting_writes_ / budget_.write_rate());
 }
 
+std::size_t Gate::write_portion() const { return static_cast<std::size_t>(budget_.write_rate() * portion); }
+
 double Gate::take_demand() {
     const double demand = admitted_writes_ + waiting_writes_;
     admitted_writes_ = 0;
--- a/src/state/gate.hpp
+++ b/src/state/gate.hpp
@@ -15,6 +15,9 @@
     // Returns once the request may be sent.
     awaitable<void> enter(double writes, Urgency urgency);
 
+    // How many writes a transaction that is not urgent should hold.
+    std::size_t write_portion() const;
+
     // How long a write that came now would wait.
     std::chrono::duration<double> write_wait() const;
 
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -10,6 +10,7 @@
 constexpr std::chrono::milliseconds request_limit{1500};
 constexpr double safety = 0.9;  // of the published limits: the clocks and the buckets do not agree exactly
 constexpr double leader_share = 0.6;
+constexpr double borrowed = 0.5;   // of a second's writes, that users' requests may use ahead
 constexpr double by_demand = 0.6;  // of the writes, the part that follows demand
 
 Outcome outcome_of(unsigned status) {
@@ -65,6 +66,8 @@
       gate_(ex, Budget(rps_ / static_cast<double>(nodes_), write_rps_ / static_cast<double>(nodes_),
                        steady_clock::now())),
       demand_share_(1.0 / static_cast<double>(nodes_)) {
+    // All controllers together borrow less than the second's burst that the service allows.
+    gate_.budget().set_borrowing(write_rps_ * borrowed / static_cast<double>(nodes_));
     set_rates();
 }
 
--- a/src/state/http_store.hpp
+++ b/src/state/http_store.hpp
@@ -27,6 +27,7 @@
     awaitable<LeaseResult> grant(std::chrono::milliseconds life) override;
     awaitable<Outcome> renew(std::uint64_t lease) override;
     awaitable<void> revoke(std::uint64_t lease) override;
+    std::size_t write_portion() const override { return gate_.write_portion(); }
     std::chrono::duration<double> write_wait() const override { return gate_.write_wait(); }
 
   private:
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -86,6 +86,8 @@
     virtual awaitable<LeaseResult> grant(std::chrono::milliseconds life) = 0;
     virtual awaitable<Outcome> renew(std::uint64_t lease) = 0;
     virtual awaitable<void> revoke(std::uint64_t lease) = 0;
+    // How many writes to put into one transaction, so that others need not wait long behind it.
+    virtual std::size_t write_portion() const { return 1000; }
     // How long a write that came now would wait for its turn, before it is even sent.
     virtual std::chrono::duration<double> write_wait() const { return std::chrono::duration<double>(0); }
 };
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -95,7 +95,7 @@
     auto old = std::move(leader);
     elect();
     ASSERT_TRUE(old->place(now));
-    const auto batch = old->next_batch();
+    const auto batch = old->next_batch(1000);
     EXPECT_EQ(keys.commit(batch.txn).outcome, state::Outcome::conflict);
     EXPECT_TRUE(keys.get("work/run-1").value.as_object().at("tasks").as_array().empty());
 }
@@ -307,7 +307,7 @@
     start(job("run-1", Shape::array, 2), {&m1});
     m1.finish("run-1", 0, Cause::done);
     beat(m1);
-    EXPECT_TRUE(leader->next_batch().empty());
+    EXPECT_TRUE(leader->next_batch(1000).empty());
     m1.finish("run-1", 1, Cause::done);
     beat(m1);
     commit();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -209,7 +209,7 @@
 }
 
 void World::commit() {
-    for (auto batch = leader->next_batch(); !batch.empty(); batch = leader->next_batch()) {
+    for (auto batch = leader->next_batch(1000); !batch.empty(); batch = leader->next_batch(1000)) {
         const auto r = keys.commit(batch.txn);
         if (r.outcome == state::Outcome::ok) {
             leader->committed(batch, r.revision, now);
