--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -152,9 +152,10 @@
     any = true;
 }
 
-void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
+void Overseer::place_each(Job& job, Planner& plan, std::vector<Booting>& booting, TimePoint now, bool& any) {
     auto hosts = hosts_of(job);
-    const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
+    auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
+    if (job.is(Shape::service)) most -= better_later(job, plan, hosts, most, booting);
     for (const auto at : plan.place_many(ask_of(job), hosts, most)) {
         const auto i = take_waiting(job);
         set_placed(job, i, *ledger_.at(plan.host(at).slot), job.tasks[i].attempt + 1, now);
@@ -163,6 +164,52 @@
     }
 }
 
+std::vector<Overseer::Booting> Overseer::booting(TimePoint now) const {
+    std::vector<Booting> out;
+    for (const auto& [name, m] : ledger_.all()) {
+        const auto* type = ledger_.type(m->type);
+        if (!type || m->reported || m->releasing || !m->tasks.empty()) continue;
+        const Seconds ready = type->boot - Seconds(now - m->known_since);
+        // One that is late may never come up.
+        if (ready > type->boot * -0.3) out.push_back({m->row, std::max(ready, Seconds(0))});
+    }
+    return out;
+}
+
+placement::Ask Overseer::at_least(const Job& job, unsigned slots) const {
+    auto ask = ask_of(job);
+    const auto& pools = ledger_.directory().pools();
+    for (std::size_t i = 0; i < ask.pools.size(); ++i)
+        if (const auto* type = ledger_.type(pools[i].type);
+            !type || placement::slots(job.spec.need, type->capacity) < slots)
+            ask.pools[i] = false;
+    return ask;
+}
+
+// How many of a service's tasks had better wait for large machines that are on their way: those that would fill small
+// ones, which gangs need whole, and would hardly start sooner there.
+std::uint32_t Overseer::better_later(const Job& job, const Planner& plan, const JobHosts& hosts, std::uint32_t tasks,
+                                     std::vector<Booting>& booting) const {
+    if (tasks == 0 || booting.empty()) return 0;
+    const auto& ask = ask_of(job);
+    const auto at = plan.peek(ask, hosts);
+    if (at == Planner::none) return 0;
+    const auto& here = plan.host(at);
+    const auto small = placement::slots(job.spec.need, here.capacity);
+    const auto limit = here.image_wait(ask.image, job.spec.image_gb) + tunables_.large_wait;
+    std::uint32_t out = 0;
+    for (auto& b : booting) {
+        if (!ask.takes(b.row.pool) || placement::slots(job.spec.need, b.row.capacity) <= small) continue;
+        if (b.ready + b.row.image_wait(ask.image, job.spec.image_gb) > limit) continue;
+        while (out < tasks && placement::fits(job.spec.need, b.row.free)) {
+            placement::take(b.row.free, job.spec.need);
+            ++out;
+        }
+        if (out == tasks) break;
+    }
+    return out;
+}
+
 // A new leader hears one round of reports first: until then it does not know the load. If no work was on record
 // when it began, there is no load to hear of.
 bool Overseer::round_heard(TimePoint now) const {
@@ -352,11 +399,12 @@
     bool any = false;
     auto plan = planner(now);
     finish_moves(plan, now, any);
+    auto coming = booting(now);
     for (auto* job : queue(now, true)) {
         if (job->is(Shape::gang))
             place_gang(*job, plan, now, any);
         else
-            place_each(*job, plan, now, any);
+            place_each(*job, plan, coming, now, any);
         if (job->passed_over) preempt(*job, plan, now);
         job->passed_over = job->waiting() > 0;
     }
@@ -503,7 +551,15 @@
             count -= static_cast<std::uint32_t>(n);
             if (job->is(Shape::service)) alike -= std::min(alike, static_cast<std::uint32_t>(n));
         };
-        housed(plan.place_many(ask, hosts, count).size());
+        // Many services together are worth large machines; to plan them onto small ones that boot for others would only
+        // have those rented again.
+        if (const auto pool =
+                job->is(Shape::service) ? cheapest(*job, hosts, std::max(count, alike), basket, now) : std::nullopt)
+            housed(plan.place_many(at_least(*job, placement::slots(job->spec.need, ledger_.type(pool->type)->capacity)),
+                                   hosts, count)
+                       .size());
+        else
+            housed(plan.place_many(ask, hosts, count).size());
         while (count > 0) {
             const auto pool = cheapest(*job, hosts, std::max(count, alike), basket, now);
             if (!pool) break;
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -63,8 +63,8 @@
       nodes_(std::max<std::size_t>(1, s.nodes)),
       http_(ex, s.state.host, s.state.port, 8),
       watches_(ex, s.state.host, s.state.port, 4),
-      gate_(ex, Budget(rps_ / static_cast<double>(nodes_), write_rps_ / static_cast<double>(nodes_),
-                       steady_clock::now())),
+      gate_(ex,
+            Budget(rps_ / static_cast<double>(nodes_), write_rps_ / static_cast<double>(nodes_), steady_clock::now())),
       demand_share_(1.0 / static_cast<double>(nodes_)) {
     // All controllers together borrow less than the second's burst that the service allows.
     gate_.budget().set_borrowing(write_rps_ * borrowed / static_cast<double>(nodes_));
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -41,7 +41,9 @@
 }
 
 struct Asked {
-    explicit Asked(JobSpec s, const Rules& rules = {}) : spec(std::move(s)) { ask = make_ask(spec, rules, directory()); }
+    explicit Asked(JobSpec s, const Rules& rules = {}) : spec(std::move(s)) {
+        ask = make_ask(spec, rules, directory());
+    }
     JobSpec spec;
     Ask ask;
 };
