--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -118,6 +118,8 @@
     void start_move(const Job& job, std::uint32_t task, placement::Id to, TimePoint now);
     void finish_moves(placement::Planner& plan, TimePoint now, bool& any);
     void move_fetching(placement::Planner& plan, TimePoint now);
+    void shrink(TimePoint now);
+    void uncordon();
     void consolidate(placement::Planner& plan, TimePoint now);
     Machine* sparsest(placement::Planner& plan, TimePoint now);
     std::vector<placement::Id> rehouse(const Machine& m, placement::Planner& plan) const;
@@ -159,7 +161,9 @@
     std::map<std::string, placement::Resources> team_use_;
     std::set<std::string> counts_changed_;
     std::vector<Move> moves_;
-    TimePoint short_at_{};  // when something last had to wait for room
+    TimePoint short_at_{};     // when something last waited
+    TimePoint no_room_at_{};   // when something last found no room in its turn
+    TimePoint spare_since_{};  // since when more room has been spare than is wanted
 };
 
 }  // namespace flintdale::agent
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 bool Overseer::usable(const Machine& m, TimePoint now) const {
-    return m.reported && !m.releasing && !m.retiring && !m.suspect && !m.taken_at && !m.listed_failed &&
+    return m.reported && !m.releasing && !m.retiring && !m.cordoned && !m.suspect && !m.taken_at && !m.listed_failed &&
            now - m.last_report < wire::to_clock(settings_.report * quiet_reports);
 }
 
@@ -346,6 +346,59 @@
     for (const auto& [uid, job] : jobs_)
         if (!job->cancelled && !job->finished && job->waiting()) short_at_ = now;
     consolidate(plan, now);
+    shrink(now);
+}
+
+// The least loaded machine takes the next task, so that in a large fleet none ever gets empty by itself, however little
+// there is to do. Where more room has been spare for a while than the ups and downs of the load need (which in a fleet
+// of n go by the root of n), the dearest of what is spare gets no new work and goes when it is empty.
+void Overseer::shrink(TimePoint now) {
+    if (now < after(no_room_at_, calm)) {
+        spare_since_ = now;
+        return;
+    }
+    struct Spare {
+        double waste, price;
+        Machine* machine;
+    };
+    double total = 0, spare = 0;
+    std::size_t machines = 0;
+    std::vector<Spare> choices;
+    for (auto& [name, m] : ledger_.all()) {
+        const auto* type = ledger_.type(m->type);
+        if (!type || !usable(*m, now)) continue;
+        const double price = m->spot ? type->spot_price : type->price;
+        const double waste = price * (1 - m->in_use());
+        ++machines;
+        total += price;
+        spare += waste;
+        // Services do not end by themselves.
+        if (m->row.standing.cpus <= 0 && now > after(spare_since_, m->again(type->boot) * tunables_.spare_patience))
+            choices.push_back({waste, price, m.get()});
+    }
+    if (machines == 0) return;
+    const double wanted = tunables_.spare + 1 / std::sqrt(static_cast<double>(machines));
+    if (spare <= wanted * total) {
+        spare_since_ = now;
+        return;
+    }
+    std::sort(choices.begin(), choices.end(), [](const Spare& a, const Spare& b) {
+        return a.waste != b.waste ? a.waste > b.waste : a.machine->name < b.machine->name;
+    });
+    auto most = machines / 50 + 1;
+    for (const auto& c : choices) {
+        if (most-- == 0 || spare - c.waste <= wanted * (total - c.price)) break;
+        spdlog::debug("event=cordon machine={} type={} tasks={}", c.machine->name, c.machine->type,
+                      c.machine->tasks.size());
+        c.machine->cordoned = true;
+        spare -= c.waste;
+        total -= c.price;
+    }
+}
+
+// Room is wanted again.
+void Overseer::uncordon() {
+    for (auto& [name, m] : ledger_.all()) m->cordoned = false;
 }
 
 // Makes room for a critical task that found none: stops tasks of arrays of lower rank on the one machine where
@@ -407,7 +460,10 @@
             place_each(*job, plan, coming, now, any);
         if (job->passed_over) preempt(*job, plan, now);
         job->passed_over = job->waiting() > 0;
+        if (job->passed_over) no_room_at_ = now;
     }
+    // What is spare no longer can be used in the next round, which comes in a moment.
+    if (no_room_at_ == now) uncordon();
     return any;
 }
 
@@ -528,7 +584,8 @@
     auto plan = planner(now);
     Basket basket;
     for (const auto& [name, m] : ledger_.all()) {
-        if (!m->reported && !m->releasing && m->row.capacity.cpus > 0 && m->tasks.empty()) plan.add(m->row);
+        const bool coming = !m->reported && m->tasks.empty();
+        if ((coming || m->cordoned) && !m->releasing && m->row.capacity.cpus > 0) plan.add(m->row);
         if (m->row.zone >= basket.per_zone.size()) basket.per_zone.resize(m->row.zone + 1);
         ++basket.per_zone[m->row.zone];
     }
@@ -631,13 +688,8 @@
             if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease)))
                 why = "silent";
             const Seconds idle = now - m->idle_since;
-            // What it would take to have its like again: a boot, or to fetch what it holds where that takes longer.
-            double held_gb = 0;
-            for (const auto& image : m->images) held_gb += image.gb;
-            const double rate = m->row.fetch_gb_per_s;
-            const Seconds again = std::max(boot, Seconds(rate > 0 ? held_gb / rate : 0));
             if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
-                (m->suspect || m->retiring || idle > again * tunables_.idle_boots))
+                (m->suspect || m->retiring || m->cordoned || idle > m->again(boot) * tunables_.idle_boots))
                 why = "idle";
         }
         if (!why) continue;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -208,6 +208,8 @@
         {"fleet.silent_s", seconds_into(t.silent, 1, 3600)},
         {"fleet.boot_patience", amount_into(t.boot_patience, 1, 100)},
         {"fleet.idle_boots", amount_into(t.idle_boots, 0, 100)},
+        {"fleet.spare", amount_into(t.spare, 0, 1)},
+        {"fleet.spare_patience", amount_into(t.spare_patience, 0, 1000)},
         {"fleet.horizon", amount_into(t.horizon, 0.05, 10)},
         {"fleet.dear", amount_into(t.dear, 1, 1000)},
         {"fleet.sparse", amount_into(t.sparse, 1, 1000)},
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -16,6 +16,18 @@
     update_row();
 }
 
+wire::Seconds Machine::again(wire::Seconds boot) const {
+    double held_gb = 0;
+    for (const auto& image : images) held_gb += image.gb;
+    return std::max(boot, wire::Seconds(row.fetch_gb_per_s > 0 ? held_gb / row.fetch_gb_per_s : 0));
+}
+
+double Machine::in_use() const {
+    const auto share = [](double free, double capacity) { return capacity > 0 ? 1 - free / capacity : 0; };
+    return std::max({share(row.free.cpus, row.capacity.cpus), share(row.free.gpus, row.capacity.gpus),
+                     share(row.free.memory_gb, row.capacity.memory_gb)});
+}
+
 void Machine::update_row() {
     row.images.clear();
     for (const auto& e : images) row.images.push_back(e.id);
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -34,6 +34,7 @@
     bool listed_failed = false;
     bool releasing = false;  // a release was sent, which may be carried out at any time: never used again
     bool retiring = false;   // its tasks are moved away, and then it is returned
+    bool cordoned = false;   // spare: gets no new work while there is room elsewhere, and goes when it is empty
     bool suspect = false;    // several jobs failed on it
 
     placement::Host row;             // of the load table, kept up to date with what follows
@@ -53,6 +54,10 @@
     std::map<TaskKey, Fetch> fetching;  // tasks that wait for their image here
 
     void used_image(const Image& image, double cache_gb);
+    // What it would take to have its like again: a boot, or to fetch what it holds where that takes longer.
+    wire::Seconds again(wire::Seconds boot) const;
+    // The share of it that is in use, by the resource that is used most.
+    double in_use() const;
     // After a change of its images or of what it fetches.
     void update_row();
 };
