--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -377,7 +377,7 @@
             choices.push_back({waste, price, m.get()});
     }
     if (machines == 0) return;
-    const double wanted = tunables_.spare + 1 / std::sqrt(static_cast<double>(machines));
+    const double wanted = tunables_.spare + 2 / std::sqrt(static_cast<double>(machines));
     if (spare <= wanted * total) {
         spare_since_ = now;
         return;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,6 +1,7 @@
 #include "placement/planner.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace flintdale::placement {
 
@@ -248,29 +249,33 @@
 std::vector<std::size_t> Planner::place_together(const Ask& ask, JobHosts& job, std::size_t count,
                                                  std::optional<Id> only_zone) {
     const auto attempt = [&](std::optional<Id> zone) {
-        std::vector<std::size_t> out;
+        Together out;
         if (room_in(ask, job, count, zone) < count) return out;  // most attempts end here, having cost one scan
         auto trial_job = job;
         Trial trial(*this);
-        out = place_in(ask, trial_job, count, zone);
-        if (out.size() == count) {
-            trial.keep();
-            job = std::move(trial_job);
-        } else {
-            out.clear();
-        }
+        out.places = place_in(ask, trial_job, count, zone);
+        if (out.places.size() < count) out.places.clear();
+        // Rows as they were before: what was placed there first had to wait longest.
+        for (const auto& [i, before] : trial.before_)
+            out.wait = std::max(out.wait, before.image_wait(ask.image, ask.spec->image_gb));
         return out;
     };
-    if (!ask.spec->one_zone || only_zone || job.anywhere()) return attempt(only_zone);
-    // The zone of the first choice may lack room for all.
-    std::map<Id, char> tried;
-    std::vector<std::size_t> out;
-    for (const auto& h : hosts_) {
-        if (!tried.emplace(h.zone, 0).second) continue;
-        out = attempt(h.zone);
-        if (!out.empty()) break;
+    Together best;
+    if (!ask.spec->one_zone || only_zone || job.anywhere()) {
+        best = attempt(only_zone);
+    } else {
+        // All start together, so the zone is best whose last machine has the image soonest.
+        std::set<Id> tried;
+        for (std::size_t i = 0; i < hosts_.size(); ++i) {
+            if (!tried.insert(hosts_[i].zone).second) continue;
+            auto other = attempt(hosts_[i].zone);
+            if (!other.places.empty() && (best.places.empty() || other.wait < best.wait)) best = std::move(other);
+        }
     }
-    return out;
+    if (best.places.empty()) return {};
+    mark(job);
+    for (const auto i : best.places) put(i, ask, job);
+    return best.places;
 }
 
 void Planner::hold_for(const Ask& ask, std::size_t count) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -153,6 +153,12 @@
         auto operator<=>(const Order&) const = default;
     };
 
+    // A way to place all tasks of a gang.
+    struct Together {
+        std::vector<std::size_t> places;
+        Seconds wait{0};  // until the last of its machines has the image
+    };
+
     bool candidate(const Ask& ask, const JobHosts& job, const Host& host) const;
     Order order(const Ask& ask, std::size_t i) const;
     // Notes which rows are the job's own and which are excluded, for the scans that follow.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -131,6 +131,17 @@
     EXPECT_EQ(p.place_together(Asked(s).ask, job, 2), (std::vector<std::size_t>{1, 2}));
 }
 
+TEST(Placement, a_one_zone_gang_goes_where_its_last_machine_has_the_image_soonest) {
+    std::vector<Host> hosts{host(1, 2, 90, 0, "a"), host(2, 2, 90, 0, "a"), host(3, 2, 90, 0, "b"), host(4, 2, 90, 0, "b")};
+    for (const auto i : {0, 2, 3}) hosts[static_cast<std::size_t>(i)].images.push_back(directory().image("image"));
+    Planner p(hosts, 0.1);
+    auto s = spec(2, 50);
+    s.one_zone = true;
+    JobHosts job;
+    EXPECT_EQ(p.place_together(Asked(s).ask, job, 2), (std::vector<std::size_t>{2, 3}));
+    EXPECT_EQ(job.in_zone(directory().zone("b")), 2u);
+}
+
 TEST(Placement, a_spread_job_puts_at_most_half_rounded_up_in_a_zone) {
     Planner p({host(1, 8, 900, 0, "a"), host(2, 8, 900, 0, "b")}, 0.1);
     auto s = spec(1, 10);
