--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -124,15 +124,7 @@
     Machine* sparsest(placement::Planner& plan, TimePoint now);
     std::vector<placement::Id> rehouse(const Machine& m, placement::Planner& plan) const;
     placement::JobHosts hosts_without(const Job& job, std::uint32_t task) const;
-    // Machines that were rented and are not up yet, and when they should be.
-    struct Booting {
-        placement::Host row;
-        Seconds ready{0};  // from now
-    };
-    std::vector<Booting> booting(TimePoint now) const;
-    void place_each(Job& job, placement::Planner& plan, std::vector<Booting>& booting, TimePoint now, bool& any);
-    std::uint32_t better_later(const Job& job, const placement::Planner& plan, const placement::JobHosts& hosts,
-                               std::uint32_t tasks, std::vector<Booting>& booting) const;
+    void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     // The job's wishes, but for machines that hold fewer such tasks.
     placement::Ask at_least(const Job& job, unsigned slots) const;
     void preempt(Job& job, const placement::Planner& plan, TimePoint now);
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -152,10 +152,9 @@
     any = true;
 }
 
-void Overseer::place_each(Job& job, Planner& plan, std::vector<Booting>& booting, TimePoint now, bool& any) {
+void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
     auto hosts = hosts_of(job);
-    auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
-    if (job.is(Shape::service)) most -= better_later(job, plan, hosts, most, booting);
+    const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
     for (const auto at : plan.place_many(ask_of(job), hosts, most)) {
         const auto i = take_waiting(job);
         set_placed(job, i, *ledger_.at(plan.host(at).slot), job.tasks[i].attempt + 1, now);
@@ -164,18 +163,6 @@
     }
 }
 
-std::vector<Overseer::Booting> Overseer::booting(TimePoint now) const {
-    std::vector<Booting> out;
-    for (const auto& [name, m] : ledger_.all()) {
-        const auto* type = ledger_.type(m->type);
-        if (!type || m->reported || m->releasing || !m->tasks.empty()) continue;
-        const Seconds ready = type->boot - Seconds(now - m->known_since);
-        // One that is late may never come up.
-        if (ready > type->boot * -0.3) out.push_back({m->row, std::max(ready, Seconds(0))});
-    }
-    return out;
-}
-
 placement::Ask Overseer::at_least(const Job& job, unsigned slots) const {
     auto ask = ask_of(job);
     const auto& pools = ledger_.directory().pools();
@@ -186,30 +173,6 @@
     return ask;
 }
 
-// How many of a service's tasks had better wait for large machines that are on their way: those that would fill small
-// ones, which gangs need whole, and would hardly start sooner there.
-std::uint32_t Overseer::better_later(const Job& job, const Planner& plan, const JobHosts& hosts, std::uint32_t tasks,
-                                     std::vector<Booting>& booting) const {
-    if (tasks == 0 || booting.empty()) return 0;
-    const auto& ask = ask_of(job);
-    const auto at = plan.peek(ask, hosts);
-    if (at == Planner::none) return 0;
-    const auto& here = plan.host(at);
-    const auto small = placement::slots(job.spec.need, here.capacity);
-    const auto limit = here.image_wait(ask.image, job.spec.image_gb) + tunables_.large_wait;
-    std::uint32_t out = 0;
-    for (auto& b : booting) {
-        if (!ask.takes(b.row.pool) || placement::slots(job.spec.need, b.row.capacity) <= small) continue;
-        if (b.ready + b.row.image_wait(ask.image, job.spec.image_gb) > limit) continue;
-        while (out < tasks && placement::fits(job.spec.need, b.row.free)) {
-            placement::take(b.row.free, job.spec.need);
-            ++out;
-        }
-        if (out == tasks) break;
-    }
-    return out;
-}
-
 // A new leader hears one round of reports first: until then it does not know the load. If no work was on record
 // when it began, there is no load to hear of.
 bool Overseer::round_heard(TimePoint now) const {
@@ -362,6 +325,7 @@
         Machine* machine;
     };
     double total = 0, spare = 0;
+    Seconds again{0};  // summed over all
     std::size_t machines = 0;
     std::vector<Spare> choices;
     for (auto& [name, m] : ledger_.all()) {
@@ -372,9 +336,9 @@
         ++machines;
         total += price;
         spare += waste;
+        again += m->again(type->boot);
         // Services do not end by themselves.
-        if (m->row.standing.cpus <= 0 && now > after(spare_since_, m->again(type->boot) * tunables_.spare_patience))
-            choices.push_back({waste, price, m.get()});
+        if (m->row.standing.cpus <= 0) choices.push_back({waste, price, m.get()});
     }
     if (machines == 0) return;
     const double wanted = tunables_.spare + 2 / std::sqrt(static_cast<double>(machines));
@@ -382,6 +346,12 @@
         spare_since_ = now;
         return;
     }
+    // Where images take long, room is also what lets them be fetched side by side.
+    again /= static_cast<double>(machines);
+    std::erase_if(choices, [&](const Spare& c) {
+        const auto own = c.machine->again(ledger_.type(c.machine->type)->boot);
+        return now < after(spare_since_, std::max(own, again) * tunables_.spare_patience);
+    });
     std::sort(choices.begin(), choices.end(), [](const Spare& a, const Spare& b) {
         return a.waste != b.waste ? a.waste > b.waste : a.machine->name < b.machine->name;
     });
@@ -452,12 +422,11 @@
     bool any = false;
     auto plan = planner(now);
     finish_moves(plan, now, any);
-    auto coming = booting(now);
     for (auto* job : queue(now, true)) {
         if (job->is(Shape::gang))
             place_gang(*job, plan, now, any);
         else
-            place_each(*job, plan, coming, now, any);
+            place_each(*job, plan, now, any);
         if (job->passed_over) preempt(*job, plan, now);
         job->passed_over = job->waiting() > 0;
         if (job->passed_over) no_room_at_ = now;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -203,7 +203,6 @@
     const std::map<std::string, std::function<void(const std::string&, const std::string&)>> known{
         {"placement.window_s", seconds_into(t.window, 0.1, 600)},
         {"placement.memory_margin", amount_into(t.memory_margin, 0, 10)},
-        {"placement.large_wait_s", seconds_into(t.large_wait, 0, 600)},
         {"placement.ageing", amount_into(t.ageing, 0, 1000)},
         {"fleet.silent_s", seconds_into(t.silent, 1, 3600)},
         {"fleet.boot_patience", amount_into(t.boot_patience, 1, 100)},
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -75,7 +75,6 @@
     double sparse = 2.5;  // times the cheapest price a service's slot may cost before services are moved together
     double spare = 0.1;   // share of the fleet's price that may be spare, beyond two in the root of its machines
     double spare_patience = 1.0;  // times what having its like again takes that a spare machine is kept
-    Seconds large_wait{12};       // later that a service may start for the sake of a large machine on its way
     Seconds election_lease{2.5};  // how long the leader's claim outlives its last renewal
     std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
 };
