--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -134,7 +134,6 @@
     struct Basket;
     std::optional<fleet::Pool> cheapest(const Job& job, const placement::JobHosts& hosts, std::uint32_t count,
                                         const Basket& basket, TimePoint now) const;
-    double freeing(const wire::MachineType& type) const;
     std::size_t put_in(Basket& basket, const fleet::Pool& pool, placement::Planner& plan) const;
     void rent_for_gang(const Job& job, Basket& basket, placement::Planner& plan, TimePoint now) const;
 
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -30,8 +30,8 @@
 constexpr auto preempt_gap = 10s;    // enough for what was stopped to go and for its room to be taken
 constexpr std::int64_t merged_window = -1;
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
-constexpr double counted_on = 0.5;      // share of what should free in time that waiting arrays count on
-constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
+constexpr double nearly_all = 0.95;     // of the machines with work, that a new leader wants to have heard
+constexpr double quiet_reports = 2.2;   // report intervals after which a machine gets no new work
 
 TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
@@ -179,7 +179,13 @@
 // when it began, there is no load to hear of.
 bool Overseer::round_heard(TimePoint now) const {
     if (!inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms)) return true;
-    return std::all_of(ledger_.all().begin(), ledger_.all().end(), [](const auto& m) { return m.second->current; });
+    // Workers hurry to a higher term. Some are gone for good, and the rest need not wait for those.
+    double working = 0, heard = 0;
+    for (const auto& [name, m] : ledger_.all()) {
+        working += !m->tasks.empty();
+        heard += !m->tasks.empty() && m->reported;
+    }
+    return heard >= working * nearly_all;
 }
 
 // --- moves ---
@@ -463,7 +469,6 @@
 // What one round of renting has put together.
 struct Overseer::Basket {
     std::map<fleet::Pool, int> ordered;
-    double waiting = 0;  // tasks of arrays that came before in the queue and found no room
     std::vector<unsigned> per_zone;  // machines there, ordered ones included
 };
 
@@ -507,15 +512,6 @@
     return best;
 }
 
-// Tasks of arrays that should end before a machine of that type could be up, and leave their room to the next.
-double Overseer::freeing(const wire::MachineType& type) const {
-    double out = 0;
-    for (const auto& [uid, job] : jobs_)
-        if (job->is(Shape::array) && job->spec.estimate.count() > 0)
-            out += job->running * std::min(1.0, type.boot / job->spec.estimate);
-    return out * counted_on;
-}
-
 // Puts one machine more into the basket and into the plan.
 std::size_t Overseer::put_in(Basket& basket, const fleet::Pool& pool, Planner& plan) const {
     const auto* type = ledger_.type(pool.type);
@@ -571,12 +567,6 @@
         ++basket.per_zone[m->row.zone];
     }
     const auto waiting = queue(now, false);
-    std::map<std::string, double> freeing_soon;
-    const auto freeing_by = [&](const std::string& type) {
-        const auto [it, fresh] = freeing_soon.try_emplace(type, 0);
-        if (fresh) it->second = freeing(*ledger_.type(type));
-        return it->second;
-    };
     // Services come one by one as well as many to a job: what counts is how many of a class wait together.
     std::map<std::string, std::uint32_t> services;
     for (const auto* job : waiting)
@@ -604,22 +594,12 @@
                        .size());
         else
             housed(plan.place_many(ask, hosts, count).size());
-        if (job->is(Shape::array)) basket.waiting += count;
-        bool limited = false;
         while (count > 0) {
             const auto pool = cheapest(*job, hosts, std::max(count, alike), basket, now);
             if (!pool) break;
-            // Ordinary machines are for what does not find room before they are up.
-            if (job->is(Shape::array) && job->spec.spot && !pool->spot && !limited) {
-                limited = true;
-                const auto surplus = basket.waiting - freeing_by(pool->type);
-                if (surplus <= 0) break;
-                count = std::min(count, static_cast<std::uint32_t>(std::ceil(surplus)));
-            }
             const auto n = plan.place_at(put_in(basket, *pool, plan), ask, hosts, count);
             if (n == 0) break;
             housed(n);
-            if (job->is(Shape::array)) basket.waiting -= static_cast<double>(n);
         }
     }
     std::vector<fleet::Order> out;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -132,7 +132,8 @@
 }
 
 TEST(Placement, a_one_zone_gang_goes_where_its_last_machine_has_the_image_soonest) {
-    std::vector<Host> hosts{host(1, 2, 90, 0, "a"), host(2, 2, 90, 0, "a"), host(3, 2, 90, 0, "b"), host(4, 2, 90, 0, "b")};
+    std::vector<Host> hosts{host(1, 2, 90, 0, "a"), host(2, 2, 90, 0, "a"), host(3, 2, 90, 0, "b"),
+                            host(4, 2, 90, 0, "b")};
     for (const auto i : {0, 2, 3}) hosts[static_cast<std::size_t>(i)].images.push_back(directory().image("image"));
     Planner p(hosts, 0.1);
     auto s = spec(2, 50);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -323,6 +323,28 @@
     EXPECT_EQ(machine_of("run-1", 0), "n-000001");
 }
 
+// In a large fleet some machine is always gone; to wait the whole round for it cost every hand-over seconds.
+TEST_F(Story, leader_a_new_one_places_when_nearly_all_machines_with_work_have_reported) {
+    elect();
+    auto whole = job("run-1", Shape::array, 20);
+    whole.need = {8, 2, 40};
+    accept(whole);
+    settle();
+    std::vector<Worker> workers;
+    for (int i = 0; i < 20; ++i)
+        workers.push_back(machine("n-00010" + std::string(1, static_cast<char>('a' + i)), "a"));
+    for (auto& w : workers) meet(w);
+    ASSERT_TRUE(place());
+    accept(job("run-2", Shape::array, 1));
+    elect();
+    meet(m1);  // it has room, and no work on record
+    for (int i = 0; i < 18; ++i) beat(workers[static_cast<std::size_t>(i)]);
+    EXPECT_FALSE(place());
+    beat(workers[18]);
+    EXPECT_TRUE(place());
+    EXPECT_EQ(machine_of("run-2", 0), "n-000001");
+}
+
 TEST_F(Story, gang_a_task_lost_before_the_start_is_replaced_under_the_same_attempt) {
     elect();
     auto third = machine("n-000003", "b");
