--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -363,13 +363,18 @@
     } else if (job.cancelled || t.draining || job.finished || (job.is(Shape::gang) && job.gang_failing)) {
         // Either no `run` was sent, or this report is newer than the answer that carried it.
         leave(job, task, State::waiting, now);
-    } else if (job.durable(task) && !m.releasing && orders.size() < max_orders) {
-        // The intent is on record, so a leader after this one knows where to look for the task.
-        t.sent = true;
-        orders.push_back({Verb::run, {job.spec.uid, task}, t.attempt, Seconds(0)});
+    } else {
+        order_run(job, task, m, orders);
     }
 }
 
+void Overseer::order_run(Job& job, std::uint32_t task, const Machine& m, std::vector<Order>& orders) {
+    if (!job.durable(task) || m.releasing || orders.size() >= max_orders) return;
+    // The intent is on record, so a leader after this one knows where to look for the task.
+    job.tasks[task].sent = true;
+    orders.push_back({Verb::run, {job.spec.uid, task}, job.tasks[task].attempt, Seconds(0)});
+}
+
 std::optional<std::vector<Order>> Overseer::report(const wire::WorkerReport& r, TimePoint now) {
     if (ledger_.gone(r.machine)) return std::nullopt;
     auto& m = ledger_.add(r.machine, r.type, r.zone, r.spot, now);
@@ -447,6 +452,30 @@
     return orders;
 }
 
+Overseer::Prospect Overseer::prospect(const wire::WorkerReport& r, std::uint64_t passes) const {
+    const auto* m = ledger_.find(r.machine);
+    if (!m || !m->current || m->releasing || std::pair(m->tenure, m->tick) != std::pair(r.tenure, r.tick))
+        return Prospect::nothing;
+    for (const auto& [uid, i] : m->tasks)
+        if (const auto* j = job(uid); j && !j->tasks[i].sent && !j->tasks[i].seen && !j->tasks[i].draining)
+            return Prospect::a_write;
+    return waiting_ && passes == passes_ && !m->cordoned && m->in_use() < 1 ? Prospect::a_plan : Prospect::nothing;
+}
+
+std::vector<Order> Overseer::runs(const wire::WorkerReport& r) {
+    std::vector<Order> out;
+    auto* m = ledger_.find(r.machine);
+    if (!m || !m->current || std::pair(m->tenure, m->tick) != std::pair(r.tenure, r.tick)) return out;
+    const auto tasks = m->tasks;
+    for (const auto& [uid, i] : tasks) {
+        auto* job = find(uid);
+        if (!job || job->cancelled || job->finished || (job->is(Shape::gang) && job->gang_failing)) continue;
+        const auto& t = job->tasks[i];
+        if (!t.sent && !t.seen && !t.draining) order_run(*job, i, *m, out);
+    }
+    return out;
+}
+
 std::size_t Overseer::machines_up(TimePoint now) const {
     std::size_t n = 0;
     for (const auto& [name, m] : ledger_.all()) n += usable(*m, now);
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -42,6 +42,14 @@
     void job_changed(const state::Item& item, TimePoint now);
     // A report, and the orders that answer it; nothing if it is older than what is known or must not be answered.
     std::optional<std::vector<wire::Order>> report(const wire::WorkerReport& r, TimePoint now);
+    // What to expect for a worker whose report was just heard and is not answered yet.
+    enum class Prospect : std::uint8_t { nothing, a_plan, a_write };
+    // a_write: tasks placed there are not on record yet; a_plan: it has room, and work waits that was not planned since
+    // that many passes.
+    Prospect prospect(const wire::WorkerReport& r, std::uint64_t passes) const;
+    std::uint64_t passes() const { return passes_; }
+    // Runs of tasks placed since that report, for its answer; none if the worker has reported again meanwhile.
+    std::vector<wire::Order> runs(const wire::WorkerReport& r);
     void catalog(std::vector<wire::MachineType> types);
     void listed(const std::vector<wire::ListedMachine>& machines, TimePoint now);
     void rented(const fleet::Pool& pool, const std::vector<std::string>& machines, TimePoint now);
@@ -101,6 +109,7 @@
     void held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<wire::Order>& orders,
               TimePoint now);
     void absent(Job& job, std::uint32_t task, Machine& m, std::vector<wire::Order>& orders, TimePoint now);
+    void order_run(Job& job, std::uint32_t task, const Machine& m, std::vector<wire::Order>& orders);
     bool usable(const Machine& m, TimePoint now) const;
     const placement::Ask& ask_of(const Job& job) const;
     placement::JobHosts hosts_of(const Job& job) const;
@@ -153,9 +162,11 @@
     std::map<std::string, placement::Resources> team_use_;
     std::set<std::string> counts_changed_;
     std::vector<Move> moves_;
-    TimePoint short_at_{};     // when something last waited
-    TimePoint no_room_at_{};   // when something last found no room in its turn
-    TimePoint spare_since_{};  // since when more room has been spare than is wanted
+    std::uint64_t passes_ = 0;  // of placing, so far
+    bool waiting_ = false;      // something found no room in the last one
+    TimePoint short_at_{};      // when something last waited
+    TimePoint no_room_at_{};    // when something last found no room in its turn
+    TimePoint spare_since_{};   // since when more room has been spare than is wanted
 };
 
 }  // namespace flintdale::agent
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -428,6 +428,8 @@
     mark_due(now);
     if (!round_heard(now)) return false;
     bool any = false;
+    ++passes_;
+    waiting_ = false;
     auto plan = planner(now);
     finish_moves(plan, now, any);
     for (auto* job : queue(now, true)) {
@@ -437,7 +439,10 @@
             place_each(*job, plan, now, any);
         if (job->passed_over) preempt(*job, plan, now);
         job->passed_over = job->waiting() > 0;
-        if (job->passed_over) no_room_at_ = now;
+        if (job->passed_over) {
+            no_room_at_ = now;
+            waiting_ = true;
+        }
     }
     // What is spare no longer can be used in the next round, which comes in a moment.
     if (no_room_at_ == now) uncordon();
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -15,6 +15,8 @@
 namespace {
 constexpr std::chrono::milliseconds follow_hold{1000};
 constexpr auto plan_gap = 200ms;
+constexpr auto hold_step = 60ms;
+constexpr auto hold_for_plan = 420ms, hold_for_write = 1200ms;  // that an answer to a worker may wait for work
 constexpr int max_tries = 30;
 constexpr auto stall = 2500ms;  // between two turns of the planning loop, which are due within one second
 }  // namespace
@@ -77,6 +79,18 @@
         stir_ = true;
         plan_.notify();
     }
+    // Orders travel in answers only, and the next report may be seconds away: where this one has made room, or a
+    // placement is just being written, the answer waits a moment to carry the run. Workers wait for four seconds.
+    const auto passes = overseer_.passes();
+    using Prospect = agent::Overseer::Prospect;
+    for (auto held = 0ms; orders->empty(); held += hold_step) {
+        const auto prospect = overseer_.prospect(r, passes);
+        if (prospect == Prospect::nothing || held >= (prospect == Prospect::a_write ? hold_for_write : hold_for_plan))
+            break;
+        co_await net::sleep_for(hold_step);
+        if (!entitled(Clock::now())) co_return std::nullopt;
+        *orders = overseer_.runs(r);
+    }
     co_return wire::report_answer(term_, *orders);
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -345,6 +345,43 @@
     EXPECT_EQ(machine_of("run-2", 0), "n-000001");
 }
 
+// Orders travel in answers only. Where a report makes room, its own answer may still carry the next run.
+TEST_F(Story, report_an_answer_that_waits_carries_what_was_placed_meanwhile_unless_a_newer_report_came) {
+    using Prospect = agent::Overseer::Prospect;
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});  // fills the machine
+    accept(job("run-2", Shape::array, 1));
+    settle();
+    beat(m1);
+    EXPECT_FALSE(place());
+    m1.finish("run-1", 0, Cause::done);
+    const auto report = m1.report();
+    ASSERT_TRUE(leader->report(report, now)->empty());
+    const auto passes = leader->passes();
+    EXPECT_EQ(leader->prospect(report, passes), Prospect::a_plan);
+    ASSERT_TRUE(leader->place(now));
+    EXPECT_EQ(leader->prospect(report, passes), Prospect::a_write);
+    EXPECT_TRUE(leader->runs(report).empty()) << "not on record yet";
+    commit();
+    const auto newer = m1.report();
+    leader->report(newer, now);
+    EXPECT_TRUE(leader->runs(report).empty()) << "that answer would come too late";
+    EXPECT_EQ(leader->prospect(newer, passes), Prospect::nothing) << "the newer report's answer has it";
+}
+
+TEST_F(Story, report_a_waiting_answer_carries_no_run_of_a_job_cancelled_meanwhile) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    settle();
+    meet(m1);
+    const auto report = m1.report();
+    leader->report(report, now);
+    ASSERT_TRUE(place());
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    EXPECT_TRUE(leader->runs(report).empty());
+}
+
 TEST_F(Story, gang_a_task_lost_before_the_start_is_replaced_under_the_same_attempt) {
     elect();
     auto third = machine("n-000003", "b");
