--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -31,7 +31,8 @@
       rules_{tunables.memory_margin, tunables.groups},
       term_(term),
       term_stamp_(term_stamp),
-      since_(now) {}
+      since_(now),
+      spare_since_(now) {}
 
 // --- jobs ---
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -382,6 +382,33 @@
     EXPECT_TRUE(leader->runs(report).empty());
 }
 
+// A leader that had just begun took the machines of the start for long spare, and returned 66 before the first job.
+TEST_F(Story, fleet_spare_machines_go_only_after_they_were_spare_for_a_while_under_this_leader) {
+    elect();
+    std::vector<Worker> workers;
+    for (int i = 0; i < 20; ++i)
+        workers.push_back(machine("n-00010" + std::string(1, static_cast<char>('a' + i)), "a"));
+    const auto all_report = [&] {
+        for (auto& w : workers)
+            if (!leader->ledger().gone(w.name)) beat(w);
+    };
+    all_report();
+    leader->improve(now);
+    EXPECT_TRUE(returns().empty());
+    for (int i = 0; i < 9; ++i) {  // 27 s, less than a boot
+        pass(3s);
+        all_report();
+        leader->improve(now);
+    }
+    EXPECT_TRUE(returns().empty());
+    for (int i = 0; i < 3; ++i) {
+        pass(3s);
+        all_report();
+        leader->improve(now);
+    }
+    EXPECT_FALSE(returns().empty());
+}
+
 TEST_F(Story, gang_a_task_lost_before_the_start_is_replaced_under_the_same_attempt) {
     elect();
     auto third = machine("n-000003", "b");
