--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -49,7 +49,7 @@
     std::uint32_t fresh = 0;          // tasks from here on were never placed
     std::int64_t window = 0;
     bool passed_over = false;  // when its turn came, not all of it found room
-    TimePoint arrived{}, eligible_at{}, cancelled_at{}, preempt_again{};
+    TimePoint arrived{}, eligible_at{}, cancelled_at{}, preempt_again{}, room_made_by{};
 
     // Gangs only.
     std::uint64_t gang_attempt = 0;
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -136,6 +136,13 @@
     void place_each(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     // The job's wishes, but for machines that hold fewer such tasks.
     placement::Ask at_least(const Job& job, unsigned slots) const;
+    // Array tasks of lower rank on that machine to stop so that one task of the job fits, least loss first; empty if
+    // that is not enough. The loss includes the wait for the image there.
+    std::vector<TaskKey> victims(const Job& job, const Machine& m, const placement::Planner& plan,
+                                 const placement::JobHosts& hosts, TimePoint now, Seconds& loss) const;
+    void stop_for(const Job& job, const std::vector<TaskKey>& tasks);
+    std::uint32_t room_with_image(Job& job, const placement::Planner& plan, const placement::JobHosts& hosts,
+                                  std::uint32_t tasks, TimePoint now);
     void preempt(Job& job, const placement::Planner& plan, TimePoint now);
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
--- a/src/agent/overseer_plan.cpp
+++ b/src/agent/overseer_plan.cpp
@@ -155,14 +155,26 @@
 }
 
 void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
+    const auto& ask = ask_of(job);
     auto hosts = hosts_of(job);
-    const auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
-    for (const auto at : plan.place_many(ask_of(job), hosts, most)) {
+    auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
+    const auto put = [&](std::size_t at) {
         const auto i = take_waiting(job);
         set_placed(job, i, *ledger_.at(plan.host(at).slot), job.tasks[i].attempt + 1, now);
         touch(job, i, Write::at_once, now);
         any = true;
+    };
+    if (now < job.room_made_by) {
+        // Room is being made for the rest of the job: nothing else will do until then.
+        for (; most > 0; --most) {
+            const auto at = plan.peek(ask, hosts);
+            if (at == Planner::none || !plan.host(at).has(ask.image) || !plan.place_at(at, ask, hosts, 1)) return;
+            put(at);
+        }
+        return;
     }
+    most -= room_with_image(job, plan, hosts, most, now);
+    for (const auto at : plan.place_many(ask, hosts, most)) put(at);
 }
 
 placement::Ask Overseer::at_least(const Job& job, unsigned slots) const {
@@ -379,6 +391,41 @@
     for (auto& [name, m] : ledger_.all()) m->cordoned = false;
 }
 
+std::vector<TaskKey> Overseer::victims(const Job& job, const Machine& m, const Planner& plan, const JobHosts& hosts,
+                                       TimePoint now, Seconds& loss) const {
+    const auto& ask = ask_of(job);
+    auto host = m.row;
+    std::vector<std::pair<Seconds, TaskKey>> stoppable;
+    for (const auto& key : m.tasks) {
+        const auto* other = this->job(key.first);
+        if (!other || other->spec.rank >= job.spec.rank || !other->is(Shape::array)) continue;
+        const auto& t = other->tasks[key.second];
+        if (t.draining) continue;
+        const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
+        stoppable.emplace_back(other->spec.checkpoint.count() > 0 ? std::min(other->spec.save, ran) : ran, key);
+    }
+    std::sort(stoppable.begin(), stoppable.end());
+    std::vector<TaskKey> out;
+    loss = host.image_wait(ask.image, job.spec.image_gb);
+    for (const auto& [lost, key] : stoppable) {
+        if (plan.would_take(host, ask, hosts)) break;
+        placement::give(host.free, this->job(key.first)->spec.need);
+        --host.load;
+        loss += lost;
+        out.push_back(key);
+    }
+    if (!plan.would_take(host, ask, hosts)) out.clear();
+    return out;
+}
+
+void Overseer::stop_for(const Job& job, const std::vector<TaskKey>& tasks) {
+    for (const auto& [uid, i] : tasks) {
+        auto& t = find(uid)->tasks[i];
+        spdlog::info("event=preempt task={}/{} machine={} for={}", uid, i, t.machine->name, job.spec.uid);
+        t.draining = true;
+    }
+}
+
 // Makes room for a critical task that found none: stops tasks of arrays of lower rank on the one machine where
 // that loses the least work. What is stopped can never do the same in turn, so this cannot go on in circles.
 void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
@@ -390,38 +437,47 @@
     Seconds best_loss{0};
     for (const auto& [name, m] : ledger_.all()) {
         if (!usable(*m, now) || !m->current || !ask.takes(m->row.pool)) continue;
-        auto host = m->row;
-        std::vector<std::pair<Seconds, TaskKey>> stoppable;
-        for (const auto& key : m->tasks) {
-            const auto* other = this->job(key.first);
-            if (!other || other->spec.rank >= job.spec.rank || !other->is(Shape::array)) continue;
-            const auto& t = other->tasks[key.second];
-            const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
-            stoppable.emplace_back(other->spec.checkpoint.count() > 0 ? other->spec.save : ran, key);
-        }
-        std::sort(stoppable.begin(), stoppable.end());
-        std::vector<TaskKey> victims;
-        Seconds loss = host.image_wait(ask.image, job.spec.image_gb);
-        for (const auto& [lost, key] : stoppable) {
-            if (plan.would_take(host, ask, hosts)) break;
-            placement::give(host.free, this->job(key.first)->spec.need);
-            --host.load;
-            loss += lost;
-            victims.push_back(key);
-        }
-        if (victims.empty() || !plan.would_take(host, ask, hosts)) continue;
-        if (best.empty() || loss < best_loss) {
-            best = std::move(victims);
-            best_loss = loss;
-        }
+        Seconds loss{0};
+        auto found = victims(job, *m, plan, hosts, now, loss);
+        if (found.empty() || (!best.empty() && loss >= best_loss)) continue;
+        best = std::move(found);
+        best_loss = loss;
     }
     if (best.empty()) return;
     job.preempt_again = now + preempt_gap;
-    for (const auto& [uid, i] : best) {
-        auto& t = find(uid)->tasks[i];
-        spdlog::info("event=preempt task={}/{} machine={} for={}", uid, i, t.machine->name, job.spec.uid);
-        t.draining = true;
-    }
+    stop_for(job, best);
+}
+
+// How many tasks of a critical service wait for room that is being made on machines that have its image. Where there is
+// room now the image may take minutes; to stop a task of an array that saves costs seconds.
+std::uint32_t Overseer::room_with_image(Job& job, const Planner& plan, const JobHosts& hosts, std::uint32_t tasks,
+                                        TimePoint now) {
+    if (job.spec.rank != Rank::critical || !job.is(Shape::service) || tasks == 0) return 0;
+    const auto& ask = ask_of(job);
+    const auto at = plan.peek(ask, hosts);
+    if (at == Planner::none) return 0;
+    const auto wait = plan.host(at).image_wait(ask.image, job.spec.image_gb);
+    const Seconds until_free = settings_.report * 1.25 + wire::Seconds(3);
+    if (wait < until_free * 3) return 0;
+    if (job.room_made_by != TimePoint{}) return 0;  // it is tried once
+    struct Room {
+        Seconds loss;
+        std::vector<TaskKey> tasks;
+    };
+    std::vector<Room> rooms;
+    for (const auto& [name, m] : ledger_.all()) {
+        if (!m->row.has(ask.image) || !usable(*m, now) || !m->current || !ask.takes(m->row.pool)) continue;
+        Room room;
+        room.tasks = victims(job, *m, plan, hosts, now, room.loss);
+        if (!room.tasks.empty() && (room.loss + until_free) * 2 < wait) rooms.push_back(std::move(room));
+    }
+    if (rooms.empty()) return 0;
+    std::sort(rooms.begin(), rooms.end(),
+              [](const Room& a, const Room& b) { return a.loss != b.loss ? a.loss < b.loss : a.tasks < b.tasks; });
+    if (rooms.size() > tasks) rooms.resize(tasks);
+    for (const auto& room : rooms) stop_for(job, room.tasks);
+    job.room_made_by = after(now, until_free);
+    return static_cast<std::uint32_t>(rooms.size());
 }
 
 bool Overseer::place(TimePoint now) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -36,6 +36,22 @@
         for (auto* w : workers) w->run_all();
         for (auto* w : workers) beat(*w);
     }
+    static wire::JobSpec replica(const std::string& uid) {
+        auto s = job(uid, Shape::service, 1);
+        s.rank = wire::Rank::critical;
+        s.image = "big";
+        s.image_gb = 12;  // two minutes
+        return s;
+    }
+    // n-000001 has that image, and no room but for an array's task that saves.
+    void fill_with_image() {
+        elect();
+        auto array = job("run-2", Shape::array, 1);
+        array.checkpoint = Seconds(15);
+        array.save = Seconds(2);
+        start(replica("run-1"), {&m1});
+        start(array, {&m1});
+    }
 };
 
 }  // namespace
@@ -409,6 +425,32 @@
     EXPECT_FALSE(returns().empty());
 }
 
+// An image may take minutes where there is room, and seconds to stop a task that saves where the image is.
+TEST_F(Story, preempt_a_critical_replica_takes_the_place_of_an_array_task_where_its_image_is) {
+    fill_with_image();
+    ASSERT_EQ(machine_of("run-2", 0), "n-000001");
+    meet(m2);
+    accept(replica("run-3"));
+    place();
+    EXPECT_EQ(machine_of("run-3", 0), "") << "n-000002 has room, but not the image";
+    EXPECT_TRUE(ordered(beat(m1), Verb::kill, "run-2", 0));
+    beat(m1);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(machine_of("run-3", 0), "n-000001");
+}
+
+TEST_F(Story, preempt_a_replica_goes_where_there_is_room_when_none_was_made_in_time) {
+    fill_with_image();
+    meet(m2);
+    accept(replica("run-3"));
+    place();
+    ASSERT_EQ(machine_of("run-3", 0), "");
+    pass(8s);  // n-000001 hangs
+    beat(m2);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(machine_of("run-3", 0), "n-000002");
+}
+
 TEST_F(Story, gang_a_task_lost_before_the_start_is_replaced_under_the_same_attempt) {
     elect();
     auto third = machine("n-000003", "b");
