--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -20,8 +20,6 @@
 constexpr unsigned suspect_jobs = 2;     // that failed on a machine and not everywhere
 
 constexpr Seconds write_later{8};  // how long the record of ended tasks may wait for other changes of the job
-
-TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
 
 Overseer::Overseer(const config::Settings& settings, const config::Tunables& tunables, std::uint64_t term,
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -30,6 +30,8 @@
     std::uint32_t done = 0, running = 0;
 };
 
+inline TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
+
 class Overseer {
   public:
     Overseer(const config::Settings& settings, const config::Tunables& tunables, std::uint64_t term,
@@ -89,6 +91,9 @@
     std::string summary(TimePoint now) const;
 
   private:
+    static constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a tick
+    static constexpr double quiet_reports = 2.2;             // report intervals after which a machine gets no new work
+
     Job* find(const std::string& uid);
     Job& create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before);
     void cancel(Job& job, std::uint64_t stamp, TimePoint now);
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -15,14 +15,10 @@
 using wire::Shape;
 
 namespace {
-constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a round
-constexpr int max_rent = 50;                      // per request, by the cloud's rules
+constexpr int max_rent = 50;  // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;     // how a price per slot is discounted by the slots that services fill
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
-constexpr double quiet_reports = 2.2;   // report intervals after which a machine counts as quiet
-
-TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
 
 Seconds Overseer::target_of(const wire::JobSpec& spec) const {
@@ -134,9 +130,6 @@
 
 std::vector<fleet::Order> Overseer::rent(TimePoint now) {
     if (!round_heard(now)) return {};
-    for (const auto& t : ledger_.types())
-        for (const auto& zone : t.zones)
-            for (const bool spot : {true, false}) ledger_.directory().pool(t.name, zone, spot);
     auto plan = planner(now);
     Basket basket;
     for (const auto& [name, m] : ledger_.all()) {
--- a/src/agent/overseer_moves.cpp
+++ b/src/agent/overseer_moves.cpp
@@ -18,8 +18,6 @@
 constexpr Seconds calm{8};           // without anything waiting before services are moved together
 constexpr Seconds settled{20};       // that a service must have run before it is moved again
 constexpr int max_retiring = 3;      // machines emptied at a time
-
-TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 }  // namespace
 
 JobHosts Overseer::hosts_without(const Job& job, std::uint32_t task) const {
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -17,13 +17,9 @@
 using State = Task::State;
 
 namespace {
-constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a tick
-constexpr auto preempt_gap = 10s;                 // enough for what was stopped to go and for its room to be taken
+constexpr auto preempt_gap = 10s;  // enough for what was stopped to go and for its room to be taken
 constexpr std::int64_t merged_window = -1;
-constexpr double nearly_all = 0.95;    // of the machines with work, that a new leader wants to have heard
-constexpr double quiet_reports = 2.2;  // report intervals after which a machine gets no new work
-
-TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
+constexpr double nearly_all = 0.95;  // of the machines with work, that a new leader wants to have heard
 }  // namespace
 
 bool Overseer::usable(const Machine& m, TimePoint now) const {
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -42,6 +42,9 @@
 
 void Ledger::set_types(std::vector<wire::MachineType> types) {
     types_ = std::move(types);
+    for (const auto& t : types_)
+        for (const auto& zone : t.zones)
+            for (const bool spot : {true, false}) directory_.pool(t.name, zone, spot);
     for (auto& [name, m] : machines_)
         if (m->row.capacity.cpus == 0) describe(*m, m->type, m->zone, m->spot);
 }
@@ -102,19 +105,20 @@
 }
 
 void Ledger::has_image(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
-    if (!m.fetching.erase(task)) return;
+    if (m.fetching.erase(task)) used_image(m, spec);
+}
+
+void Ledger::used_image(Machine& m, const wire::JobSpec& spec) {
     const auto* t = type(m.type);
     m.used_image({directory_.image(spec.image), spec.image_gb}, t ? t->cache_gb : 0);
 }
 
 void Ledger::unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now) {
     if (!m.tasks.erase(task)) return;
-    if (m.fetching.erase(task)) {
+    if (m.fetching.erase(task))
         m.update_row();
-    } else {
-        const auto* t = type(m.type);
-        m.used_image({directory_.image(spec.image), spec.image_gb}, t ? t->cache_gb : 0);
-    }
+    else
+        used_image(m, spec);
     placement::give(m.row.free, spec.need);
     --m.row.load;
     if (spec.shape == wire::Shape::service) placement::take(m.row.standing, spec.need);
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -105,6 +105,7 @@
     bool open(const Pool& pool, TimePoint now) const;
 
   private:
+    void used_image(Machine& m, const wire::JobSpec& spec);
     struct BackOff {
         TimePoint until{};
         int times = 0;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -75,7 +75,6 @@
 
 Planner::Trial::~Trial() {
     plan_.trial_ = nullptr;
-    if (kept_) return;
     // Backwards: the oldest copy of a row is the one to go back to.
     for (auto it = before_.rbegin(); it != before_.rend(); ++it) plan_.hosts_[it->first] = std::move(it->second);
 }
@@ -190,19 +189,17 @@
     return best;
 }
 
-std::vector<std::size_t> Planner::place_many(const Ask& ask, JobHosts& job, std::size_t count) {
-    return place_in(ask, job, count, {});
-}
-
 // All candidates are put in order once. To place a task changes the order of its own machine alone, and otherwise
 // only takes candidates away (by the job's zones), which shows when their turn comes.
-std::vector<std::size_t> Planner::place_in(const Ask& ask, JobHosts& job, std::size_t count, std::optional<Id> zone) {
+std::vector<std::size_t> Planner::place_many(const Ask& ask, JobHosts& job, std::size_t count,
+                                             std::optional<Id> only_zone) {
     std::vector<std::size_t> out;
     if (count == 0) return out;
     mark(job);
     std::vector<Order> heap;
     each_roomy(ask.spec->need, [&](std::size_t i) {
-        if (excluded_[i] == epoch_ || (zone && hosts_[i].zone != *zone) || !candidate(ask, job, hosts_[i])) return;
+        if (excluded_[i] == epoch_ || (only_zone && hosts_[i].zone != *only_zone) || !candidate(ask, job, hosts_[i]))
+            return;
         heap.push_back(order(ask, i));
     });
     const auto later = [](const Order& a, const Order& b) { return b < a; };
@@ -253,7 +250,7 @@
         if (room_in(ask, job, count, zone) < count) return out;  // most attempts end here, having cost one scan
         auto trial_job = job;
         Trial trial(*this);
-        out.places = place_in(ask, trial_job, count, zone);
+        out.places = place_many(ask, trial_job, count, zone);
         if (out.places.size() < count) out.places.clear();
         // Rows as they were before: what was placed there first had to wait longest.
         for (const auto& [i, before] : trial.before_)
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -100,7 +100,8 @@
     std::size_t place(const Ask& ask, JobHosts& job);
 
     // Places up to so many tasks, each where `place` would put it after the one before.
-    std::vector<std::size_t> place_many(const Ask& ask, JobHosts& job, std::size_t count);
+    std::vector<std::size_t> place_many(const Ask& ask, JobHosts& job, std::size_t count,
+                                        std::optional<Id> only_zone = {});
 
     // Places up to so many tasks on that host, as long as it is a candidate. Returns how many.
     std::size_t place_at(std::size_t i, const Ask& ask, JobHosts& job, std::size_t count);
@@ -125,20 +126,18 @@
     const Host& host(std::size_t i) const { return hosts_[i]; }
     const std::vector<Host>& hosts() const { return hosts_; }
 
-    // What is placed or reserved until its end is taken back, unless it is kept.
+    // What is placed or reserved until its end is taken back.
     class Trial {
       public:
         explicit Trial(Planner& plan) : plan_(plan) { plan_.trial_ = this; }
         ~Trial();
         Trial(const Trial&) = delete;
         Trial& operator=(const Trial&) = delete;
-        void keep() { kept_ = true; }
 
       private:
         friend class Planner;
         Planner& plan_;
         std::vector<std::pair<std::size_t, Host>> before_;
-        bool kept_ = false;
     };
 
   private:
@@ -166,7 +165,6 @@
     void put(std::size_t i, const Ask& ask, JobHosts& job);
     template <class F>
     void each_roomy(const Resources& need, F visit) const;
-    std::vector<std::size_t> place_in(const Ask& ask, JobHosts& job, std::size_t count, std::optional<Id> zone);
 
     std::vector<Host> hosts_;
     double margin_;
