--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -26,6 +26,13 @@
     const char* why;
 };
 
+// How many of the machines that should report have lately done so.
+struct Hearing {
+    std::size_t expected = 0, heard = 0;
+    // Machines do not die nearly all at once: if so few are heard, this controller is cut off from them.
+    bool deaf() const { return expected > 2 && heard * 4 < expected; }
+};
+
 struct JobCount {
     std::uint32_t done = 0, running = 0;
 };
@@ -67,6 +74,7 @@
     std::vector<Release> release(TimePoint now) const;
     // The release is about to be sent: whatever becomes of it, these machines are not used again.
     void releasing(const std::vector<Release>& machines);
+    Hearing hearing(TimePoint now) const;
     // This process stood still for so long: what it did not hear meanwhile says nothing about the machines.
     void stood_still(std::chrono::steady_clock::duration gap);
 
@@ -93,6 +101,8 @@
   private:
     static constexpr std::uint32_t max_planned_tasks = 400;  // of one job, in one go: bounds the work of a tick
     static constexpr double quiet_reports = 2.2;             // report intervals after which a machine gets no new work
+    // When the next report is overdue: it may come a quarter late, and a packet may be lost on the way.
+    Seconds overdue() const { return settings_.report * 1.25 + Seconds(1); }
 
     Job* find(const std::string& uid);
     Job& create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before);
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -18,6 +18,7 @@
 constexpr int max_rent = 50;  // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;     // how a price per slot is discounted by the slots that services fill
+constexpr double deaf_leases = 3;       // that a leader which hears hardly anyone waits before it returns machines
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
 }  // namespace
 
@@ -129,7 +130,7 @@
 }
 
 std::vector<fleet::Order> Overseer::rent(TimePoint now) {
-    if (!round_heard(now)) return {};
+    if (!round_heard(now) || hearing(now).deaf()) return {};
     auto plan = planner(now);
     Basket basket;
     for (const auto& [name, m] : ledger_.all()) {
@@ -197,6 +198,21 @@
         if (fresh) m.known_since = now - wire::to_clock(l.age);
         m.listed_failed = l.status == wire::MachineStatus::failed;
     }
+    // A list may be twice as old as usual, and does not show machines that are younger than that.
+    std::set<std::string_view> names;
+    for (const auto& l : machines) names.insert(l.name);
+    for (auto& [name, m] : ledger_.all())
+        m->unlisted = !names.contains(name) && now - m->known_since > wire::to_clock(settings_.list_lag * 3 + Seconds(2));
+}
+
+Hearing Overseer::hearing(TimePoint now) const {
+    Hearing out;
+    for (const auto& [name, m] : ledger_.all()) {
+        if (m->releasing || m->unlisted || m->listed_failed || (!m->reported && m->tasks.empty())) continue;
+        ++out.expected;
+        out.heard += now - m->last_report < wire::to_clock(overdue());
+    }
+    return out;
 }
 
 std::vector<Release> Overseer::release(TimePoint now) const {
@@ -206,8 +222,9 @@
         if (m->releasing || (!m->reported && m->tasks.empty())) continue;
         auto& [quiet, total] = silent[m->spot];
         ++total;
-        quiet += now - m->last_report > wire::to_clock(settings_.report * quiet_reports);
+        quiet += now - m->last_report > wire::to_clock(overdue());
     }
+    const bool deaf = hearing(now).deaf();
     std::vector<Release> out;
     for (const auto& [name, m] : ledger_.all()) {
         const char* why = nullptr;
@@ -226,10 +243,15 @@
                 why = "never_up";
         } else {
             const auto [quiet, total] = silent[m->spot];
-            const bool many = quiet > 2 && quiet * 3 > total;
+            // What the cloud no longer lists is not silent because of us.
+            const bool many = quiet > 2 && quiet * 3 > total && !m->unlisted;
             // Reports come up to a quarter late, and one may be lost on the way.
             const auto quiet_for = std::max(tunables_.silent, settings_.report * silent_reports);
-            auto patience = many ? settings_.lease + Seconds(5) : std::min(quiet_for, settings_.lease);
+            // While hardly anyone is heard, the term should pass to a controller that hears more: to return the whole
+            // fleet first would leave it nothing (inc-8739, inc-e02a).
+            auto patience = many && deaf ? settings_.lease * deaf_leases
+                            : many       ? settings_.lease + Seconds(5)
+                                         : std::min(quiet_for, settings_.lease);
             // Cancelled work must be gone in time, whatever else is out of reach.
             if (unheard > settings_.report * 3)
                 for (const auto& [uid, i] : m->tasks)
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t max_counts = 20'000;
+constexpr double knocks_kept = 0.8;  // from one message of a peer to the next, a second later
 constexpr const char* catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
 
@@ -129,14 +130,32 @@
         b.state_ok = store_.healthy(Clock::now());
         b.leading = elector_.leading();
         b.writes = store_.take_write_demand();
+        b.knocks = std::exchange(knocks_, 0);
         share_writes(b.writes);
         if (reign_)
             for (auto& [uid, c] : reign_->overseer().take_counts()) b.counts.push_back({uid, c.done, c.running});
         peers_.tell(b);
+        resign_if_deaf();
         co_await net::sleep_for(1s);
     }
 }
 
+// A leader that reaches the state service and not the workers would keep its claim while every worker's lease runs out.
+// Workers that it does not answer knock at the others, and in vain, for those send them back here: so where the others
+// hear clearly more workers than this leader does, one of them shall lead.
+void Controller::resign_if_deaf() {
+    if (!reign_) return;
+    const auto now = Clock::now();
+    const auto hearing = reign_->overseer().hearing(now);
+    if (!hearing.deaf()) return;
+    double knocks = 0;
+    for (const auto& [member, peer] : peer_state_)
+        if (peer.state_ok && now - peer.heard < 3s) knocks += peer.knocks;
+    if (knocks < static_cast<double>(hearing.heard) + static_cast<double>(hearing.expected) / 4) return;
+    spdlog::info("event=deaf expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
+    elector_.resign("workers reach the others and not this one");
+}
+
 // A peer that is not heard may go on writing: its last known demand keeps counting, and at least an even part does.
 void Controller::share_writes(double own) {
     double all = own;
@@ -151,7 +170,8 @@
 
 void Controller::received(const peer::Beat& beat) {
     elector_.heard(beat.term, beat.leader);
-    peer_state_[beat.member] = {Clock::now(), beat.state_ok, beat.writes};
+    auto& peer = peer_state_[beat.member];
+    peer = {Clock::now(), beat.state_ok, beat.writes, peer.knocks * knocks_kept + beat.knocks};
     if (counts_.size() > max_counts) counts_.clear();
     for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
 }
@@ -179,6 +199,7 @@
     auto reign = reign_;
     if (!reign) {
         const auto& leader = elector_.leader();
+        if (!leader.empty() && leader != settings_.member) ++knocks_;
         co_return reply(
             421, wire::redirect_body(leader == settings_.member ? std::string_view() : std::string_view(leader)));
     }
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -21,6 +21,7 @@
     awaitable<void> keep_catalog();
     awaitable<void> recall_catalog();
     void share_writes(double own);
+    void resign_if_deaf();
     net::Reply ready() const;
     void received(const peer::Beat& beat);
 
@@ -37,8 +38,10 @@
         wire::TimePoint heard{};
         bool state_ok = false;
         double writes = 0;
+        double knocks = 0;  // of the last seconds, older ones counting less
     };
     std::unordered_map<std::string, PeerState> peer_state_;
+    std::uint32_t knocks_ = 0;  // reports turned away to the leader since the last beat
     api::Desk desk_;
     peer::Links peers_;
     net::HttpServer server_;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -18,7 +18,7 @@
 constexpr auto hold_step = 60ms;
 constexpr auto hold_for_plan = 420ms, hold_for_write = 1200ms;  // that an answer to a worker may wait for work
 constexpr int max_tries = 30;
-constexpr auto stall = 2500ms;  // between two turns of the planning loop, which are due within one second
+constexpr auto stall = 2500ms;  // between two turns of loops that are due within one second
 }  // namespace
 
 Reign::Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
@@ -31,7 +31,8 @@
       term_(term.number),
       overseer_(settings, tunables, term.number, term.stamp, Clock::now()),
       commit_(ex),
-      plan_(ex) {}
+      plan_(ex),
+      last_awake_(Clock::now()) {}
 
 namespace {
 // Keeps the reign alive for as long as one of its loops runs.
@@ -66,10 +67,24 @@
 
 bool Reign::entitled(TimePoint now) const { return loaded_ && !stopped_ && agent::may_answer(settings_, now, fresh_); }
 
+// The time, for whoever is about to act on what was believed before. The clock runs on while a process stands still, so
+// after a gap what was not heard says nothing about machines, and somebody else may lead by now. The loops call this at
+// least once a second; whichever runs first after a gap finds it.
+wire::TimePoint Reign::awake() {
+    const auto now = Clock::now();
+    if (const auto gap = now - last_awake_; gap > stall) {
+        spdlog::info("event=stood_still seconds={:.1f}", Seconds(gap).count());
+        overseer_.stood_still(gap);
+        links_.doubt();
+    }
+    last_awake_ = now;
+    return now;
+}
+
 awaitable<std::optional<std::string>> Reign::report(wire::WorkerReport r) {
     auto self = shared_from_this();
     for (int i = 0; i < 25 && !loaded_ && !stopped_; ++i) co_await net::sleep_for(100ms);
-    const auto now = Clock::now();
+    const auto now = awake();
     if (!entitled(now)) co_return std::nullopt;
     const bool was_dirty = overseer_.dirty();
     auto orders = overseer_.report(r, now);
@@ -242,16 +257,11 @@
 
 // Plans when something changed, at most every plan_gap, and when a window closes.
 awaitable<void> Reign::tick_loop() {
-    auto next_full = Clock::now(), next_summary = next_full, next_improve = next_full, last_tick = next_full;
+    auto next_full = Clock::now(), next_summary = next_full, next_improve = next_full;
     while (!stopped_) {
         co_await plan_.wait(500ms);
         if (stopped_) break;
-        const auto now = Clock::now();
-        if (const auto gap = now - last_tick; gap > stall) {
-            spdlog::info("event=stood_still seconds={:.1f}", Seconds(gap).count());
-            overseer_.stood_still(gap);
-        }
-        last_tick = now;
+        const auto now = awake();
         if (loaded_ && (stir_ || now >= next_full)) {
             stir_ = false;
             if (now >= next_full) next_full = now + 500ms;
@@ -293,10 +303,10 @@
 }
 
 awaitable<void> Reign::return_machines() {
-    if (overseer_.release(Clock::now()).empty()) co_return;
+    if (overseer_.release(awake()).empty()) co_return;
     const bool leading = co_await still_leading();
     if (!leading) co_return;
-    const auto leaving = overseer_.release(Clock::now());
+    const auto leaving = overseer_.release(awake());
     overseer_.releasing(leaving);
     std::vector<std::string> names;
     for (const auto& r : leaving) names.push_back(r.machine);
@@ -311,7 +321,7 @@
 // another pool may meet at once.
 awaitable<bool> Reign::rent_machines() {
     if (unclear_.empty())
-        for (auto& order : overseer_.rent(Clock::now())) {
+        for (auto& order : overseer_.rent(awake())) {
             // Named after the term, so that no two leaders ever use the same name.
             unclear_.push_back({order, std::to_string(term_) + "-" + std::to_string(++rents_), 0});
         }
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -15,7 +15,7 @@
 class Reign : public std::enable_shared_from_this<Reign> {
   public:
     struct Links {
-        std::function<void()> doubt;  // the term's stamp no longer holds
+        std::function<void()> doubt;  // the term's stamp may no longer hold
     };
 
     Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
@@ -48,6 +48,7 @@
     awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
     bool entitled(TimePoint now) const;
+    TimePoint awake();
     void wake();
     awaitable<bool> still_leading();
 
@@ -59,6 +60,7 @@
     std::uint64_t term_;
     agent::Overseer overseer_;
     net::Wakeup commit_, plan_;
+    TimePoint last_awake_;
     bool stopped_ = false, loaded_ = false, stir_ = false;
     std::uint64_t followed_ = 0, rents_ = 0;
     std::deque<Rental> unclear_;  // requests without an answer yet
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -6,6 +6,10 @@
 
 using std::chrono::steady_clock;
 
+namespace {
+constexpr std::chrono::milliseconds too_late{1500};
+}  // namespace
+
 HttpCloud::HttpCloud(net::Executor ex, const config::Settings& s)
     : http_(ex, s.cloud.host, s.cloud.port, 4), gap_(wire::to_clock(wire::Seconds(1.15 / s.cloud_rps))) {}
 
@@ -15,6 +19,8 @@
     const auto at = std::max(now, next_);
     next_ = at + gap_;
     if (at > now) co_await net::sleep_for(at - now);
+    // This process stood still meanwhile, and what the caller made sure of before may no longer hold.
+    if (steady_clock::now() - at > too_late) co_return net::HttpAnswer{};
     co_return co_await http_.request(verb, std::move(target), std::move(body), std::chrono::seconds(5));
 }
 
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr auto abstention = 30s;     // after it has resigned
+constexpr auto nobody_else = 3000ms;  // that a vacancy lasts before one that abstains stands after all
+
 std::uint64_t term_number(const state::Item& item) {
     if (!item.stamp || !item.value.is_object()) return 0;
     const auto* n = item.value.get_object().if_contains("n");
@@ -48,6 +51,23 @@
     wake_.notify();
 }
 
+void Elector::resign(const char* why) {
+    if (!leading_) return;
+    resigned_ = true;
+    abstains_until_ = wire::Clock::now() + abstention;
+    depose(why);
+}
+
+bool Elector::abstains(bool vacant) {
+    const auto now = wire::Clock::now();
+    if (now >= abstains_until_) return false;
+    if (!vacant)
+        vacant_since_.reset();
+    else if (!vacant_since_)
+        vacant_since_ = now;
+    return !vacant_since_ || now - *vacant_since_ < nobody_else;
+}
+
 void Elector::heard(std::uint64_t term, const std::string& leader) {
     if (term > seen_term_) {
         seen_term_ = term;
@@ -72,6 +92,10 @@
         // A claim under our own name, while we do not lead, is that of our previous life or of a lost answer.
         const bool own = !vacant && text_in(holder.item, "member") == member_;
         if (vacant || own) {
+            if (abstains(vacant)) {
+                co_await net::sleep_for(300ms);
+                continue;
+            }
             if (co_await campaign(holder.item, term.item)) co_await lead();
             continue;
         }
@@ -135,6 +159,7 @@
             depose("the lease ran out");
         }
     }
+    if (std::exchange(resigned_, false)) co_await store_.revoke(lease_);
 }
 
 awaitable<void> Elector::watch() {
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -1,6 +1,7 @@
 // Who leads. A key on a lease of the state service elects, and the same transaction raises the persistent term.
 #pragma once
 #include <functional>
+#include <optional>
 
 #include "state/store.hpp"
 #include "wire/types.hpp"
@@ -32,6 +33,10 @@
     // A condition on the term's stamp failed: find out what happened.
     void doubt() { doubted_ = true, wake_.notify(); }
 
+    // Gives the term up, so that another controller can win the next one: this one can renew its claim but not do the
+    // work. It does not stand again for a while, unless nobody else does.
+    void resign(const char* why);
+
     bool leading() const { return leading_; }
     std::uint64_t term() const { return seen_term_; }
     const std::string& leader() const { return leader_; }
@@ -41,6 +46,8 @@
     awaitable<bool> campaign(const state::Item& holder, const state::Item& term);
     awaitable<void> watch();
     void depose(const char* why);
+    // Whether this controller leaves a vacancy to the others for now.
+    bool abstains(bool vacant);
 
     net::Executor ex_;
     state::Store& store_;
@@ -48,7 +55,9 @@
     std::chrono::milliseconds life_;
     Events events_;
     net::Wakeup wake_;
-    bool leading_ = false, doubted_ = false;
+    bool leading_ = false, doubted_ = false, resigned_ = false;
+    wire::TimePoint abstains_until_{};
+    std::optional<wire::TimePoint> vacant_since_;  // while it abstains
     std::uint64_t seen_term_ = 0, lease_ = 0, own_term_ = 0;
     std::string leader_;
 };
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -32,6 +32,7 @@
     std::optional<TimePoint> taken_at;  // from a spot notice
 
     bool listed_failed = false;
+    bool unlisted = false;   // old enough to be listed, and missing from the newest list: likely gone, but no evidence
     bool releasing = false;  // a release was sent, which may be carried out at any time: never used again
     bool retiring = false;   // its tasks are moved away, and then it is returned
     bool cordoned = false;   // spare: gets no new work while there is room elsewhere, and goes when it is empty
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -28,6 +28,7 @@
     b.setStateOk(beat.state_ok);
     b.setLeading(beat.leading);
     b.setWrites(beat.writes);
+    b.setKnocks(beat.knocks);
     const auto n = std::min(beat.counts.size(), max_counts);
     auto counts = b.initCounts(static_cast<unsigned>(n));
     for (unsigned i = 0; i < n; ++i) {
@@ -53,6 +54,7 @@
         beat.state_ok = b.getStateOk();
         beat.leading = b.getLeading();
         beat.writes = b.getWrites();
+        beat.knocks = b.getKnocks();
         for (const auto c : b.getCounts()) beat.counts.push_back({c.getUid().cStr(), c.getDone(), c.getRunning()});
         return beat;
     } catch (const kj::Exception& e) {
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -19,7 +19,8 @@
     std::string member, leader;
     std::uint64_t term = 0;
     bool state_ok = false, leading = false;
-    double writes = 0;  // to the state service, that it lately asked for
+    double writes = 0;         // to the state service, that it lately asked for
+    std::uint32_t knocks = 0;  // reports that it turned away to the leader since its last message
     std::vector<Count> counts;
 };
 
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -17,4 +17,5 @@
     counts @4 :List(JobCount); # from the leader: jobs whose display counts changed
     leading @5 :Bool;
     writes @6 :Float64;       # to the state service, that the sender lately asked for
+    knocks @7 :UInt32;        # reports that the sender turned away to the leader since its last message
 }
