Messages between controllers are receipted, so that a link outlives the freeze of one end

Cause: a peer that stood still for 30 s was closed by its peers' read limit; it went on writing into the closed link and was not heard again. Stories for the resignation, the deaf leader's patience and for crowds that the cloud no longer lists.

--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -202,7 +202,8 @@
     std::set<std::string_view> names;
     for (const auto& l : machines) names.insert(l.name);
     for (auto& [name, m] : ledger_.all())
-        m->unlisted = !names.contains(name) && now - m->known_since > wire::to_clock(settings_.list_lag * 3 + Seconds(2));
+        m->unlisted =
+            !names.contains(name) && now - m->known_since > wire::to_clock(settings_.list_lag * 3 + Seconds(2));
 }
 
 Hearing Overseer::hearing(TimePoint now) const {
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -151,6 +151,7 @@
     double knocks = 0;
     for (const auto& [member, peer] : peer_state_)
         if (peer.state_ok && now - peer.heard < 3s) knocks += peer.knocks;
+    spdlog::debug("event=hears_few expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
     if (knocks < static_cast<double>(hearing.heard) + static_cast<double>(hearing.expected) / 4) return;
     spdlog::info("event=deaf expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
     elector_.resign("workers reach the others and not this one");
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto abstention = 30s;     // after it has resigned
+constexpr auto abstention = 30s;      // after it has resigned
 constexpr auto nobody_else = 3000ms;  // that a vacancy lasts before one that abstains stands after all
 
 std::uint64_t term_number(const state::Item& item) {
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -114,7 +114,7 @@
     std::vector<wire::MachineType> types_;
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     mutable placement::Directory directory_;  // numbers names where they are first asked for
-    std::vector<Machine*> by_slot_;  // never used again, so that a slot names one machine for good
+    std::vector<Machine*> by_slot_;           // never used again, so that a slot names one machine for good
     std::set<std::string> gone_;
     std::map<Pool, BackOff> back_off_;
 };
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 constexpr std::size_t max_frame = 1024 * 1024;
+constexpr char receipt = 6;
 constexpr std::size_t max_sessions = 64;
 constexpr std::size_t max_counts = 4000;
 }  // namespace
@@ -87,8 +88,12 @@
     frame += bytes;
     for (const auto& out : outs_) {
         if (!out->connected) continue;
+        if (out->next.size() + frame.size() > max_frame) {
+            out->next.clear();  // a peer that does not read gets the newest only
+            out->frames = 0;
+        }
         out->next += frame;
-        if (out->next.size() > max_frame) out->next = frame;  // a peer that does not read gets the newest only
+        ++out->frames;
         out->wake.notify();
     }
 }
@@ -108,12 +113,18 @@
                 if (out->next.empty()) continue;
                 std::string sending;
                 sending.swap(out->next);
+                std::string receipts(std::exchange(out->frames, 0), '\0');
                 stream.expires_after(3s);
                 auto [wec, n] = co_await asio::async_write(stream, asio::buffer(sending), net::quietly);
                 if (wec) break;
+                // Each message is receipted: who only writes never learns that the other end has closed. A controller
+                // that stood still for as long as its peers wait was not heard by them for the rest of the day.
+                auto [rec, got] = co_await asio::async_read(stream, asio::buffer(receipts), net::quietly);
+                if (rec) break;
             }
             out->connected = false;
             out->next.clear();
+            out->frames = 0;
         }
         co_await net::sleep_for(700ms);
     }
@@ -151,6 +162,8 @@
             spdlog::error("event=peer_nonsense why=\"{}\"", e.what());
             break;
         }
+        auto [rec, sent] = co_await asio::async_write(stream, asio::buffer(&receipt, 1), net::quietly);
+        if (rec) break;
     }
     --sessions_;
 }
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -40,6 +40,7 @@
         explicit Out(net::Executor ex) : wake(ex) {}
         net::Wakeup wake;
         std::string next;
+        std::size_t frames = 0;  // in `next`
         bool connected = false;
     };
     awaitable<void> accept_loop();
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -69,4 +69,18 @@
     EXPECT_EQ(one.elector.leader(), "two");
 }
 
+// inc-8739, inc-e02a: a leader that only the workers could not reach kept its claim for as long as that lasted.
+TEST_F(ElectionStory, a_leader_that_resigns_leaves_the_next_term_to_others) {
+    Node one(io, store, "one");
+    settle();
+    ASSERT_TRUE(one.elector.leading());
+    one.elector.resign("hears nobody");
+    settle();
+    EXPECT_EQ(one.lost, 1);
+    EXPECT_EQ(one.won, std::vector<std::uint64_t>{1}) << "the vacancy is not for the one that made it";
+    Node two(io, store, "two");
+    settle();
+    EXPECT_EQ(two.won, std::vector<std::uint64_t>{2});
+}
+
 }  // namespace flintdale::test
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -51,7 +51,13 @@
         co_return r;
     }
     net::awaitable<state::Outcome> renew(std::uint64_t) override { co_return state::Outcome::ok; }
-    net::awaitable<void> revoke(std::uint64_t) override { co_return; }
+    net::awaitable<void> revoke(std::uint64_t lease) override {
+        const auto holder = keys.get(election::holder_key);
+        if (!holder.stamp || holder.value.as_object().at("lease").to_number<std::uint64_t>() != lease) co_return;
+        state::Txn txn;
+        txn.changes.push_back({election::holder_key, std::nullopt, 0});
+        keys.commit(txn);
+    }
     std::chrono::duration<double> write_wait() const override { return wait_for_writes; }
 
   private:
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -555,6 +555,43 @@
     EXPECT_FALSE(returns().empty()) << "real silence still counts";
 }
 
+// inc-8739, inc-e02a: a leader that lost the workers alone returned the whole fleet, and rented it anew.
+TEST_F(Story, fleet_a_leader_that_hears_nobody_keeps_the_fleet_until_another_may_lead) {
+    elect();
+    std::vector<Worker> all;
+    for (int i = 1; i < 7; ++i) all.push_back(machine("n-00000" + std::to_string(i), "a"));
+    for (auto& w : all) meet(w);
+    EXPECT_FALSE(leader->hearing(now).deaf());
+    pass(settings.report * 1.25 + 2s);
+    EXPECT_TRUE(leader->hearing(now).deaf()) << "and that is told soon, for every lease is running out";
+    accept(job("run-1", Shape::array, 40));
+    for (const auto later = now + wire::to_clock(settings.lease * 2); now < later; pass(1s)) {
+        EXPECT_TRUE(returns().empty());
+        EXPECT_TRUE(leader->rent(now).empty()) << "what is needed is a hearing, not machines";
+    }
+}
+
+// The same day in waka: machines that the leader before had returned stayed in the records, and for the sake of their
+// number their successor waited a lease for each of them.
+TEST_F(Story, fleet_a_crowd_that_the_cloud_no_longer_lists_is_given_up_without_further_patience) {
+    elect();
+    std::vector<Worker> all;
+    std::vector<wire::ListedMachine> list;
+    for (int i = 1; i < 7; ++i) {
+        all.push_back(machine("n-00000" + std::to_string(i), "a"));
+        if (i < 4)
+            list.push_back({all.back().name, "", "small", "a", false, wire::MachineStatus::running, Seconds(60)});
+    }
+    for (auto& w : all) meet(w);
+    for (int i = 0; i < 5; ++i) {  // half of them say nothing any more
+        pass(3s);
+        for (int k = 0; k < 3; ++k) beat(all[static_cast<std::size_t>(k)]);
+    }
+    EXPECT_TRUE(returns().empty()) << "so many at once are rather out of reach than dead";
+    leader->listed(list, now);
+    EXPECT_EQ(returns(), (std::vector<std::string>{"n-000004", "n-000005", "n-000006"}));
+}
+
 TEST_F(Story, queue_what_found_no_room_waits_shortest_first_and_ahead_of_new_windows) {
     elect();
     auto filler = job("run-1", Shape::array, 2);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -136,12 +136,14 @@
     b.leader = "two";
     b.term = 7;
     b.state_ok = true;
+    b.knocks = 12;
     b.counts = {{"run-1", 3, 4}};
     const auto back = peer::decode(peer::encode(b));
     EXPECT_EQ(back.member, "one");
     EXPECT_EQ(back.leader, "two");
     EXPECT_EQ(back.term, 7u);
     EXPECT_TRUE(back.state_ok);
+    EXPECT_EQ(back.knocks, 12u);
     ASSERT_EQ(back.counts.size(), 1u);
     EXPECT_EQ(back.counts[0].running, 4u);
     EXPECT_THROW(peer::decode("abcdefghijklmnop"), std::exception);
