Any rank stops arrays of lower rank for what waits; idle tasks pack where accelerators are used

Only critical tasks preempted, one machine in 10 s. Stories for the gang's whole room and for the order.

--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -219,6 +219,7 @@
     t.placed_at = now;
     t.sent = t.seen = t.started = t.draining = t.parked = false;
     ++job.placed;
+    if (job.is(Shape::array)) ++array_tasks_[static_cast<std::size_t>(job.spec.rank)];
     ledger_.assign(m, {job.spec.uid, task}, job.spec);
     spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class,
                   attempt, m.name);
@@ -232,6 +233,7 @@
         ledger_.unassign(*t.machine, {job.spec.uid, task}, job.spec, now);
         placement::take(team_use_[job.spec.team], job.spec.need);
         --job.placed;
+        if (job.is(Shape::array)) --array_tasks_[static_cast<std::size_t>(job.spec.rank)];
         if (t.started) --job.running;
         if (t.parked) --job.parked;
     }
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -1,6 +1,7 @@
 // The leader's mind for one term: the jobs, the machines, and what should happen next. It owns that state, does
 // no I/O and reads no clock; the loops in app/ carry messages between it and the world.
 #pragma once
+#include <array>
 #include <unordered_map>
 
 #include "agent/job.hpp"
@@ -152,9 +153,12 @@
     // The job's wishes, but for machines that hold fewer such tasks.
     placement::Ask at_least(const Job& job, unsigned slots) const;
     // Array tasks of lower rank on that machine to stop so that one task of the job fits, least loss first; empty if
-    // that is not enough. The loss includes the wait for the image there.
-    std::vector<TaskKey> victims(const Job& job, const Machine& m, const placement::Planner& plan,
-                                 const placement::JobHosts& hosts, TimePoint now, Seconds& loss) const;
+    // that is not enough. The loss includes the wait for the image there. `host` is the machine's row, and becomes what
+    // it would be without them.
+    std::vector<TaskKey> victims(const Job& job, const Machine& m, placement::Host& host,
+                                 const placement::Planner& plan, const placement::JobHosts& hosts,
+                                 const std::vector<TaskKey>& spared, TimePoint now, Seconds& loss) const;
+    bool lower_arrays(wire::Rank rank) const;
     void stop_for(const Job& job, const std::vector<TaskKey>& tasks);
     std::uint32_t room_with_image(Job& job, const placement::Planner& plan, const placement::JobHosts& hosts,
                                   std::uint32_t tasks, TimePoint now);
@@ -182,6 +186,7 @@
     std::set<std::string> later_set_;
     std::vector<std::pair<std::string, std::uint64_t>> orphans_;  // keys of jobs that are over
     std::map<std::string, placement::Resources> team_use_;
+    std::array<std::size_t, 4> array_tasks_{};  // placed ones, by rank
     std::set<std::string> counts_changed_;
     std::vector<Move> moves_;
     std::uint64_t passes_ = 0;  // of placing, so far
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -18,6 +18,7 @@
 constexpr int max_rent = 50;  // per request, by the cloud's rules
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;     // how a price per slot is discounted by the slots that services fill
+constexpr double idle_dear = 1.5;       // times the cheapest price of a slot that idle work rents at
 constexpr double deaf_leases = 3;       // that a leader which hears hardly anyone waits before it returns machines
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
 }  // namespace
@@ -81,6 +82,8 @@
                 }
             }
     }
+    // Idle work has no haste, and must not use up what others will want to rent.
+    if (best && job.spec.rank == Rank::idle && best_cost.first > cheapest_each * idle_dear) return std::nullopt;
     // Tasks of an array can follow one another on cheap machines; dear ones are for those that wait too long.
     if (best && job.is(Shape::array) && best_cost.first > cheapest_each * tunables_.dear &&
         now - job.arrived < wire::to_clock(target_of(job.spec) * 0.5))
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -186,17 +186,19 @@
     return heard >= working * nearly_all;
 }
 
-std::vector<TaskKey> Overseer::victims(const Job& job, const Machine& m, const Planner& plan, const JobHosts& hosts,
-                                       TimePoint now, Seconds& loss) const {
+std::vector<TaskKey> Overseer::victims(const Job& job, const Machine& m, Host& host, const Planner& plan,
+                                       const JobHosts& hosts, const std::vector<TaskKey>& spared, TimePoint now,
+                                       Seconds& loss) const {
     const auto& ask = ask_of(job);
-    auto host = m.row;
     std::vector<std::pair<Seconds, TaskKey>> stoppable;
     for (const auto& key : m.tasks) {
         const auto* other = this->job(key.first);
         if (!other || other->spec.rank >= job.spec.rank || !other->is(Shape::array)) continue;
         const auto& t = other->tasks[key.second];
-        if (t.draining) continue;
+        if (t.draining || std::find(spared.begin(), spared.end(), key) != spared.end()) continue;
         const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
+        // What is about to end makes room by itself, sooner than an order reaches it.
+        if (t.started && other->spec.estimate - ran < settings_.report) continue;
         stoppable.emplace_back(other->spec.checkpoint.count() > 0 ? std::min(other->spec.save, ran) : ran, key);
     }
     std::sort(stoppable.begin(), stoppable.end());
@@ -213,6 +215,13 @@
     return out;
 }
 
+// Whether tasks of arrays of a lower rank than that are placed anywhere.
+bool Overseer::lower_arrays(Rank rank) const {
+    for (std::size_t r = 0; r < static_cast<std::size_t>(rank); ++r)
+        if (array_tasks_[r] > 0) return true;
+    return false;
+}
+
 void Overseer::stop_for(const Job& job, const std::vector<TaskKey>& tasks) {
     for (const auto& [uid, i] : tasks) {
         auto& t = find(uid)->tasks[i];
@@ -221,26 +230,64 @@
     }
 }
 
-// Makes room for a critical task that found none: stops tasks of arrays of lower rank on the one machine where
-// that loses the least work. What is stopped can never do the same in turn, so this cannot go on in circles.
+// Makes room for tasks that found none: stops tasks of arrays of lower rank, where that loses the least work, until all
+// that waits would fit; of a gang all or nothing. What is stopped can never do the same in turn, so this cannot go on
+// in circles. Without it a guest's idle tasks, on for minutes, keep gangs from machines whose accelerators lie idle.
 void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
-    if (job.spec.rank != Rank::critical || job.waiting() == 0 || now < job.preempt_again || within_limit(job, 1) == 0)
-        return;
+    if (now < job.preempt_again || !lower_arrays(job.spec.rank)) return;
+    const bool together = job.is(Shape::gang);
+    if (together && (job.gang_failing || job.gang_started)) return;
+    auto wanted = std::min(job.waiting(), max_planned_tasks);
+    const auto limit = within_limit(job, wanted);
+    if (limit == 0 || (together && limit < wanted)) return;
+    wanted = limit;
+    job.preempt_again = now + preempt_gap;
     const auto hosts = hosts_of(job);
     const auto& ask = ask_of(job);
-    std::vector<TaskKey> best;
-    Seconds best_loss{0};
+    struct Room {
+        Seconds loss;
+        placement::Id zone;
+        std::vector<TaskKey> tasks;
+        bool operator<(const Room& o) const { return loss != o.loss ? loss < o.loss : tasks < o.tasks; }
+    };
+    std::vector<Room> rooms;
     for (const auto& [name, m] : ledger_.all()) {
-        if (!usable(*m, now) || !m->current || !ask.takes(m->row.pool)) continue;
-        Seconds loss{0};
-        auto found = victims(job, *m, plan, hosts, now, loss);
-        if (found.empty() || (!best.empty() && loss >= best_loss)) continue;
-        best = std::move(found);
-        best_loss = loss;
+        if (m->tasks.empty() || !usable(*m, now) || !m->current || !ask.takes(m->row.pool)) continue;
+        // One task of the job more on that machine with every turn, for as long as that costs anything.
+        auto host = m->row;
+        std::vector<TaskKey> stopped;
+        for (std::uint32_t n = 0; n < wanted; ++n) {
+            Room room{Seconds(0), host.zone, {}};
+            room.tasks = victims(job, *m, host, plan, hosts, stopped, now, room.loss);
+            if (room.tasks.empty()) break;
+            stopped.insert(stopped.end(), room.tasks.begin(), room.tasks.end());
+            placement::take(host.free, job.spec.need);
+            ++host.load;
+            rooms.push_back(std::move(room));
+        }
     }
-    if (best.empty()) return;
-    job.preempt_again = now + preempt_gap;
-    stop_for(job, best);
+    if (rooms.empty()) return;
+    std::sort(rooms.begin(), rooms.end());
+    std::uint32_t lacking = wanted;
+    if (together) {
+        // What is free already counts, and a gang of one zone takes the zone where least has to be stopped.
+        std::map<placement::Id, std::uint32_t> per_zone;
+        std::optional<placement::Id> zone;
+        for (const auto& room : rooms) {
+            const auto there = ++per_zone[job.spec.one_zone ? room.zone : placement::unknown_zone];
+            const auto only = job.spec.one_zone ? std::optional(room.zone) : std::nullopt;
+            const auto free = static_cast<std::uint32_t>(plan.room_in(ask, hosts, wanted, only));
+            if (free + there < wanted) continue;
+            zone = only;
+            lacking = wanted - std::min(free, wanted);
+            per_zone.clear();
+            break;
+        }
+        if (!per_zone.empty()) return;
+        if (zone) std::erase_if(rooms, [&](const Room& r) { return r.zone != *zone; });
+    }
+    if (rooms.size() > lacking) rooms.resize(lacking);
+    for (const auto& room : rooms) stop_for(job, room.tasks);
 }
 
 // How many tasks of a critical service wait for room that is being made on machines that have its image. Where there is
@@ -263,7 +310,8 @@
     for (const auto& [name, m] : ledger_.all()) {
         if (!m->row.has(ask.image) || !usable(*m, now) || !m->current || !ask.takes(m->row.pool)) continue;
         Room room;
-        room.tasks = victims(job, *m, plan, hosts, now, room.loss);
+        auto host = m->row;
+        room.tasks = victims(job, *m, host, plan, hosts, {}, now, room.loss);
         if (!room.tasks.empty() && (room.loss + until_free) * 2 < wait) rooms.push_back(std::move(room));
     }
     if (rooms.empty()) return 0;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -144,6 +144,7 @@
     // Lowest wins.
     struct Order {
         bool foreign = false;  // not one of the job's own machines
+        int idles = 0;         // accelerators that would lie idle there while the task holds what goes with them
         int wait = 0;
         bool ordinary = false;
         int size = 0;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -103,6 +103,14 @@
     EXPECT_EQ(p.place(Asked(spec(0, 10)).ask, job), 0u);
 }
 
+// Idle tasks of a guest that took the processors of the least loaded machines left 2,600 accelerators idle.
+TEST(Placement, a_task_without_accelerators_goes_where_the_fewest_would_lie_idle) {
+    Planner p({host(1, 4, 90, 0), host(2, 0, 90, 6), host(3, 2, 90, 1)}, 0.1);
+    JobHosts job, other;
+    EXPECT_EQ(place_all(p, spec(0, 10), 1, job), std::vector<Id>{2});
+    EXPECT_EQ(place_all(p, spec(1, 10), 1, other), std::vector<Id>{1});
+}
+
 TEST(Placement, groups_say_which_types_a_class_may_use) {
     Rules rules;
     rules.groups["training"] = {"other"};
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -650,6 +650,44 @@
     EXPECT_EQ(machine_of("run-3", 0), "n-000001");
 }
 
+// Riga's visitors day: a guest's idle tasks held the processors of every machine for minutes, and gangs, which need
+// whole machines, waited beside thousands of idle accelerators.
+TEST_F(Story, preemption_idle_tasks_give_a_whole_gang_its_machines_or_are_left_alone) {
+    elect();
+    m2.zone = "a";
+    auto idle = job("run-1", Shape::array, 4);
+    idle.rank = wire::Rank::idle;
+    idle.need = {4, 0, 10};
+    idle.checkpoint = Seconds(15);
+    idle.save = Seconds(2);
+    start(idle, {&m1, &m2});
+    ASSERT_EQ(leader->job("run-1")->placed, 4u);
+    auto gang = job("run-3", Shape::gang, 3);  // more than there are machines
+    gang.need = {8, 2, 40};
+    gang.one_zone = true;
+    const auto kills = [&] {
+        settle();
+        for (auto* w : {&m1, &m2}) beat(*w);
+        std::size_t n = 0;
+        for (int i = 0; i < 2; ++i) place();
+        for (auto* w : {&m1, &m2})
+            for (const auto& o : beat(*w)) n += o.verb == Verb::kill;
+        return n;
+    };
+    accept(gang);
+    EXPECT_EQ(kills(), 0u) << "what cannot make room for all of the gang is not stopped";
+    ASSERT_TRUE(cancel("run-3"));
+    tell("run-3");
+    gang.uid = "run-2";
+    gang.tasks = 2;
+    accept(gang);
+    EXPECT_EQ(kills(), 4u);
+    for (auto* w : {&m1, &m2}) beat(*w);
+    place();
+    EXPECT_EQ(leader->job("run-2")->placed, 2u);
+    EXPECT_EQ(leader->job("run-1")->placed, 0u);
+}
+
 TEST_F(Story, moves_a_service_goes_to_the_machine_that_has_its_image_and_only_once_it_is_gone) {
     elect();
     auto slow = job("run-1", Shape::service, 1), quick = job("run-2", Shape::service, 1);
