--- a/src/agent/job.cpp
+++ b/src/agent/job.cpp
@@ -4,19 +4,15 @@
 
 namespace flintdale::agent {
 
-namespace {
-constexpr std::string_view work_prefix = "work/";
-}
-
-std::string job_key(const std::string& uid) { return "job/" + uid; }
+std::string outcome_key(const std::string& uid) { return std::string(jobs_prefix) + "over/" + uid; }
 
 std::string work_key(const std::string& uid, std::uint32_t chunk) {
-    return std::string(work_prefix) + uid + (chunk ? "/" + std::to_string(chunk) : std::string());
+    return work_prefix + uid + (chunk ? "/" + std::to_string(chunk) : std::string());
 }
 
 bool parse_work_key(const std::string& key, std::string& uid, std::uint32_t& chunk) {
     if (!key.starts_with(work_prefix)) return false;
-    const auto rest = key.substr(work_prefix.size());
+    const auto rest = key.substr(std::string_view(work_prefix).size());
     const auto slash = rest.find('/');
     uid = rest.substr(0, slash);
     chunk = 0;
@@ -26,12 +22,12 @@
     return ec == std::errc() && p == end;
 }
 
-boost::json::object job_record(const JobSpec& spec, wire::JobState state) {
+boost::json::object outcome_record(const JobSpec& spec, wire::JobState state) {
     return {{"state", wire::job_state_name(state)}, {"spec", wire::spec_to_record(spec)}};
 }
 
 boost::json::object first_work_record(const JobSpec& spec) {
-    return {{"spec", wire::spec_to_record(spec)}, {"job", 0}, {"tasks", boost::json::array()}};
+    return {{"spec", wire::spec_to_record(spec)}, {"tasks", boost::json::array()}};
 }
 
 boost::json::object work_record(const Job& job, std::uint32_t chunk) {
@@ -52,10 +48,7 @@
         ranges.push_back(std::move(r));
     }
     boost::json::object o;
-    if (chunk == 0) {
-        o["spec"] = wire::spec_to_record(job.spec);
-        o["job"] = job.stamp;
-    }
+    if (chunk == 0) o["spec"] = wire::spec_to_record(job.spec);
     o["tasks"] = wire::ranges_to_record(ranges);
     return o;
 }
--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -38,9 +38,8 @@
 struct Job {
     JobSpec spec;
     mutable placement::Ask ask;  // its wishes in numbers, made when first needed
-    std::uint64_t stamp = 0;     // of the job's own key
     bool cancelled = false;
-    bool finished = false;  // the outcome is durable; only records remain to be removed
+    bool finished = false;  // the outcome is durable
     std::vector<Task> tasks;
     std::vector<Chunk> chunks;
     std::uint32_t generation = 0, done = 0, placed = 0, running = 0;
@@ -65,12 +64,17 @@
     bool durable(std::uint32_t task) const { return chunks[chunk_of(task)].durable >= tasks[task].generation; }
 };
 
-std::string job_key(const std::string& uid);
+// An open job is in its records of work, and nowhere else, so that one write accepts it. Its outcome is a key of its
+// own: absent while it is open, there for good once it is over, whether or not the records of work have been removed
+// yet.
+inline constexpr const char* jobs_prefix = "jobs/";
+inline constexpr const char* work_prefix = "jobs/work/";
+std::string outcome_key(const std::string& uid);
 std::string work_key(const std::string& uid, std::uint32_t chunk);
 // The job and chunk that a key of open work names; false if it is none.
 bool parse_work_key(const std::string& key, std::string& uid, std::uint32_t& chunk);
 
-boost::json::object job_record(const JobSpec& spec, wire::JobState state);
+boost::json::object outcome_record(const JobSpec& spec, wire::JobState state);
 boost::json::object work_record(const Job& job, std::uint32_t chunk);
 // The first record of a job that was just accepted.
 boost::json::object first_work_record(const JobSpec& spec);
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -44,9 +44,8 @@
     return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-Job& Overseer::create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before) {
+Job& Overseer::create(JobSpec spec, TimePoint now, bool known_before) {
     auto job = std::make_unique<Job>();
-    job->stamp = stamp;
     job->tasks.resize(spec.tasks);
     job->chunks.resize((spec.tasks + chunk_tasks - 1) / chunk_tasks);
     job->arrived = now;
@@ -70,10 +69,7 @@
         std::uint32_t chunk = 0;
         if (!parse_work_key(item.key, uid, chunk) || chunk || jobs_.contains(uid)) continue;
         try {
-            const auto& o = item.value.as_object();
-            auto spec = wire::spec_from_record(o.at("spec").as_object());
-            auto stamp = o.at("job").to_number<std::uint64_t>();
-            create(std::move(spec), stamp ? stamp : item.stamp, now, true);
+            create(wire::spec_from_record(item.value.as_object().at("spec").as_object()), now, true);
             added.insert(uid);
         } catch (const std::exception& e) {
             spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
@@ -86,7 +82,7 @@
         auto* job = find(uid);
         if (!job) {
             // The job is over, and its last leader ended before it had removed every record.
-            if (chunk) orphans_.emplace_back(item.key, item.stamp);
+            if (chunk) leftovers_.emplace_back(item.key, item.stamp);
             continue;
         }
         if (!added.contains(uid) || chunk >= job->chunks.size()) continue;
@@ -130,46 +126,47 @@
     if (!item.stamp || !item.value.is_object()) return;
     try {
         const auto& o = item.value.get_object();
-        const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
-        const auto uid = item.key.substr(item.key.find('/') + 1);
-        auto* job = find(uid);
-        if (state == wire::JobState::open) {
-            if (job) return;
-            auto spec = wire::spec_from_record(o.at("spec").as_object());
-            auto& created = create(std::move(spec), item.stamp, now, false);
-            // Both records were made in one transaction and have its revision.
+        std::string uid;
+        std::uint32_t chunk = 0;
+        if (parse_work_key(item.key, uid, chunk)) {
+            // Our own writes are seen here as well, late ones of jobs that are over and forgotten included: only a
+            // record without any task is that of a job just accepted.
+            if (chunk || find(uid) || !o.at("tasks").as_array().empty()) return;
+            auto& created = create(wire::spec_from_record(o.at("spec").as_object()), now, false);
             created.chunks[0].stamp = item.stamp;
             counts_changed_.insert(uid);
-        } else if (job && item.stamp > job->stamp) {
-            if (state == wire::JobState::cancelled) {
-                cancel(*job, item.stamp, now);
-            } else {
-                job->stamp = item.stamp;
-                job->finished = true;
-                mark_dirty(uid);
-            }
+            return;
+        }
+        const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
+        uid = item.key.substr(item.key.rfind('/') + 1);
+        auto* job = find(uid);
+        if (!job || job->cancelled || job->finished) return;
+        if (state == wire::JobState::cancelled) {
+            cancel(*job, now);
+        } else {
+            job->finished = true;
+            mark_dirty(uid);
         }
     } catch (const std::exception& e) {
         spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
     }
 }
 
-void Overseer::cancel(Job& job, std::uint64_t stamp, TimePoint now) {
+void Overseer::cancel(Job& job, TimePoint now) {
     if (job.cancelled) return;
     spdlog::info("event=job_cancelled job={} placed={}", job.spec.uid, job.placed);
     job.cancelled = true;
     job.cancelled_at = now;
-    job.stamp = stamp;
     for (std::uint32_t i = 0; i < job.spec.tasks && job.placed; ++i)
         // What no `run` was sent for is nowhere; the rest must be seen to go.
         if (auto& t = job.tasks[i]; t.state == State::placed && !t.sent) leave(job, i, State::waiting, now);
     mark_dirty(job.spec.uid);
 }
 
-std::vector<std::pair<std::string, std::uint64_t>> Overseer::open_jobs() const {
-    std::vector<std::pair<std::string, std::uint64_t>> out;
+std::vector<std::string> Overseer::open_jobs() const {
+    std::vector<std::string> out;
     for (const auto& [uid, job] : jobs_)
-        if (!job->cancelled && !job->finished) out.emplace_back(job_key(uid), job->stamp);
+        if (!job->cancelled && !job->finished) out.push_back(uid);
     return out;
 }
 
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -14,7 +14,7 @@
     struct Part {
         std::string uid;
         std::uint32_t chunk = 0, generation = 0;
-        enum class Kind : std::uint8_t { write, finish, remove } kind = Kind::write;
+        enum class Kind : std::uint8_t { write, finish } kind = Kind::write;
     };
     state::Txn txn;
     std::vector<Part> parts;
@@ -48,7 +48,7 @@
     // --- What others tell it ---
     // All records of open work, read after the term was won. May come again; jobs already known are left alone.
     void load(const std::vector<state::Item>& work, TimePoint now);
-    // A change of a job's own key.
+    // A job was accepted, or is over: one of its keys.
     void job_changed(const state::Item& item, TimePoint now);
     // A report, and the orders that answer it; nothing if it is older than what is known or must not be answered.
     std::optional<std::vector<wire::Order>> report(const wire::WorkerReport& r, TimePoint now);
@@ -85,9 +85,12 @@
     // The batch failed or its fate is unknown, and its keys were read again.
     void reread(const state::Item& item, TimePoint now);
     void retry(const Batch& batch);
+    // Records of jobs that are over, to be removed when there is nothing better to write.
+    state::Txn leftovers(std::size_t most);
+    void keep_leftovers(const state::Txn& txn);  // they were not removed
     bool dirty() const { return !dirty_.empty(); }
 
-    std::vector<std::pair<std::string, std::uint64_t>> open_jobs() const;  // with the stamps of their own keys
+    std::vector<std::string> open_jobs() const;
     bool knows(const std::string& uid) const { return jobs_.contains(uid); }
     std::optional<JobCount> count(const std::string& uid) const;
     std::vector<std::pair<std::string, JobCount>> take_counts();
@@ -106,8 +109,9 @@
     Seconds overdue() const { return settings_.report * 1.25 + Seconds(1); }
 
     Job* find(const std::string& uid);
-    Job& create(JobSpec spec, std::uint64_t stamp, TimePoint now, bool known_before);
-    void cancel(Job& job, std::uint64_t stamp, TimePoint now);
+    Job& create(JobSpec spec, TimePoint now, bool known_before);
+    void cancel(Job& job, TimePoint now);
+    void forget(const std::string& uid);
     // The record must follow: at once, or some time, where only a later leader would do without it.
     enum class Write : std::uint8_t { at_once, some_time };
     void touch(Job& job, std::uint32_t task, Write when, TimePoint now);
@@ -184,7 +188,7 @@
     std::set<std::string> dirty_set_;
     std::deque<std::pair<TimePoint, std::string>> due_later_;  // when they become dirty
     std::set<std::string> later_set_;
-    std::vector<std::pair<std::string, std::uint64_t>> orphans_;  // keys of jobs that are over
+    std::vector<std::pair<std::string, std::uint64_t>> leftovers_;  // keys of jobs that are over, with their stamps
     std::map<std::string, placement::Resources> team_use_;
     std::array<std::size_t, 4> array_tasks_{};  // placed ones, by rank
     std::set<std::string> counts_changed_;
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -28,36 +28,15 @@
         const bool complete = job->done == job->spec.tasks && !job->cancelled && !job->finished;
         const bool over = job->finished || (job->cancelled && job->placed == 0);
         bool left = false;
-        if (complete || over) {
-            if (complete) {
-                // Whoever comes first decides between done and cancelled: both are conditioned on this stamp.
-                if (batch.txn.changes.size() + 2 > most) {
-                    mark_dirty(uid);
-                    break;
-                }
-                batch.txn.conditions.push_back({job_key(uid), job->stamp});
-                batch.txn.changes.push_back({job_key(uid), job_record(job->spec, wire::JobState::done), 0});
-                batch.parts.push_back({uid, 0, job->generation, Batch::Part::Kind::finish});
-                batch.keys.push_back(job_key(uid));
-                bytes += 1024;
-            }
-            for (std::uint32_t c = 0; c < job->chunks.size(); ++c) {
-                if (!job->chunks[c].stamp) continue;
-                if (batch.txn.changes.size() >= most) {
-                    left = true;
-                    break;
-                }
-                batch.txn.conditions.push_back({work_key(uid, c), job->chunks[c].stamp});
-                batch.txn.changes.push_back({work_key(uid, c), std::nullopt, 0});
-                batch.parts.push_back({uid, c, job->generation, Batch::Part::Kind::remove});
-                batch.keys.push_back(work_key(uid, c));
-            }
-            if (!left && over &&
-                std::all_of(job->chunks.begin(), job->chunks.end(), [](const Chunk& c) { return c.stamp == 0; })) {
-                // Nothing of it is on record: forget it, and tell workers to clear what they still show.
-                jobs_.erase(uid);
-                continue;
-            }
+        if (over) {
+            forget(uid);
+        } else if (complete) {
+            // Whoever comes first decides between done and cancelled: both are conditioned on there being no outcome.
+            batch.txn.conditions.push_back({outcome_key(uid), 0});
+            batch.txn.changes.push_back({outcome_key(uid), outcome_record(job->spec, wire::JobState::done), 0});
+            batch.parts.push_back({uid, 0, job->generation, Batch::Part::Kind::finish});
+            batch.keys.push_back(outcome_key(uid));
+            bytes += 1024;
         } else if (!job->cancelled) {
             for (std::uint32_t c = 0; c < job->chunks.size(); ++c) {
                 auto& chunk = job->chunks[c];
@@ -69,9 +48,9 @@
                 auto record = work_record(*job, c);
                 bytes += 600 + record["tasks"].as_array().size() * 32;
                 // No placement may be added once the job was cancelled.
-                if (batch.keys.empty() || batch.keys.back() != job_key(uid)) {
-                    batch.txn.conditions.push_back({job_key(uid), job->stamp});
-                    batch.keys.push_back(job_key(uid));
+                if (batch.keys.empty() || batch.keys.back() != outcome_key(uid)) {
+                    batch.txn.conditions.push_back({outcome_key(uid), 0});
+                    batch.keys.push_back(outcome_key(uid));
                 }
                 batch.txn.conditions.push_back({work_key(uid, c), chunk.stamp});
                 batch.txn.changes.push_back({work_key(uid, c), std::move(record), 0});
@@ -81,14 +60,34 @@
         }
         if (left) mark_dirty(uid);
     }
-    while (!orphans_.empty() && batch.txn.changes.size() < most) {
-        batch.txn.conditions.push_back({orphans_.back().first, orphans_.back().second});
-        batch.txn.changes.push_back({orphans_.back().first, std::nullopt, 0});
-        orphans_.pop_back();
-    }
     return batch;
 }
 
+// The job is over and none of its tasks is anywhere. Workers that still show one are told to clear it. Its records may
+// stay for a while: what reads them looks for an outcome as well.
+void Overseer::forget(const std::string& uid) {
+    const auto& chunks = find(uid)->chunks;
+    for (std::uint32_t c = 0; c < chunks.size(); ++c)
+        if (chunks[c].stamp) leftovers_.emplace_back(work_key(uid, c), chunks[c].stamp);
+    jobs_.erase(uid);
+}
+
+state::Txn Overseer::leftovers(std::size_t most) {
+    state::Txn txn;
+    for (; !leftovers_.empty() && txn.changes.size() < most; leftovers_.pop_back()) {
+        const auto& [key, stamp] = leftovers_.back();
+        txn.conditions.push_back({key, stamp});
+        txn.changes.push_back({key, std::nullopt, 0});
+    }
+    if (!txn.changes.empty()) txn.conditions.push_back({election::term_key, term_stamp_});
+    return txn;
+}
+
+void Overseer::keep_leftovers(const state::Txn& txn) {
+    for (std::size_t i = 0; i < txn.changes.size(); ++i)
+        leftovers_.emplace_back(txn.conditions[i].key, txn.conditions[i].stamp);
+}
+
 void Overseer::committed(const Batch& batch, std::uint64_t revision, TimePoint now) {
     for (const auto& p : batch.parts) {
         auto* job = find(p.uid);
@@ -101,12 +100,8 @@
             case Batch::Part::Kind::finish:
                 spdlog::info("event=job_done job={} class={} seconds={:.1f}", p.uid, job->spec.job_class,
                              Seconds(now - job->arrived).count());
-                job->stamp = revision;
                 job->finished = true;
                 break;
-            case Batch::Part::Kind::remove:
-                job->chunks[p.chunk].stamp = 0;
-                break;
         }
         if (job->finished || job->cancelled) mark_dirty(p.uid);
     }
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -52,27 +52,56 @@
     return "hosttypes: a task fits no allowed machine type";
 }
 
-bool Desk::learn(const state::Item& item) {
-    const auto uid = item.key.substr(item.key.find('/') + 1);
+// What a key of the job says of it; false if the key is absent.
+bool Desk::learn(const std::string& uid, const state::Item& item) {
     if (!item.stamp) return false;
     const auto& o = item.value.as_object();
     Known k;
-    k.state = wire::job_state_from(std::string_view(o.at("state").as_string()));
-    k.stamp = item.stamp;
+    if (const auto* state = o.if_contains("state"))
+        k.state = wire::job_state_from(std::string_view(state->as_string()));
     k.tasks = o.at("spec").as_object().at("shards").to_number<std::uint32_t>();
     if (known_.size() >= max_known) known_.clear();  // a cache: what is missing is read again
-    auto& slot = known_[uid];
+    const auto [it, fresh] = known_.try_emplace(uid, k);
     // Answers of the service may overtake one another on their way here; a job only ever moves forward.
-    if (k.stamp >= slot.stamp) slot = k;
+    if (!fresh && it->second.state == JobState::open) it->second = k;
     return true;
 }
 
 awaitable<std::optional<bool>> Desk::look_up(const std::string& uid) {
-    auto got = co_await store_.get(agent::job_key(uid), Urgency::user);
-    if (got.outcome != Outcome::ok) co_return std::nullopt;
-    const bool exists = learn(got.item);
-    if (exists) links_.job_changed(got.item);
-    co_return exists;
+    const auto found = co_await find(uid);
+    if (found.outcome != Outcome::ok) co_return std::nullopt;
+    co_return found.item.stamp > 0;
+}
+
+// The job's outcome, or else the record of its open work, or an absent item if there is no such job.
+awaitable<state::GetResult> Desk::find(const std::string& uid) {
+    state::GetResult got;
+    for (int round = 0; round < 3; ++round) {
+        for (const bool over : {true, false}) {
+            auto key = over ? agent::outcome_key(uid) : agent::work_key(uid, 0);
+            got = co_await store_.get(std::move(key), Urgency::user);
+            if (got.outcome != Outcome::ok) co_return got;
+            if (learn(uid, got.item)) {
+                links_.job_changed(got.item);
+                co_return got;
+            }
+        }
+        // It may have ended between the two looks, and its work been removed: only both at once tell.
+        auto txn = absent(uid);
+        const auto neither = co_await store_.commit(std::move(txn), Urgency::user);
+        got.outcome = neither.outcome;
+        if (neither.outcome != Outcome::conflict) co_return got;
+    }
+    got.outcome = Outcome::unknown;
+    co_return got;
+}
+
+// A transaction that fails if there is such a job.
+state::Txn Desk::absent(const std::string& uid) {
+    state::Txn txn;
+    txn.conditions.push_back({agent::outcome_key(uid), 0});
+    txn.conditions.push_back({agent::work_key(uid, 0), 0});
+    return txn;
 }
 
 Reply Desk::status_of(const std::string& uid, bool as_submission) const {
@@ -134,18 +163,16 @@
     // What would wait too long is refused at once, with the time when it may be taken.
     if (const auto wait = store_.write_wait(); wait > most_wait)
         co_return come_back("too many submissions at once", wait);
-    const auto record = agent::job_record(spec, JobState::open);
-    state::Txn txn;
-    txn.conditions.push_back({agent::job_key(uid), 0});
-    txn.changes.push_back({agent::job_key(uid), record, 0});
-    txn.changes.push_back({agent::work_key(uid, 0), agent::first_work_record(spec), 0});
+    const auto record = agent::first_work_record(spec);
+    auto txn = absent(uid);
+    txn.changes.push_back({agent::work_key(uid, 0), record, 0});
     const auto result = co_await store_.commit(std::move(txn), Urgency::user);
     if (result.outcome == Outcome::ok) {
         state::Item item;
-        item.key = agent::job_key(uid);
+        item.key = agent::work_key(uid, 0);
         item.value = record;
         item.stamp = result.revision;
-        learn(item);
+        learn(uid, item);
         links_.job_changed(item);
         spdlog::info("event=job_accepted job={} class={} tasks={}", uid, spec.job_class, spec.tasks);
         co_return reply(201, wire::submission_answer(uid, "pending"));
@@ -186,25 +213,31 @@
 awaitable<void> Desk::check_waiting() {
     while (!waiting_.empty()) {
         std::vector<std::shared_ptr<Waiter>> batch;
-        const std::size_t most = settings_.txn_ops * 4;
+        const std::size_t most = settings_.txn_ops * 2;  // of two conditions at most; a transaction may have twice that
         while (!waiting_.empty() && batch.size() < most) {
             batch.push_back(std::move(waiting_.front()));
             waiting_.pop_front();
         }
         state::Txn txn;
-        for (const auto& w : batch) {
-            const auto it = known_.find(w->uid);
-            txn.conditions.push_back({agent::job_key(w->uid), it == known_.end() ? 0 : it->second.stamp});
-        }
+        // Known jobs that are over need no check, so all that are known are believed to be open.
+        for (const auto& w : batch)
+            for (auto& condition : absent(w->uid).conditions)
+                if (condition.key == agent::outcome_key(w->uid) || !known_.contains(w->uid))
+                    txn.conditions.push_back(std::move(condition));
         const auto result = co_await store_.commit(std::move(txn), Urgency::user);
         for (const auto& w : batch) {
-            const bool failed =
-                std::find(result.failed.begin(), result.failed.end(), agent::job_key(w->uid)) != result.failed.end();
-            if (result.outcome == Outcome::ok || (result.outcome == Outcome::conflict && !failed)) {
+            const auto exists = [&](const std::string& key) {
+                return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
+            };
+            const bool over = exists(agent::outcome_key(w->uid));
+            if (result.outcome == Outcome::ok ||
+                (result.outcome == Outcome::conflict && !over && !exists(agent::work_key(w->uid, 0)))) {
                 w->fresh = true;
             } else if (result.outcome == Outcome::conflict) {
-                const auto exists = co_await look_up(w->uid);
-                w->fresh = exists.has_value();
+                auto key = over ? agent::outcome_key(w->uid) : agent::work_key(w->uid, 0);
+                const auto got = co_await store_.get(std::move(key), Urgency::user);
+                w->fresh = got.outcome == Outcome::ok && learn(w->uid, got.item);
+                if (w->fresh) links_.job_changed(got.item);
             }
             w->answered = true;
             w->done.cancel();
@@ -216,25 +249,21 @@
 awaitable<Reply> Desk::cancel(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
     for (int round = 0; round < 3; ++round) {
-        auto got = co_await store_.get(agent::job_key(uid), Urgency::user);
+        const auto got = co_await find(uid);
         if (got.outcome != Outcome::ok) break;
-        if (!learn(got.item)) co_return reply(404, wire::error_body("no such job"));
-        if (known_[uid].state != JobState::open) {
-            links_.job_changed(got.item);
-            co_return status_of(uid, true);
-        }
-        boost::json::object record = got.item.value.as_object();
-        record["state"] = wire::job_state_name(JobState::cancelled);
+        if (!got.item.stamp) co_return reply(404, wire::error_body("no such job"));
+        if (known_[uid].state != JobState::open) co_return status_of(uid, true);
+        state::Item item;
+        item.key = agent::outcome_key(uid);
+        item.value = boost::json::object{{"state", wire::job_state_name(JobState::cancelled)},
+                                         {"spec", got.item.value.as_object().at("spec")}};
         state::Txn txn;
-        txn.conditions.push_back({got.item.key, got.item.stamp});
-        txn.changes.push_back({got.item.key, record, 0});
+        txn.conditions.push_back({item.key, 0});
+        txn.changes.push_back({item.key, item.value, 0});
         const auto result = co_await store_.commit(std::move(txn), Urgency::user);
         if (result.outcome == Outcome::ok) {
-            state::Item item;
-            item.key = got.item.key;
-            item.value = std::move(record);
             item.stamp = result.revision;
-            learn(item);
+            learn(uid, item);
             links_.job_changed(item);
             spdlog::info("event=cancel_accepted job={}", uid);
             co_return status_of(uid, true);
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -37,7 +37,6 @@
   private:
     struct Known {
         wire::JobState state = wire::JobState::open;
-        std::uint64_t stamp = 0;
         std::uint32_t tasks = 0;
     };
     struct Waiter {
@@ -48,7 +47,9 @@
     };
 
     std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
-    bool learn(const state::Item& item);
+    bool learn(const std::string& uid, const state::Item& item);
+    awaitable<state::GetResult> find(const std::string& uid);
+    static state::Txn absent(const std::string& uid);
     awaitable<std::optional<bool>> look_up(const std::string& uid);  // whether it exists; nothing: unknown
     awaitable<Reply> current(const std::string& uid, bool as_submission);
     awaitable<bool> check_fresh(const std::string& uid);
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -15,6 +15,7 @@
 namespace {
 constexpr std::chrono::milliseconds follow_hold{1000};
 constexpr auto plan_gap = 200ms;
+constexpr auto tidy_gap = 500ms;
 constexpr auto hold_step = 60ms;
 constexpr auto hold_for_plan = 420ms, hold_for_write = 1200ms;  // that an answer to a worker may wait for work
 constexpr int max_tries = 30;
@@ -55,6 +56,7 @@
     net::asio::co_spawn(ex_, run_loop(self, tick_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, list_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, cloud_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, tidy_loop()), net::asio::detached);
 }
 
 void Reign::stop() {
@@ -128,7 +130,7 @@
     std::uint64_t revision = 0;
     const auto began = Clock::now();
     for (;;) {
-        auto page = co_await store_.range("work/", after, Urgency::leadership);
+        auto page = co_await store_.range(agent::work_prefix, after, Urgency::leadership);
         if (stopped_) co_return false;
         if (page.outcome != Outcome::ok) {
             co_await net::sleep_for(150ms);
@@ -151,7 +153,7 @@
     co_return true;
 }
 
-// Open work may be of jobs that were cancelled meanwhile: their own keys tell.
+// What looks open may be of jobs that are over: their outcomes tell.
 awaitable<bool> Reign::check_open_jobs() {
     const auto open = overseer_.open_jobs();
     const std::size_t most = settings_.txn_ops * 4;
@@ -160,7 +162,7 @@
         do {
             state::Txn txn;
             for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
-                txn.conditions.push_back({open[i].first, open[i].second});
+                txn.conditions.push_back({agent::outcome_key(open[i]), 0});
             result = co_await store_.commit(std::move(txn), Urgency::leadership);
             if (stopped_) co_return false;
             if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) co_await net::sleep_for(150ms);
@@ -190,7 +192,7 @@
     }
     while (!stopped_) {
         const auto began = Clock::now();
-        auto seen = co_await store_.follow("job/", followed_, follow_hold);
+        auto seen = co_await store_.follow(agent::jobs_prefix, followed_, follow_hold);
         if (stopped_) break;
         if (seen.outcome == Outcome::too_old) {
             co_await load();
@@ -245,6 +247,20 @@
     }
 }
 
+// Removes what jobs that are over have left on record, when nobody else has anything to write.
+awaitable<void> Reign::tidy_loop() {
+    while (!stopped_) {
+        co_await net::sleep_for(tidy_gap);
+        if (stopped_ || !loaded_) continue;
+        auto txn = overseer_.leftovers(store_.write_portion());
+        if (txn.changes.empty()) continue;
+        auto sent = txn;
+        const auto result = co_await store_.commit(std::move(sent), Urgency::leftover);
+        // After a conflict they are somebody else's; a later leader finds what nobody has removed.
+        if (result.outcome == Outcome::refused || result.outcome == Outcome::unknown) overseer_.keep_leftovers(txn);
+    }
+}
+
 // A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
 // remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
 awaitable<bool> Reign::still_leading() {
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -44,6 +44,7 @@
     awaitable<void> tick_loop();
     awaitable<void> list_loop();
     awaitable<void> cloud_loop();
+    awaitable<void> tidy_loop();
     awaitable<void> return_machines();
     awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
--- a/src/state/gate.hpp
+++ b/src/state/gate.hpp
@@ -39,7 +39,7 @@
     // Reads and writes wait apart: the limit on writes is the scarcer, and must not hold up a read.
     struct Lane {
         explicit Lane(net::Executor ex) : changed(ex) {}
-        Queue queues[3];  // by urgency
+        Queue queues[4];  // by urgency
         net::Wakeup changed;
         bool pumping = false;
     };
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -74,7 +74,7 @@
 };
 
 // What must not wait behind what.
-enum class Urgency : std::uint8_t { leadership, user, bookkeeping };
+enum class Urgency : std::uint8_t { leadership, user, bookkeeping, leftover };
 
 class Store {
   public:
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -73,13 +73,13 @@
     const auto r = run(one.submit(body("run-2")));
     EXPECT_EQ(r.status, 503u);
     EXPECT_GT(r.retry_after, 0u);
-    EXPECT_EQ(store.keys.get("job/run-2").stamp, 0u);
+    EXPECT_EQ(store.keys.get("jobs/work/run-2").stamp, 0u);
 }
 
 TEST_F(DeskStory, an_accepted_answer_means_it_is_on_record_even_if_the_answer_was_lost) {
     store.lose_answers = 1;
     EXPECT_EQ(run(one.submit(body("run-1"))).status, 200u);
-    EXPECT_GT(store.keys.get("job/run-1").stamp, 0u);
+    EXPECT_GT(store.keys.get("jobs/work/run-1").stamp, 0u);
     store.refuse = true;
     EXPECT_EQ(run(one.submit(body("run-2"))).status, 503u);
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -113,7 +113,7 @@
     ASSERT_TRUE(old->place(now));
     const auto batch = old->next_batch(1000);
     EXPECT_EQ(keys.commit(batch.txn).outcome, state::Outcome::conflict);
-    EXPECT_TRUE(keys.get("work/run-1").value.as_object().at("tasks").as_array().empty());
+    EXPECT_TRUE(keys.get("jobs/work/run-1").value.as_object().at("tasks").as_array().empty());
 }
 
 TEST_F(Story, ran_twice_a_lost_answer_is_repeated_and_a_late_report_ignored) {
@@ -223,7 +223,7 @@
     tell("run-2");
     EXPECT_FALSE(ordered(beat(m1), Verb::run, "run-2", 0));
     commit();
-    EXPECT_EQ(keys.get("work/run-2").stamp, 0u) << "nothing of a cancelled job stays open";
+    EXPECT_EQ(keys.get("jobs/work/run-2").stamp, 0u) << "nothing of a cancelled job stays open";
 }
 
 TEST_F(Story, ran_cancelled_a_placement_is_not_recorded_for_a_job_cancelled_elsewhere) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -174,32 +174,32 @@
     const auto won = keys.commit(txn);
     leader = std::make_unique<Overseer>(settings, tunables, term, won.revision, now);
     leader->catalog(types());
-    leader->load(keys.range("work/"), now);
-    for (const auto& [key, stamp] : leader->open_jobs()) leader->job_changed(keys.get(key), now);
+    leader->load(keys.range(agent::work_prefix), now);
+    for (const auto& uid : leader->open_jobs()) leader->job_changed(keys.get(agent::outcome_key(uid)), now);
     return *leader;
 }
 
 void World::accept(const wire::JobSpec& spec) {
     state::Txn txn;
-    txn.conditions.push_back({agent::job_key(spec.uid), 0});
-    txn.changes.push_back({agent::job_key(spec.uid), agent::job_record(spec, wire::JobState::open), 0});
+    txn.conditions.push_back({agent::outcome_key(spec.uid), 0});
+    txn.conditions.push_back({agent::work_key(spec.uid, 0), 0});
     txn.changes.push_back({agent::work_key(spec.uid, 0), agent::first_work_record(spec), 0});
     ASSERT_EQ(keys.commit(txn).outcome, state::Outcome::ok);
     if (leader) tell(spec.uid);
 }
 
 bool World::cancel(const std::string& uid) {
-    auto item = keys.get(agent::job_key(uid));
-    auto record = item.value.as_object();
-    if (record["state"] != "open") return false;
-    record["state"] = "aborted";
+    const auto* job = leader->job(uid);
+    const auto spec = job ? job->spec : wire::JobSpec{};
     state::Txn txn;
-    txn.conditions.push_back({item.key, item.stamp});
-    txn.changes.push_back({item.key, record, 0});
+    txn.conditions.push_back({agent::outcome_key(uid), 0});
+    txn.changes.push_back({agent::outcome_key(uid), agent::outcome_record(spec, wire::JobState::cancelled), 0});
     return keys.commit(txn).outcome == state::Outcome::ok;
 }
 
-void World::tell(const std::string& uid) { leader->job_changed(keys.get(agent::job_key(uid)), now); }
+void World::tell(const std::string& uid) {
+    for (const auto& key : {agent::work_key(uid, 0), agent::outcome_key(uid)}) leader->job_changed(keys.get(key), now);
+}
 
 std::vector<Order> World::beat(Worker& w, bool answer_arrives) {
     auto orders = leader->report(w.report(), now);
@@ -220,6 +220,8 @@
         for (const auto& key : r.failed) leader->reread(keys.get(key), now);
         leader->retry(batch);
     }
+    const auto rest = leader->leftovers(1000);
+    if (!rest.changes.empty()) keys.commit(rest);
 }
 
 bool World::place() {
@@ -235,8 +237,9 @@
 }
 
 std::string World::state_of(const std::string& uid) const {
-    const auto item = keys.get(agent::job_key(uid));
-    return item.stamp ? std::string(item.value.as_object().at("state").as_string()) : "absent";
+    const auto item = keys.get(agent::outcome_key(uid));
+    if (item.stamp) return std::string(item.value.as_object().at("state").as_string());
+    return keys.get(agent::work_key(uid, 0)).stamp ? "open" : "absent";
 }
 
 std::string World::machine_of(const std::string& uid, std::uint32_t task) const {
