--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -122,8 +122,8 @@
     }
 }
 
-void Overseer::job_changed(const state::Item& item, TimePoint now) {
-    if (!item.stamp || !item.value.is_object()) return;
+bool Overseer::job_changed(const state::Item& item, TimePoint now) {
+    if (!item.stamp || !item.value.is_object()) return false;
     try {
         const auto& o = item.value.get_object();
         std::string uid;
@@ -131,25 +131,27 @@
         if (parse_work_key(item.key, uid, chunk)) {
             // Our own writes are seen here as well, late ones of jobs that are over and forgotten included: only a
             // record without any task is that of a job just accepted.
-            if (chunk || find(uid) || !o.at("tasks").as_array().empty()) return;
+            if (chunk || find(uid) || !o.at("tasks").as_array().empty()) return false;
             auto& created = create(wire::spec_from_record(o.at("spec").as_object()), now, false);
             created.chunks[0].stamp = item.stamp;
             counts_changed_.insert(uid);
-            return;
+            return true;
         }
         const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
         uid = item.key.substr(item.key.rfind('/') + 1);
         auto* job = find(uid);
-        if (!job || job->cancelled || job->finished) return;
+        if (!job || job->cancelled || job->finished) return false;
         if (state == wire::JobState::cancelled) {
             cancel(*job, now);
         } else {
             job->finished = true;
             mark_dirty(uid);
         }
+        return true;
     } catch (const std::exception& e) {
         spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
     }
+    return false;
 }
 
 void Overseer::cancel(Job& job, TimePoint now) {
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -48,8 +48,8 @@
     // --- What others tell it ---
     // All records of open work, read after the term was won. May come again; jobs already known are left alone.
     void load(const std::vector<state::Item>& work, TimePoint now);
-    // A job was accepted, or is over: one of its keys.
-    void job_changed(const state::Item& item, TimePoint now);
+    // A job was accepted, or is over: one of its keys. False if that is no news.
+    bool job_changed(const state::Item& item, TimePoint now);
     // A report, and the orders that answer it; nothing if it is older than what is known or must not be answered.
     std::optional<std::vector<wire::Order>> report(const wire::WorkerReport& r, TimePoint now);
     // What to expect for a worker whose report was just heard and is not answered yet.
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 constexpr std::chrono::milliseconds follow_hold{1000};
+constexpr auto follow_gap = 120ms;
 constexpr auto plan_gap = 200ms;
 constexpr auto tidy_gap = 500ms;
 constexpr auto hold_step = 60ms;
@@ -113,8 +114,7 @@
 
 void Reign::job_changed(const state::Item& item) {
     if (!loaded_ || stopped_) return;
-    overseer_.job_changed(item, Clock::now());
-    wake();
+    if (overseer_.job_changed(item, Clock::now())) wake();
 }
 
 // Something changed: write what must be written, and plan again.
@@ -205,9 +205,13 @@
         fresh_ = began;
         followed_ = std::max(followed_, seen.revision);
         const auto now = Clock::now();
+        bool news = false;
         for (std::size_t i = 0; i < seen.events.size(); ++i)
-            if (!seen.deleted[i]) overseer_.job_changed(seen.events[i], now);
-        if (!seen.events.empty()) wake();
+            news = (!seen.deleted[i] && overseer_.job_changed(seen.events[i], now)) || news;
+        if (news) wake();
+        if (seen.events.empty()) continue;
+        // Our own writes end a watch as well, and each watch is a request.
+        if (const auto next = began + follow_gap; next > now) co_await net::sleep_for(next - now);
     }
 }
 
--- a/src/state/gate.cpp
+++ b/src/state/gate.cpp
@@ -5,7 +5,8 @@
 using std::chrono::steady_clock;
 
 namespace {
-// What is less urgent still has its turn after so long: placements must not starve while jobs pour in.
+// What is less urgent still has its turn after so long: placements must not starve while jobs pour in. Leftovers may:
+// at the head they would keep all others waiting for the large reserve that they have to leave.
 constexpr std::chrono::milliseconds patience{400};
 constexpr double portion = 0.35;  // of a second's writes
 }  // namespace
@@ -46,7 +47,8 @@
             first = &queue;
             // Leadership yields to nobody.
             if (queue.front()->urgency == Urgency::leadership) return first;
-        } else if (now - queue.front()->since > patience && queue.front()->since < first->front()->since) {
+        } else if (queue.front()->urgency != Urgency::leftover && now - queue.front()->since > patience &&
+                   queue.front()->since < first->front()->since) {
             first = &queue;
         }
     }
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -189,7 +189,7 @@
 }
 
 awaitable<FollowResult> HttpStore::follow(std::string prefix, std::uint64_t from, std::chrono::milliseconds hold) {
-    co_await gate_.enter(0, Urgency::user);
+    co_await gate_.enter(0, Urgency::leadership);
     std::string target =
         "/follow?starts=" + prefix + "&from=" + std::to_string(from) + "&hold_ms=" + std::to_string(hold.count());
     auto answer =
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -56,6 +56,17 @@
     EXPECT_EQ(b.take(0, Urgency::leadership, start + 1s).count(), 0);
 }
 
+// What jobs that are over leave on record was removed ahead of what was new, and on a drawn day of Riga's swarm
+// nothing else was written any more.
+TEST(Budget, leftovers_are_removed_only_while_there_is_plenty) {
+    using state::Urgency;
+    const TimePoint start{100s};
+    state::Budget b(100, 10, start);
+    EXPECT_EQ(b.take(5, Urgency::leftover, start).count(), 0);
+    EXPECT_GT(b.take(1, Urgency::leftover, start).count(), 0);
+    EXPECT_EQ(b.take(1, Urgency::bookkeeping, start).count(), 0);
+}
+
 // Rates so low that the time a test takes counts for nothing.
 TEST(Gate, writes_wait_their_turn_and_neither_reads_nor_leadership_wait_behind_them) {
     using state::Urgency;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -285,6 +285,26 @@
     EXPECT_EQ(state_of("run-1"), "done");
 }
 
+// The watch that tells of new jobs shows our own writes as well, and may show them late.
+TEST_F(Story, ran_twice_a_late_word_of_its_record_does_not_bring_a_job_back) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    const auto written = keys.get("jobs/work/run-1");
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    commit();
+    ASSERT_EQ(state_of("run-1"), "done");
+    ASSERT_EQ(leader->job("run-1"), nullptr);
+    EXPECT_FALSE(leader->job_changed(written, now));
+    EXPECT_EQ(leader->job("run-1"), nullptr);
+    // And where the record has not been removed yet, the next leader sees that the job is over.
+    keys.commit({{}, {{written.key, written.value, 0}}});
+    elect();
+    commit();
+    EXPECT_EQ(leader->job("run-1"), nullptr);
+    EXPECT_EQ(keys.get("jobs/work/run-1").stamp, 0u);
+}
+
 TEST_F(Story, went_back_a_cancel_and_the_last_done_race_and_one_of_them_wins) {
     elect();
     start(job("run-1", Shape::array, 1), {&m1});
