--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -55,10 +55,15 @@
     bool gang_started = false, gang_failing = false;
     std::uint32_t parked = 0;
 
-    std::set<std::string> failed_on;
-    unsigned errors = 0;
+    std::set<std::string> failed_on;    // machines
+    unsigned errors = 0, failures = 0;  // tasks that failed; times that its tries ended so, for ever longer pauses
 
     bool is(wire::Shape s) const { return spec.shape == s; }
+    // Whether any of it ever went well: a replica that runs, a task that is done.
+    bool proven() const { return done > 0 || (is(wire::Shape::service) && running > 0); }
+    // It has failed on different machines and never went well: more likely submitted with a mistake than unlucky. It is
+    // tried with one task (a gang: as seldom) until one goes well, and nothing is rented, held or stopped for it.
+    bool doubtful() const { return !proven() && failed_on.size() >= 2; }
     std::uint32_t waiting() const { return spec.tasks - done - placed; }
     std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
     bool durable(std::uint32_t task) const { return chunks[chunk_of(task)].durable >= tasks[task].generation; }
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -16,8 +16,9 @@
 using State = Task::State;
 
 namespace {
-constexpr std::size_t max_orders = 300;  // of some 100 bytes each: well within a line's limit
-constexpr unsigned suspect_jobs = 2;     // that failed on a machine and not everywhere
+constexpr std::size_t max_orders = 300;                            // of some 100 bytes each: well within a line's limit
+constexpr unsigned suspect_jobs = 2;                               // that failed on a machine and not everywhere
+constexpr std::chrono::seconds first_pause{5}, longest_pause{60};  // between tries of a job that fails everywhere
 
 constexpr Seconds write_later{8};  // how long the record of ended tasks may wait for other changes of the job
 }  // namespace
@@ -264,6 +265,11 @@
 void Overseer::task_done(Job& job, std::uint32_t task, TimePoint now) {
     if (job.tasks[task].state == State::done) return;
     std::erase(job.again, task);
+    if (job.doubtful()) {
+        job.eligible_at = now;
+        job.failures = 0;
+        job.failed_on.clear();
+    }
     leave(job, task, State::done, now);
     ++job.done;
 }
@@ -283,15 +289,7 @@
         return;
     }
     if (r.cause == Cause::error) {
-        job.failed_on.insert(m.name);
-        ++job.errors;
-        // A job that fails wherever it goes says nothing about machines; it waits ever longer instead.
-        if (job.failed_on.size() <= 2) m.failed_jobs.insert(job.spec.uid);
-        if (m.failed_jobs.size() >= suspect_jobs) {
-            if (!m.suspect) spdlog::info("event=machine_set_aside machine={} type={}", m.name, m.type);
-            m.suspect = true;
-        }
-        if (job.failed_on.size() >= 2) job.eligible_at = now + std::chrono::seconds(1 << std::min(job.errors, 6u));
+        blame(job, m, now);
     } else if (r.cause == Cause::unknown || r.cause == Cause::no_room || r.cause == Cause::busy) {
         job.eligible_at = std::max(job.eligible_at, now + 2s);
     }
@@ -306,6 +304,31 @@
     leave(job, task, State::waiting, now);
 }
 
+// A machine where several jobs failed that went well elsewhere is at fault. A job that fails wherever it goes says
+// nothing about machines, and what it was the first to say is taken back.
+void Overseer::blame(Job& job, Machine& m, TimePoint now) {
+    job.failed_on.insert(m.name);
+    ++job.errors;
+    m.failed_jobs.insert(job.spec.uid);
+    if (job.doubtful()) {
+        for (const auto& name : job.failed_on)
+            if (auto* other = ledger_.find(name)) {
+                other->failed_jobs.erase(job.spec.uid);
+                other->suspect = other->failed_jobs.size() >= suspect_jobs;
+            }
+        // What of it was under way together fails together, and counts once.
+        if (now >= job.eligible_at) {
+            const auto pause = std::min(first_pause * (1 << std::min(job.failures++, 8u)), longest_pause);
+            job.eligible_at = now + pause;
+            spdlog::debug("event=job_doubtful job={} class={} errors={} pause={}", job.spec.uid, job.spec.job_class,
+                          job.errors, pause.count());
+        }
+    } else if (m.failed_jobs.size() >= suspect_jobs) {
+        if (!m.suspect) spdlog::info("event=machine_set_aside machine={} type={}", m.name, m.type);
+        m.suspect = true;
+    }
+}
+
 // Where fetching takes longer on some machines than a member waits for the others, an attempt that is given up as a
 // whole loses what the slow ones have fetched so far, and the next one goes the same way. So a member that gave up
 // keeps its place, and when the last one has its image all start under the next attempt where they are.
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -124,6 +124,7 @@
     void all_lost(Machine& m, bool only_sent, TimePoint now);
     void task_done(Job& job, std::uint32_t task, TimePoint now);
     void exited(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, TimePoint now);
+    void blame(Job& job, Machine& m, TimePoint now);
     // Starts a gang anew where it is, once all its members are ready of which some gave up waiting.
     void regroup(Job& job, TimePoint now);
     void held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<wire::Order>& orders,
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -146,8 +146,9 @@
     // Services come one by one as well as many to a job: what counts is how many of a class wait together.
     std::map<std::string, std::uint32_t> services;
     for (const auto* job : waiting)
-        if (job->is(Shape::service)) services[job->spec.job_class] += job->waiting();
+        if (job->is(Shape::service) && !job->doubtful()) services[job->spec.job_class] += job->waiting();
     for (const auto* job : waiting) {
+        if (job->doubtful()) continue;
         if (job->is(Shape::gang) && job->placed == 0) {
             rent_for_gang(*job, basket, plan, now);
             continue;
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -44,8 +44,8 @@
             }
     // The replacement of a gang's task must not meet its own earlier exit.
     if (job.is(Shape::gang)) out.excluded = out.own;
-    // Once every machine in use has failed the job, the machines are not to blame.
-    if (job.failed_on.size() <= 2)
+    // Where some of a job goes well and some fails on many machines, the machines are not to blame.
+    if (job.failed_on.size() <= 2 || job.doubtful())
         for (const auto& name : job.failed_on)
             if (const auto* m = ledger_.find(name)) out.excluded.push_back(m->row.slot);
     return out;
@@ -126,7 +126,7 @@
     const auto places = plan.place_together(ask, hosts, job.spec.tasks);
     if (places.empty()) {
         // Room for a whole gang seldom comes about by itself while smaller tasks take all that frees.
-        plan.hold_for(ask, job.spec.tasks);
+        if (!job.doubtful()) plan.hold_for(ask, job.spec.tasks);
         return;
     }
     ++job.gang_attempt;
@@ -144,6 +144,11 @@
     const auto& ask = ask_of(job);
     auto hosts = hosts_of(job);
     auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
+    if (job.doubtful()) {
+        // Another machine tells most, and any will do once all have failed it.
+        most = std::min(most, job.placed ? 0u : 1u);
+        if (most > 0 && plan.peek(ask, hosts) == Planner::none) hosts.excluded.clear();
+    }
     const auto put = [&](std::size_t at) {
         const auto i = take_waiting(job);
         set_placed(job, i, *ledger_.at(plan.host(at).slot), job.tasks[i].attempt + 1, now);
@@ -234,7 +239,7 @@
 // that waits would fit; of a gang all or nothing. What is stopped can never do the same in turn, so this cannot go on
 // in circles. Without it a guest's idle tasks, on for minutes, keep gangs from machines whose accelerators lie idle.
 void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
-    if (now < job.preempt_again || !lower_arrays(job.spec.rank)) return;
+    if (now < job.preempt_again || job.doubtful() || !lower_arrays(job.spec.rank)) return;
     const bool together = job.is(Shape::gang);
     if (together && (job.gang_failing || job.gang_started)) return;
     auto wanted = std::min(job.waiting(), max_planned_tasks);
@@ -338,7 +343,7 @@
             place_each(*job, plan, now, any);
         if (job->passed_over) preempt(*job, plan, now);
         job->passed_over = job->waiting() > 0;
-        if (job->passed_over) {
+        if (job->passed_over && !job->doubtful()) {
             no_room_at_ = now;
             waiting_ = true;
         }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -761,4 +761,48 @@
     EXPECT_EQ(leader->machines_up(now), all.size());
 }
 
+// On the operations days jobs submitted with a mistake were tried with all their tasks again and again, machines rented
+// for each, until their users cancelled them.
+TEST_F(Story, mistake_a_job_that_fails_everywhere_is_tried_with_one_task_and_costs_nothing_until_one_goes_well) {
+    elect();
+    meet(m1);
+    meet(m2);
+    const auto fail_all = [&] {
+        for (auto* w : {&m1, &m2}) {
+            beat(*w);
+            for (auto& t : w->tasks) w->finish(t.id.uid, t.id.index, Cause::error);
+            beat(*w);
+            commit();
+            beat(*w);
+        }
+    };
+    for (const auto* uid : {"run-1", "run-2"}) {
+        accept(job(uid, Shape::array, 4));
+        settle();
+        for (auto* w : {&m1, &m2}) beat(*w);
+        place();
+        ASSERT_GE(leader->job(uid)->placed, 3u) << "one place is for what failed before";
+        fail_all();
+    }
+    EXPECT_TRUE(leader->job("run-1")->doubtful());
+    EXPECT_EQ(leader->machines_up(now), 2u) << "two such jobs on it do not spoil a machine";
+    EXPECT_FALSE(place()) << "a pause first";
+    EXPECT_TRUE(leader->rent(now).empty());
+    pass(20s);
+    for (auto* w : {&m1, &m2}) beat(*w);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(leader->job("run-1")->placed, 1u);
+    for (auto* w : {&m1, &m2}) {
+        beat(*w);
+        for (auto& t : w->tasks)
+            if (t.id.uid == "run-1") w->finish("run-1", t.id.index, Cause::done);
+        beat(*w);
+    }
+    settle();
+    for (auto* w : {&m1, &m2}) beat(*w);
+    place();
+    EXPECT_FALSE(leader->job("run-1")->doubtful());
+    EXPECT_EQ(leader->job("run-1")->placed, 3u);
+}
+
 }  // namespace flintdale::test
