--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;     // how a price per slot is discounted by the slots that services fill
 constexpr double idle_dear = 1.5;       // times the cheapest price of a slot that idle work rents at
+constexpr double late_boots = 1.6;      // times its boot after which a machine is not counted on any more
+constexpr int few_late = 3;             // machines of a pool that may be late by chance
+constexpr double late_cost = 2;         // times the price that a pool with late machines counts as
 constexpr double deaf_leases = 3;       // that a leader which hears hardly anyone waits before it returns machines
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
 }  // namespace
@@ -46,6 +49,7 @@
 // What one round of renting has put together.
 struct Overseer::Basket {
     std::map<fleet::Pool, int> ordered;
+    std::set<fleet::Pool> late;      // pools of which most machines on their way should be up by now
     std::vector<unsigned> per_zone;  // machines there, ordered ones included
 };
 
@@ -70,12 +74,13 @@
                 const double each_cost = (spot ? type.spot_price : type.price) / std::max(1.0, each);
                 if (cheapest_each == 0 || each_cost < cheapest_each) cheapest_each = each_cost;
                 if (!ledger_.open(pool, now)) continue;
+                const double worth = basket.late.contains(pool) ? each_cost * late_cost : each_cost;
                 const auto zone_id = directory.zone(zone);
                 if (job.spec.one_zone && hosts.anywhere() && hosts.in_zone(zone_id) == 0) continue;
                 if (job.spec.spread && hosts.in_zone(zone_id) >= (job.spec.tasks + 1) / 2) continue;
                 // Between equals, the zone with the fewest machines: the loss of one zone then costs least.
                 const auto there = zone_id < basket.per_zone.size() ? basket.per_zone[zone_id] : 0;
-                const std::pair cost{bulk ? each_cost * std::pow(each, -bulk_worth) : each_cost, there};
+                const std::pair cost{bulk ? worth * std::pow(each, -bulk_worth) : worth, there};
                 if (!best || cost < best_cost) {
                     best = pool;
                     best_cost = cost;
@@ -136,12 +141,23 @@
     if (!round_heard(now) || hearing(now).deaf()) return {};
     auto plan = planner(now);
     Basket basket;
+    std::map<fleet::Pool, std::pair<int, int>> on_their_way;  // late ones, all
     for (const auto& [name, m] : ledger_.all()) {
-        const bool coming = !m->reported && m->tasks.empty();
+        bool coming = !m->reported && m->tasks.empty();
+        if (const auto* type = ledger_.type(m->type); coming && type) {
+            // What should long be up may never be: nothing waits for it. It is used all the same if it comes after all.
+            const bool late = now - m->known_since > wire::to_clock(type->boot * late_boots);
+            auto& [late_ones, all] = on_their_way[{m->type, m->zone, m->spot}];
+            late_ones += late;
+            ++all;
+            coming = !late;
+        }
         if ((coming || m->cordoned) && !m->releasing && m->row.capacity.cpus > 0) plan.add(m->row);
         if (m->row.zone >= basket.per_zone.size()) basket.per_zone.resize(m->row.zone + 1);
         ++basket.per_zone[m->row.zone];
     }
+    for (const auto& [pool, n] : on_their_way)
+        if (n.first >= few_late && n.first * 2 > n.second) basket.late.insert(pool);
     const auto waiting = queue(now, false);
     // Services come one by one as well as many to a job: what counts is how many of a class wait together.
     std::map<std::string, std::uint32_t> services;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -761,6 +761,30 @@
     EXPECT_EQ(leader->machines_up(now), all.size());
 }
 
+// The operators' evenings: what waited for machines that were late or never came up waited in vain.
+TEST_F(Story, fleet_what_should_long_be_up_is_not_counted_on_and_its_pool_is_the_second_choice) {
+    elect();
+    auto wanted = job("run-1", Shape::gang, 3);
+    wanted.one_zone = true;
+    wanted.need = {8, 2, 40};  // a whole small machine each
+    accept(wanted);
+    const auto orders = leader->rent(now);
+    ASSERT_EQ(orders.size(), 1u);
+    ASSERT_EQ(orders[0].count, 3);
+    leader->rented(orders[0].pool, {"n-000001", "n-000002", "n-000003"}, now);
+    pass(Seconds(45));
+    EXPECT_TRUE(leader->rent(now).empty()) << "they may take half as long again as usual";
+    pass(Seconds(5));
+    const auto again = leader->rent(now);
+    ASSERT_FALSE(again.empty());
+    EXPECT_NE(again[0].pool, orders[0].pool);
+    for (const auto* name : {"n-000001", "n-000002", "n-000003"}) {  // late, but there
+        auto w = machine(name, orders[0].pool.zone, orders[0].pool.type);
+        meet(w);
+    }
+    EXPECT_TRUE(place());
+}
+
 // On the operations days jobs submitted with a mistake were tried with all their tasks again and again, machines rented
 // for each, until their users cancelled them.
 TEST_F(Story, mistake_a_job_that_fails_everywhere_is_tried_with_one_task_and_costs_nothing_until_one_goes_well) {
