--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -149,10 +149,14 @@
     const auto hearing = reign_->overseer().hearing(now);
     if (!hearing.deaf()) return;
     double knocks = 0;
-    for (const auto& [member, peer] : peer_state_)
-        if (peer.state_ok && now - peer.heard < 3s) knocks += peer.knocks;
+    bool alone = !settings_.peers.empty();  // who hears neither workers nor peers is cut off, and needs no other word
+    for (const auto& [member, peer] : peer_state_) {
+        if (now - peer.heard >= 3s) continue;
+        alone = false;
+        if (peer.state_ok) knocks += peer.knocks;
+    }
     spdlog::debug("event=hears_few expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
-    if (knocks < static_cast<double>(hearing.heard) + static_cast<double>(hearing.expected) / 4) return;
+    if (!alone && knocks < static_cast<double>(hearing.heard) + static_cast<double>(hearing.expected) / 4) return;
     spdlog::info("event=deaf expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
     elector_.resign("workers reach the others and not this one");
 }
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -54,18 +54,17 @@
 void Elector::resign(const char* why) {
     if (!leading_) return;
     resigned_ = true;
+    vacant_since_.reset();
     abstains_until_ = wire::Clock::now() + abstention;
     depose(why);
 }
 
-bool Elector::abstains(bool vacant) {
+bool Elector::abstains(bool own) {
     const auto now = wire::Clock::now();
     if (now >= abstains_until_) return false;
-    if (!vacant)
-        vacant_since_.reset();
-    else if (!vacant_since_)
-        vacant_since_ = now;
-    return !vacant_since_ || now - *vacant_since_ < nobody_else;
+    if (own) return true;  // the claim that was given up has not ended yet
+    if (!vacant_since_) vacant_since_ = now;
+    return now - *vacant_since_ < nobody_else;
 }
 
 void Elector::heard(std::uint64_t term, const std::string& leader) {
@@ -92,13 +91,14 @@
         // A claim under our own name, while we do not lead, is that of our previous life or of a lost answer.
         const bool own = !vacant && text_in(holder.item, "member") == member_;
         if (vacant || own) {
-            if (abstains(vacant)) {
+            if (abstains(own)) {
                 co_await net::sleep_for(300ms);
                 continue;
             }
             if (co_await campaign(holder.item, term.item)) co_await lead();
             continue;
         }
+        vacant_since_.reset();
         co_await watch();
     }
 }
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -46,8 +46,8 @@
     awaitable<bool> campaign(const state::Item& holder, const state::Item& term);
     awaitable<void> watch();
     void depose(const char* why);
-    // Whether this controller leaves a vacancy to the others for now.
-    bool abstains(bool vacant);
+    // Whether this controller leaves a vacancy, or its own former claim, to the others for now.
+    bool abstains(bool own);
 
     net::Executor ex_;
     state::Store& store_;
