--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t max_release = 100;
 constexpr double bulk_worth = 0.25;     // how a price per slot is discounted by the slots that services fill
 constexpr double idle_dear = 1.5;       // times the cheapest price of a slot that idle work rents at
+constexpr Seconds listed_dead{30};      // after which the cloud's list tells that a machine has died
 constexpr double late_boots = 1.6;      // times its boot after which a machine is not counted on any more
 constexpr int few_late = 3;             // machines of a pool that may be late by chance
 constexpr double late_cost = 2;         // times the price that a pool with late machines counts as
@@ -271,8 +272,8 @@
             // While hardly anyone is heard, the term should pass to a controller that hears more: to return the whole
             // fleet first would leave it nothing (inc-8739, inc-e02a).
             auto patience = many && deaf ? settings_.lease * deaf_leases
-                            : many       ? settings_.lease + Seconds(5)
-                                         : std::min(quiet_for, settings_.lease);
+                            : many ? std::max(settings_.lease + Seconds(5), listed_dead + settings_.list_lag * 1.5)
+                                   : std::min(quiet_for, settings_.lease);
             // Cancelled work must be gone in time, whatever else is out of reach.
             if (unheard > settings_.report * 3)
                 for (const auto& [uid, i] : m->tasks)
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -149,7 +149,9 @@
     const auto hearing = reign_->overseer().hearing(now);
     if (!hearing.deaf()) return;
     double knocks = 0;
-    bool alone = !settings_.peers.empty();  // who hears neither workers nor peers is cut off, and needs no other word
+    // Who hears no worker and no peer is cut off, and needs no other word. A few workers, as a new leader hears at
+    // first when a zone is cut off and takes the other controllers with it, are reason enough to stay.
+    bool alone = !settings_.peers.empty() && hearing.heard == 0;
     for (const auto& [member, peer] : peer_state_) {
         if (now - peer.heard >= 3s) continue;
         alone = false;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -591,6 +591,22 @@
     }
 }
 
+// An own day with a zone cut off for 30 s in Riga: half the fleet was returned 5 s before it could be heard again.
+TEST_F(Story, fleet_a_crowd_that_is_still_listed_has_as_long_as_the_list_needs_to_tell_of_the_dead) {
+    settings.list_lag = Seconds(10);
+    elect();
+    std::vector<Worker> all;
+    for (int i = 1; i < 7; ++i) all.push_back(machine("n-00000" + std::to_string(i), i < 4 ? "a" : "b"));
+    for (auto& w : all) meet(w);
+    const auto cut = now;
+    while (now < cut + 60s && returns().empty()) {
+        pass(1s);
+        for (std::size_t k = 0; k < 3; ++k) beat(all[k]);
+    }
+    EXPECT_GT(now, cut + 40s);
+    EXPECT_LT(now, cut + 50s);
+}
+
 // The same day in waka: machines that the leader before had returned stayed in the records, and for the sake of their
 // number their successor waited a lease for each of them.
 TEST_F(Story, fleet_a_crowd_that_the_cloud_no_longer_lists_is_given_up_without_further_patience) {
