--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::size_t max_known = 20'000;
-constexpr std::chrono::milliseconds check_gap{100};
 constexpr std::chrono::milliseconds most_wait{2000};  // that a submission waits for its write; users give up after 5 s
 
 Reply reply(unsigned status, std::string body) {
@@ -213,7 +212,6 @@
 
 awaitable<void> Desk::check_waiting() {
     while (!waiting_.empty()) {
-        const auto began = std::chrono::steady_clock::now();
         std::vector<std::shared_ptr<Waiter>> batch;
         const std::size_t most = settings_.txn_ops * 2;  // of two conditions at most; a transaction may have twice that
         while (!waiting_.empty() && batch.size() < most) {
@@ -244,10 +242,6 @@
             w->answered = true;
             w->done.cancel();
         }
-        // Those who ask meanwhile share the next check. Without the gap each poll had its own, and they took the
-        // requests that submissions need.
-        const auto left = began + check_gap - std::chrono::steady_clock::now();
-        if (waiting_.size() < most && left.count() > 0) co_await net::sleep_for(left);
     }
     checking_ = false;
 }
