Tidy: one maker of outcome records, plain conditions for polls, the redirect's target named once

No change of behaviour. A cancellation built its outcome by hand beside agent::outcome_record; the checks for polls made conditions only to drop them by comparing keys; the answer to a turned-away worker asked twice who leads.

--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -220,10 +220,10 @@
         }
         state::Txn txn;
         // Known jobs that are over need no check, so all that are known are believed to be open.
-        for (const auto& w : batch)
-            for (auto& condition : absent(w->uid).conditions)
-                if (condition.key == agent::outcome_key(w->uid) || !known_.contains(w->uid))
-                    txn.conditions.push_back(std::move(condition));
+        for (const auto& w : batch) {
+            txn.conditions.push_back({agent::outcome_key(w->uid), 0});
+            if (!known_.contains(w->uid)) txn.conditions.push_back({agent::work_key(w->uid, 0), 0});
+        }
         const auto result = co_await store_.commit(std::move(txn), Urgency::user);
         for (const auto& w : batch) {
             const auto exists = [&](const std::string& key) {
@@ -255,8 +255,8 @@
         if (known_[uid].state != JobState::open) co_return status_of(uid, true);
         state::Item item;
         item.key = agent::outcome_key(uid);
-        item.value = boost::json::object{{"state", wire::job_state_name(JobState::cancelled)},
-                                         {"spec", got.item.value.as_object().at("spec")}};
+        item.value = agent::outcome_record(wire::spec_from_record(got.item.value.as_object().at("spec").as_object()),
+                                           JobState::cancelled);
         state::Txn txn;
         txn.conditions.push_back({item.key, 0});
         txn.changes.push_back({item.key, item.value, 0});
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -206,9 +206,9 @@
     auto reign = reign_;
     if (!reign) {
         const auto& leader = elector_.leader();
-        if (!leader.empty() && leader != settings_.member) ++knocks_;
-        co_return reply(
-            421, wire::redirect_body(leader == settings_.member ? std::string_view() : std::string_view(leader)));
+        const auto other = leader == settings_.member ? std::string_view() : std::string_view(leader);
+        if (!other.empty()) ++knocks_;
+        co_return reply(421, wire::redirect_body(other));
     }
     auto answer = co_await reign->report(std::move(r));
     if (!answer) co_return reply(503, wire::error_body("not entitled to answer now"));
