--- a/src/agent/job.cpp
+++ b/src/agent/job.cpp
@@ -6,34 +6,130 @@
 
 std::string outcome_key(const std::string& uid) { return std::string(jobs_prefix) + "over/" + uid; }
 
-std::string work_key(const std::string& uid, std::uint32_t chunk) {
+std::string work_key(const std::string& uid, std::uint32_t chunk, std::uint32_t page) {
+    if (page != chunk_tasks) return work_prefix + uid + "/p" + std::to_string(page) + "." + std::to_string(chunk);
     return work_prefix + uid + (chunk ? "/" + std::to_string(chunk) : std::string());
 }
 
-bool parse_work_key(const std::string& key, std::string& uid, std::uint32_t& chunk) {
-    if (!key.starts_with(work_prefix)) return false;
-    const auto rest = key.substr(std::string_view(work_prefix).size());
-    const auto slash = rest.find('/');
-    uid = rest.substr(0, slash);
-    chunk = 0;
-    if (slash == std::string::npos) return true;
-    const auto* end = rest.data() + rest.size();
-    const auto [p, ec] = std::from_chars(rest.data() + slash + 1, end, chunk);
+std::string piece_key(const std::string& uid, std::size_t piece) {
+    return work_prefix + uid + "/s" + std::to_string(piece);
+}
+
+namespace {
+
+constexpr std::size_t types_of_old = 40;  // that a submission may name in the oldest format
+
+bool parse_number(std::string_view text, std::uint32_t& into) {
+    const auto* end = text.data() + text.size();
+    const auto [p, ec] = std::from_chars(text.data(), end, into);
     return ec == std::errc() && p == end;
 }
 
-boost::json::object outcome_record(const JobSpec& spec, wire::JobState state) {
-    return {{"state", wire::job_state_name(state)}, {"spec", wire::spec_to_record(spec)}};
+}  // namespace
+
+std::optional<WorkKey> parse_work_key(const std::string& key) {
+    if (!key.starts_with(work_prefix)) return std::nullopt;
+    const auto rest = std::string_view(key).substr(std::string_view(work_prefix).size());
+    const auto slash = rest.find('/');
+    WorkKey out;
+    out.uid = rest.substr(0, slash);
+    if (slash == std::string_view::npos) return out;
+    auto tail = rest.substr(slash + 1);
+    bool good = false;
+    if (tail.starts_with('s')) {
+        good = parse_number(tail.substr(1), out.piece) && out.piece > 0;
+    } else if (tail.starts_with('p')) {
+        const auto point = tail.find('.');
+        good = point != std::string_view::npos && parse_number(tail.substr(1, point - 1), out.page) &&
+               parse_number(tail.substr(point + 1), out.chunk) && out.page > 0 && out.page < chunk_tasks;
+    } else {
+        good = parse_number(tail, out.chunk);
+    }
+    return good ? std::optional(out) : std::nullopt;
+}
+
+void Job::use_pages(std::uint32_t tasks_each) {
+    const auto old_page = page;
+    const auto old = std::move(chunks);
+    for (std::uint32_t c = 0; c < old.size(); ++c)
+        if (old[c].stamp) overruled.push_back({work_key(spec.uid, c, old_page), old[c].stamp});
+    page = tasks_each;
+    chunks.assign((spec.tasks + page - 1) / page, Chunk{});
+    for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+        // What the larger record holds need not be written again.
+        auto& chunk = chunks[chunk_of(i)];
+        chunk.durable = old[i / old_page].durable;
+        chunk.changed = std::max({chunk.changed, chunk.durable, tasks[i].generation});
+    }
+}
+
+boost::json::object outcome_record(const state::Form& form, wire::JobState state, std::int64_t at,
+                                   const boost::json::object* spec, const wire::JobSize& size) {
+    boost::json::object o{{"state", wire::job_state_name(state)}};
+    if (spec) o["spec"] = *spec;
+    // The oldest format holds the whole submission, and nothing else is read there.
+    if (!form.newest()) return o;
+    if (at) o["at"] = at;
+    wire::size_to_record(size, o);
+    if (!form.fits(o)) o.erase("spec");
+    return o;
 }
 
 boost::json::object first_work_record(const JobSpec& spec) {
     return {{"spec", wire::spec_to_record(spec)}, {"tasks", boost::json::array()}};
 }
 
+bool readable_by_all(const JobSpec& spec, const state::Form& form) {
+    // A third of a value is left for the submission beside the ranges of its first tasks.
+    return spec.prerequisites.empty() && (!spec.types || spec.types->size() <= types_of_old) &&
+           state::Form::size_of(wire::spec_to_record(spec)) <= form.limits().value_bytes / 3;
+}
+
+std::vector<state::Change> accepted_records(const JobSpec& spec, const state::Form& form) {
+    std::vector<state::Change> out;
+    auto whole = first_work_record(spec);
+    if (!form.newest() || form.fits(whole)) {
+        out.push_back({work_key(spec.uid, 0), std::move(whole), 0});
+        return out;
+    }
+    const auto text = boost::json::serialize(whole.at("spec"));
+    std::vector<state::Change> pieces;
+    for (std::size_t at = 0; at < text.size();) {
+        auto length = std::min(form.room(), text.size() - at);
+        boost::json::object piece;
+        for (;;) {
+            // Not in the middle of a character.
+            while (at + length < text.size() && (static_cast<unsigned char>(text[at + length]) & 0xC0) == 0x80) --length;
+            piece["text"] = text.substr(at, length);
+            const auto size = state::Form::size_of(piece);
+            if (size <= form.room()) break;
+            length -= std::min(length - 1, (size - form.room() + 1) / 2 + 4);
+        }
+        at += length;
+        pieces.push_back({piece_key(spec.uid, pieces.size() + 1), std::move(piece), 0});
+    }
+    if (pieces.size() + 1 > form.limits().txn_ops) return {};
+    boost::json::object first{{"cut", pieces.size()}, {"tasks", boost::json::array()}};
+    wire::size_to_record({spec.shape, spec.tasks}, first);
+    out.push_back({work_key(spec.uid, 0), std::move(first), 0});
+    for (auto& piece : pieces) out.push_back(std::move(piece));
+    return out;
+}
+
+std::optional<JobSpec> spec_from_records(const boost::json::object& first,
+                                         const std::map<std::uint32_t, std::string>& pieces) {
+    const auto* cut = first.if_contains("cut");
+    if (!cut) return wire::spec_from_record(first.at("spec").as_object());
+    if (pieces.size() < cut->to_number<std::size_t>()) return std::nullopt;
+    std::string text;
+    for (const auto& [n, piece] : pieces) text += piece;
+    return wire::spec_from_record(wire::parse_object(text));
+}
+
 boost::json::object work_record(const Job& job, std::uint32_t chunk) {
     std::vector<wire::TaskRange> ranges;
-    const std::uint32_t from = chunk * chunk_tasks;
-    const std::uint32_t to = std::min<std::uint32_t>(from + chunk_tasks, job.spec.tasks);
+    const std::uint32_t from = chunk * job.page;
+    const std::uint32_t to = std::min<std::uint32_t>(from + job.page, job.spec.tasks);
     for (std::uint32_t i = from; i < to; ++i) {
         const auto& t = job.tasks[i];
         wire::TaskRange r{i, i, t.attempt, t.state == Task::State::placed ? t.machine->name : "",
@@ -48,7 +144,7 @@
         ranges.push_back(std::move(r));
     }
     boost::json::object o;
-    if (chunk == 0) o["spec"] = wire::spec_to_record(job.spec);
+    if (chunk == 0 && job.page == chunk_tasks) o["spec"] = wire::spec_to_record(job.spec);
     o["tasks"] = wire::ranges_to_record(ranges);
     return o;
 }
--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -3,6 +3,8 @@
 #include <deque>
 
 #include "fleet/ledger.hpp"
+#include "state/form.hpp"
+#include "state/store.hpp"
 #include "wire/json.hpp"
 
 namespace flintdale::agent {
@@ -13,7 +15,9 @@
 using wire::Seconds;
 using wire::TimePoint;
 
-// Tasks per record of the state service, so that the worst mix of ranges stays within a value's limit.
+// Tasks per record of the state service. Where the limit on values does not let that many be kept, a job goes over to
+// smaller records, half the size each time: a record of fewer tasks overrules one of more for all of its tasks, so that
+// what was written in its size need not be written again, and each write by itself leaves what the next leader can read.
 inline constexpr std::uint32_t chunk_tasks = 256;
 
 struct Task {
@@ -35,13 +39,24 @@
     std::uint32_t changed = 0, durable = 0;  // generations
 };
 
+// A key on record that is not written again, to be removed with the job.
+struct OldRecord {
+    std::string key;
+    std::uint64_t stamp = 0;
+};
+
 struct Job {
     JobSpec spec;
     mutable placement::Ask ask;  // its wishes in numbers, made when first needed
+    wire::Rank rank = wire::Rank::normal;  // its own, or that of a job which needs it
+    bool waits = false;                    // not all that it needs is known to be done
+    bool doomed = false;                   // something that it needs was cancelled: so must it be
     bool cancelled = false;
     bool finished = false;  // the outcome is durable
+    std::uint32_t page = chunk_tasks;  // tasks per record
     std::vector<Task> tasks;
     std::vector<Chunk> chunks;
+    std::vector<OldRecord> overruled;
     std::uint32_t generation = 0, done = 0, placed = 0, running = 0;
 
     std::deque<std::uint32_t> again;  // waiting tasks that were placed before
@@ -65,7 +80,10 @@
     // tried with one task (a gang: as seldom) until one goes well, and nothing is rented, held or stopped for it.
     bool doubtful() const { return !proven() && failed_on.size() >= 2; }
     std::uint32_t waiting() const { return spec.tasks - done - placed; }
-    std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
+    bool runnable() const { return !cancelled && !finished && !waits && !doomed; }
+    std::uint32_t chunk_of(std::uint32_t task) const { return task / page; }
+    // From now on its records have so many tasks, fewer than before.
+    void use_pages(std::uint32_t tasks);
     bool durable(std::uint32_t task) const { return chunks[chunk_of(task)].durable >= tasks[task].generation; }
 };
 
@@ -75,13 +93,30 @@
 inline constexpr const char* jobs_prefix = "jobs/";
 inline constexpr const char* work_prefix = "jobs/work/";
 std::string outcome_key(const std::string& uid);
-std::string work_key(const std::string& uid, std::uint32_t chunk);
-// The job and chunk that a key of open work names; false if it is none.
-bool parse_work_key(const std::string& key, std::string& uid, std::uint32_t& chunk);
+std::string work_key(const std::string& uid, std::uint32_t chunk, std::uint32_t page = chunk_tasks);
+std::string piece_key(const std::string& uid, std::size_t piece);
+// What a key of open work names: some of a job's tasks, or a piece of a submission that is too long for one value.
+struct WorkKey {
+    std::string uid;
+    std::uint32_t chunk = 0, page = chunk_tasks;
+    std::uint32_t piece = 0;  // 0: none
+    bool first() const { return chunk == 0 && page == chunk_tasks && piece == 0; }
+};
+std::optional<WorkKey> parse_work_key(const std::string& key);
 
-boost::json::object outcome_record(const JobSpec& spec, wire::JobState state);
+// `spec` as it is kept, or nothing if it is not at hand; `at`: the time of day, or 0.
+boost::json::object outcome_record(const state::Form& form, wire::JobState state, std::int64_t at,
+                                   const boost::json::object* spec, const wire::JobSize& size);
 boost::json::object work_record(const Job& job, std::uint32_t chunk);
 // The first record of a job that was just accepted.
 boost::json::object first_work_record(const JobSpec& spec);
+// All records of a job that was just accepted, the first of them first; none if they cannot be kept.
+std::vector<state::Change> accepted_records(const JobSpec& spec, const state::Form& form);
+// Whether controllers that read only older formats could read the job.
+bool readable_by_all(const JobSpec& spec, const state::Form& form);
+
+// A submission from its first record and, where it was cut, its pieces in their order; nothing while some are missing.
+std::optional<JobSpec> spec_from_records(const boost::json::object& first,
+                                         const std::map<std::uint32_t, std::string>& pieces);
 
 }  // namespace flintdale::agent
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -23,9 +23,10 @@
 constexpr Seconds write_later{8};  // how long the record of ended tasks may wait for other changes of the job
 }  // namespace
 
-Overseer::Overseer(const config::Settings& settings, const config::Tunables& tunables, std::uint64_t term,
-                   std::uint64_t term_stamp, TimePoint now)
+Overseer::Overseer(const config::Settings& settings, const config::Tunables& tunables, const state::Form& form,
+                   std::uint64_t term, std::uint64_t term_stamp, TimePoint now)
     : settings_(settings),
+      form_(form),
       tunables_(tunables),
       rules_{tunables.memory_margin, tunables.groups},
       term_(term),
@@ -45,14 +46,20 @@
     return it == jobs_.end() ? nullptr : it->second.get();
 }
 
+std::int64_t Overseer::window_at(std::int64_t ms) const {
+    using std::chrono::milliseconds;
+    const auto window = std::chrono::duration_cast<milliseconds>(wire::to_clock(tunables_.window)).count();
+    return ms / std::max<std::int64_t>(1, window);
+}
+
 Job& Overseer::create(JobSpec spec, TimePoint now, bool known_before) {
     auto job = std::make_unique<Job>();
     job->tasks.resize(spec.tasks);
-    job->chunks.resize((spec.tasks + chunk_tasks - 1) / chunk_tasks);
+    job->chunks.resize((spec.tasks + job->page - 1) / job->page);
+    job->rank = spec.rank;
     job->arrived = now;
     const auto window = wire::to_clock(tunables_.window);
-    job->window = spec.accepted_ms /
-                  std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(window).count());
+    job->window = window_at(spec.accepted_ms);
     // A window that a former leader opened has closed by now. And a critical service would come first in any window,
     // having no length: there is nothing to gather before it is placed.
     const bool first = spec.shape == Shape::service && spec.rank == wire::Rank::critical;
@@ -63,102 +70,6 @@
     return ref;
 }
 
-void Overseer::load(const std::vector<state::Item>& work, TimePoint now) {
-    std::set<std::string> added;
-    for (const auto& item : work) {
-        std::string uid;
-        std::uint32_t chunk = 0;
-        if (!parse_work_key(item.key, uid, chunk) || chunk || jobs_.contains(uid)) continue;
-        try {
-            create(wire::spec_from_record(item.value.as_object().at("spec").as_object()), now, true);
-            added.insert(uid);
-        } catch (const std::exception& e) {
-            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
-        }
-    }
-    for (const auto& item : work) {
-        std::string uid;
-        std::uint32_t chunk = 0;
-        if (!parse_work_key(item.key, uid, chunk)) continue;
-        auto* job = find(uid);
-        if (!job) {
-            // The job is over, and its last leader ended before it had removed every record.
-            if (chunk) leftovers_.emplace_back(item.key, item.stamp);
-            continue;
-        }
-        if (!added.contains(uid) || chunk >= job->chunks.size()) continue;
-        job->chunks[chunk].stamp = item.stamp;
-        try {
-            for (const auto& r : wire::ranges_from_record(item.value.as_object().at("tasks").as_array()))
-                for (auto i = r.from; i <= r.to && i < job->spec.tasks; ++i) {
-                    auto& t = job->tasks[i];
-                    t.attempt = r.attempt;
-                    if (r.done) {
-                        t.state = State::done;
-                        ++job->done;
-                    } else if (!r.machine.empty()) {
-                        auto& m = ledger_.add(r.machine, "", "", false, now);
-                        set_placed(*job, i, m, r.attempt, now);
-                        inherited_ = true;
-                        t.sent = true;  // by the leader that wrote the record, for all this one knows
-                    }
-                }
-        } catch (const std::exception& e) {
-            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
-        }
-    }
-    for (const auto& uid : added) {
-        auto& job = *find(uid);
-        // Attempts never fall, so a task with an attempt was placed once.
-        job.fresh = 0;
-        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
-            const auto& t = job.tasks[i];
-            if (t.state != State::waiting || t.attempt) job.fresh = i + 1;
-            job.gang_attempt = std::max(job.gang_attempt, t.attempt);
-        }
-        for (std::uint32_t i = 0; i < job.fresh; ++i)
-            if (job.tasks[i].state == State::waiting) job.again.push_back(i);
-        if (job.done == job.spec.tasks) mark_dirty(uid);
-        counts_changed_.insert(uid);
-    }
-}
-
-bool Overseer::job_changed(const state::Item& item, TimePoint now) {
-    if (!item.stamp || !item.value.is_object()) return false;
-    try {
-        const auto& o = item.value.get_object();
-        std::string uid;
-        std::uint32_t chunk = 0;
-        if (parse_work_key(item.key, uid, chunk)) {
-            // Our own writes are seen here as well, late ones of jobs that are over and forgotten included: only a
-            // record without any task is that of a job just accepted.
-            if (chunk || find(uid) || !o.at("tasks").as_array().empty()) return false;
-            auto& created = create(wire::spec_from_record(o.at("spec").as_object()), now, false);
-            created.chunks[0].stamp = item.stamp;
-            counts_changed_.insert(uid);
-            return true;
-        }
-        const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
-        uid = item.key.substr(item.key.rfind('/') + 1);
-        auto* job = find(uid);
-        if (!job || job->cancelled || job->finished) return false;
-        if (state == wire::JobState::cancelled) {
-            cancel(*job, now);
-        } else {
-            job->finished = true;
-            mark_dirty(uid);
-        }
-        return true;
-    } catch (const std::exception& e) {
-        spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
-    }
-    return false;
-}
-
-void Overseer::ended(const std::string& uid, TimePoint now) {
-    if (auto* job = find(uid); job && !job->finished) cancel(*job, now);
-}
-
 void Overseer::cancel(Job& job, TimePoint now) {
     if (job.cancelled) return;
     spdlog::info("event=job_cancelled job={} placed={}", job.spec.uid, job.placed);
@@ -197,6 +108,15 @@
     if (dirty_set_.insert(uid).second) dirty_.push_back(uid);
 }
 
+void Overseer::mark_urgent(const std::string& uid) {
+    if (dirty_set_.insert(uid).second)
+        dirty_.push_front(uid);
+    else if (const auto it = std::find(dirty_.begin(), dirty_.end(), uid); it != dirty_.begin()) {
+        dirty_.erase(it);
+        dirty_.push_front(uid);
+    }
+}
+
 void Overseer::touch(Job& job, std::uint32_t task, Write when, TimePoint now) {
     job.tasks[task].generation = ++job.generation;
     job.chunks[job.chunk_of(task)].changed = job.generation;
@@ -224,7 +144,7 @@
     t.sent = t.seen = t.started = t.draining = t.parked = false;
     ++job.placed;
     if (job.is(Shape::array)) ++array_tasks_[static_cast<std::size_t>(job.spec.rank)];
-    ledger_.assign(m, {job.spec.uid, task}, job.spec);
+    ledger_.assign(m, {job.spec.uid, task}, job.spec, job.rank);
     spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class,
                   attempt, m.name);
     auto& use = team_use_[job.spec.team];
@@ -250,6 +170,7 @@
     const auto left = job.spec.tasks - job.done - (next == State::done);
     const bool over = job.cancelled || job.finished ? job.placed == 0 : left == 0;
     touch(job, task, over ? Write::at_once : Write::some_time, now);
+    if (left == 0 && prerequisites_.needed(job.spec.uid)) mark_urgent(job.spec.uid);
 }
 
 void Overseer::lost(Job& job, std::uint32_t task, TimePoint now) {
@@ -512,7 +433,7 @@
 std::string Overseer::summary(TimePoint now) const {
     std::map<std::string, std::uint32_t> waiting;
     for (const auto& [uid, job] : jobs_)
-        if (!job->cancelled && !job->finished && job->waiting()) waiting[job->spec.job_class] += job->waiting();
+        if (job->runnable() && job->waiting()) waiting[job->spec.job_class] += job->waiting();
     struct Line {
         unsigned up = 0, booting = 0, unusable = 0, empty = 0, by_shape[3] = {};
         placement::Resources free;
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "agent/job.hpp"
+#include "agent/prerequisites.hpp"
 #include "config/settings.hpp"
 #include "state/store.hpp"
 
@@ -14,7 +15,8 @@
     struct Part {
         std::string uid;
         std::uint32_t chunk = 0, generation = 0;
-        enum class Kind : std::uint8_t { write, finish } kind = Kind::write;
+        enum class Kind : std::uint8_t { write, finish, abort } kind = Kind::write;
+        std::int64_t at = 0;  // of an outcome, by the time of day
     };
     state::Txn txn;
     std::vector<Part> parts;
@@ -42,8 +44,8 @@
 
 class Overseer {
   public:
-    Overseer(const config::Settings& settings, const config::Tunables& tunables, std::uint64_t term,
-             std::uint64_t term_stamp, TimePoint now);
+    Overseer(const config::Settings& settings, const config::Tunables& tunables, const state::Form& form,
+             std::uint64_t term, std::uint64_t term_stamp, TimePoint now);
 
     // --- What others tell it ---
     // All records of open work, read after the term was won. May come again; jobs already known are left alone.
@@ -82,9 +84,15 @@
     // This process stood still for so long: what it did not hear meanwhile says nothing about the machines.
     void stood_still(std::chrono::steady_clock::duration gap);
 
-    // At most so many changes; no more than a transaction may hold.
-    Batch next_batch(std::size_t most);
-    void committed(const Batch& batch, std::uint64_t revision, TimePoint now);
+    // Keys to be read and told to job_changed: outcomes of jobs that others wait for, and pieces of submissions.
+    std::vector<std::string> missing() const;
+
+    // At most so many changes; no more than a transaction may hold. `at` is the time of day.
+    Batch next_batch(std::size_t most, std::int64_t at = 0);
+    // True if jobs may start now that waited for others.
+    bool committed(const Batch& batch, std::uint64_t revision, TimePoint now);
+    // The service will never take the batch as it is.
+    void rejected(const Batch& batch, TimePoint now);
     // The batch failed or its fate is unknown, and its keys were read again.
     void reread(const state::Item& item, TimePoint now);
     void retry(const Batch& batch);
@@ -113,12 +121,23 @@
 
     Job* find(const std::string& uid);
     Job& create(JobSpec spec, TimePoint now, bool known_before);
+    std::int64_t window_at(std::int64_t ms) const;
+    struct Found;
+    void recover(const std::string& uid, Found& found, TimePoint now);
+    Job* assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering);
+    // What the graph of prerequisites says of open jobs.
+    void need(Job& job, const std::vector<std::string>& prerequisites, TimePoint now);
+    bool take_in(const Prerequisites::News& news, TimePoint now);
+    boost::json::object outcome(const Job& job, wire::JobState state, std::int64_t at) const;
+    // The records of the job that have to be written, each within the limit on values.
+    std::vector<std::pair<std::uint32_t, boost::json::object>> changed_records(Job& job);
     void cancel(Job& job, TimePoint now);
     void forget(const std::string& uid);
     // The record must follow: at once, or some time, where only a later leader would do without it.
     enum class Write : std::uint8_t { at_once, some_time };
     void touch(Job& job, std::uint32_t task, Write when, TimePoint now);
     void mark_dirty(const std::string& uid);
+    void mark_urgent(const std::string& uid);  // before all others
     void mark_due(TimePoint now);
     void set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now);
     void leave(Job& job, std::uint32_t task, Task::State next, TimePoint now);
@@ -181,6 +200,7 @@
     void rent_for_gang(const Job& job, Basket& basket, placement::Planner& plan, TimePoint now) const;
 
     const config::Settings& settings_;
+    const state::Form& form_;
     const config::Tunables& tunables_;
     placement::Rules rules_;
     std::uint64_t term_, term_stamp_;
@@ -188,6 +208,15 @@
     bool inherited_ = false;  // work was placed when this term began
     fleet::Ledger ledger_;
     std::map<std::string, std::unique_ptr<Job>> jobs_;
+    Prerequisites prerequisites_;
+    // Submissions that were cut, until all of one is there.
+    struct Cut {
+        state::Item first;
+        std::map<std::uint32_t, std::string> pieces;
+        std::vector<OldRecord> records;
+    };
+    std::map<std::string, Cut> cut_;
+    std::size_t singles_ = 0;  // so many batches hold one change, to find the one that the service rejects
     std::deque<std::string> dirty_;
     std::set<std::string> dirty_set_;
     std::deque<std::pair<TimePoint, std::string>> due_later_;  // when they become dirty
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -89,7 +89,7 @@
             }
     }
     // Idle work has no haste, and must not use up what others will want to rent.
-    if (best && job.spec.rank == Rank::idle && best_cost.first > cheapest_each * idle_dear) return std::nullopt;
+    if (best && job.rank == Rank::idle && best_cost.first > cheapest_each * idle_dear) return std::nullopt;
     // Tasks of an array can follow one another on cheap machines; dear ones are for those that wait too long.
     if (best && job.is(Shape::array) && best_cost.first > cheapest_each * tunables_.dear &&
         now - job.arrived < wire::to_clock(target_of(job.spec) * 0.5))
--- a/src/agent/overseer_moves.cpp
+++ b/src/agent/overseer_moves.cpp
@@ -145,7 +145,7 @@
     finish_moves(plan, now, placed);
     move_fetching(plan, now);
     for (const auto& [uid, job] : jobs_)
-        if (!job->cancelled && !job->finished && job->waiting() && !job->doubtful()) short_at_ = now;
+        if (job->runnable() && job->waiting() && !job->doubtful()) short_at_ = now;
     consolidate(plan, now);
     shrink(now);
 }
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -31,6 +31,7 @@
     // Pools become known as machines of theirs appear.
     if (job.ask.pools.size() != ledger_.directory().pools().size() || !job.ask.spec)
         job.ask = placement::make_ask(job.spec, rules_, ledger_.directory());
+    job.ask.rank = job.rank;
     return job.ask;
 }
 
@@ -54,10 +55,10 @@
 std::vector<Job*> Overseer::queue(TimePoint now, bool eligible_only) {
     std::vector<std::pair<placement::Waiting, Job*>> waiting;
     for (auto& [uid, job] : jobs_) {
-        if (job->cancelled || job->finished || job->waiting() == 0) continue;
+        if (!job->runnable() || job->waiting() == 0) continue;
         if (eligible_only && now < job->eligible_at) continue;
         placement::Waiting w;
-        w.rank = job->spec.rank;
+        w.rank = job->rank;
         // What its window could not place waits in one queue with the rest of that kind, ahead of new windows:
         // else, under load, the order would be that of arrival, and the short would wait for the long.
         w.window = job->passed_over ? merged_window : job->window;
@@ -198,7 +199,7 @@
     std::vector<std::pair<Seconds, TaskKey>> stoppable;
     for (const auto& key : m.tasks) {
         const auto* other = this->job(key.first);
-        if (!other || other->spec.rank >= job.spec.rank || !other->is(Shape::array)) continue;
+        if (!other || other->rank >= job.rank || !other->is(Shape::array)) continue;
         const auto& t = other->tasks[key.second];
         if (t.draining || std::find(spared.begin(), spared.end(), key) != spared.end()) continue;
         const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
@@ -239,7 +240,7 @@
 // that waits would fit; of a gang all or nothing. What is stopped can never do the same in turn, so this cannot go on
 // in circles. Without it a guest's idle tasks, on for minutes, keep gangs from machines whose accelerators lie idle.
 void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
-    if (now < job.preempt_again || job.doubtful() || !lower_arrays(job.spec.rank)) return;
+    if (now < job.preempt_again || job.doubtful() || !lower_arrays(job.rank)) return;
     const bool together = job.is(Shape::gang);
     if (together && (job.gang_failing || job.gang_started)) return;
     auto wanted = std::min(job.waiting(), max_planned_tasks);
@@ -299,7 +300,7 @@
 // room now the image may take minutes; to stop a task of an array that saves costs seconds.
 std::uint32_t Overseer::room_with_image(Job& job, const Planner& plan, const JobHosts& hosts, std::uint32_t tasks,
                                         TimePoint now) {
-    if (job.spec.rank != Rank::critical || !job.is(Shape::service) || tasks == 0) return 0;
+    if (job.rank != Rank::critical || !job.is(Shape::service) || tasks == 0) return 0;
     const auto& ask = ask_of(job);
     const auto at = plan.peek(ask, hosts);
     if (at == Planner::none) return 0;
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -10,11 +10,234 @@
 
 namespace {
 constexpr std::size_t max_txn_bytes = 44 * 1024;
+constexpr std::size_t max_cut = 1000;          // submissions of which pieces are awaited
+constexpr std::chrono::seconds try_again{10};  // after which a rejected record is tried again
 }  // namespace
 
-Batch Overseer::next_batch(std::size_t most) {
+struct Overseer::Found {
+    std::vector<std::pair<WorkKey, const state::Item*>> records;
+};
+
+// --- what is on record ---
+
+void Overseer::load(const std::vector<state::Item>& work, TimePoint now) {
+    std::map<std::string, Found> found;
+    for (const auto& item : work)
+        if (auto key = parse_work_key(item.key)) found[key->uid].records.emplace_back(std::move(*key), &item);
+    for (auto& [uid, records] : found) {
+        if (jobs_.contains(uid)) continue;
+        try {
+            recover(uid, records, now);
+        } catch (const std::exception& e) {
+            spdlog::error("event=record_unreadable job={} why=\"{}\"", uid, e.what());
+        }
+    }
+}
+
+void Overseer::recover(const std::string& uid, Found& found, TimePoint now) {
+    auto& records = found.records;
+    const auto is_first = [](const auto& r) { return r.first.first(); };
+    if (std::none_of(records.begin(), records.end(), is_first)) {
+        // The job is over, and its last leader ended before it had removed every record. A submission's piece without
+        // its beginning may be of a job that was accepted while the records were being read.
+        for (const auto& [key, item] : records)
+            if (key.piece)
+                assembled(key, *item, now, true);
+            else
+                leftovers_.emplace_back(item->key, item->stamp);
+        return;
+    }
+    for (const auto& [key, item] : records)
+        assembled(key, *item, now, true);
+    auto* job = find(uid);
+    if (!job) return;
+    // Of two records with the same task the one with fewer tasks holds; it was written later.
+    std::sort(records.begin(), records.end(),
+              [](const auto& a, const auto& b) { return a.first.page > b.first.page; });
+    std::vector<wire::TaskRange> last(job->spec.tasks);
+    for (const auto& [key, item] : records) {
+        if (key.piece) continue;
+        if (key.page < job->page) job->use_pages(key.page);
+        if (key.chunk >= job->chunks.size()) continue;
+        job->chunks[key.chunk].stamp = item->stamp;
+        for (const auto& r : wire::ranges_from_record(item->value.as_object().at("tasks").as_array()))
+            for (auto i = r.from; i <= r.to && i < job->spec.tasks; ++i) last[i] = r;
+    }
+    // Attempts never fall, so a task with an attempt was placed once.
+    job->fresh = 0;
+    for (std::uint32_t i = 0; i < job->spec.tasks; ++i) {
+        auto& t = job->tasks[i];
+        const auto& r = last[i];
+        t.attempt = r.attempt;
+        if (r.done) {
+            t.state = Task::State::done;
+            ++job->done;
+        } else if (!r.machine.empty()) {
+            auto& m = ledger_.add(r.machine, "", "", false, now);
+            set_placed(*job, i, m, r.attempt, now);
+            inherited_ = true;
+            t.sent = true;  // by the leader that wrote the record, for all this one knows
+        }
+        if (t.state != Task::State::waiting || t.attempt) job->fresh = i + 1;
+        job->gang_attempt = std::max(job->gang_attempt, t.attempt);
+    }
+    for (std::uint32_t i = 0; i < job->fresh; ++i)
+        if (job->tasks[i].state == Task::State::waiting) job->again.push_back(i);
+    if (job->done == job->spec.tasks) mark_dirty(uid);
+    // Whoever placed some of it had read that all it needs is done.
+    need(*job, job->fresh ? std::vector<std::string>{} : job->spec.prerequisites, now);
+}
+
+// The new job that this record completes, if it does.
+Job* Overseer::assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering) {
+    const auto& o = item.value.as_object();
+    if (find(key.uid) || (!key.first() && !key.piece)) return nullptr;
+    Cut cut;
+    if (key.piece || o.if_contains("cut")) {
+        using Fate = Prerequisites::Fate;
+        const auto fate = prerequisites_.fate(key.uid);
+        if (fate == Fate::done || fate == Fate::cancelled) return nullptr;
+        if (cut_.size() >= max_cut) cut_.clear();
+        auto& known = cut_[key.uid];
+        if (!key.piece)
+            known.first = item;
+        else if (known.pieces.emplace(key.piece, std::string(o.at("text").as_string())).second)
+            known.records.push_back({item.key, item.stamp});
+        if (!known.first.stamp) return nullptr;
+        cut = known;
+    } else {
+        cut.first = item;
+    }
+    const auto& first = cut.first.value.as_object();
+    // Our own writes are seen here as well, late ones of jobs that are over and forgotten included: only a record
+    // without any task is that of a job just accepted.
+    if (!recovering && !first.at("tasks").as_array().empty()) return nullptr;
+    auto spec = spec_from_records(first, cut.pieces);
+    if (!spec) return nullptr;
+    auto& job = create(std::move(*spec), now, recovering);
+    job.chunks[0].stamp = cut.first.stamp;
+    job.overruled = std::move(cut.records);
+    // The first record holds no submission that could be written again beside its tasks.
+    if (first.if_contains("cut")) job.use_pages(job.page / 2);
+    cut_.erase(key.uid);
+    counts_changed_.insert(key.uid);
+    return &job;
+}
+
+bool Overseer::job_changed(const state::Item& item, TimePoint now) {
+    if (!item.stamp || !item.value.is_object()) return false;
+    try {
+        if (item.key.starts_with(work_prefix)) {
+            const auto key = parse_work_key(item.key);
+            auto* job = key ? assembled(*key, item, now, false) : nullptr;
+            if (job) need(*job, job->spec.prerequisites, now);
+            return job != nullptr;
+        }
+        const auto& o = item.value.get_object();
+        const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
+        const auto uid = item.key.substr(item.key.rfind('/') + 1);
+        const auto* at = o.if_contains("at");
+        bool news = take_in(prerequisites_.over(uid, state == wire::JobState::done, at ? at->to_number<std::int64_t>() : 0),
+                            now);
+        auto* job = find(uid);
+        if (!job || job->cancelled || job->finished) return news;
+        if (state == wire::JobState::cancelled) {
+            cancel(*job, now);
+        } else {
+            job->finished = true;
+            mark_dirty(uid);
+        }
+        return true;
+    } catch (const std::exception& e) {
+        spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+    }
+    return false;
+}
+
+void Overseer::ended(const std::string& uid, TimePoint now) {
+    if (auto* job = find(uid); job && !job->finished) {
+        prerequisites_.over_somehow(uid);
+        cancel(*job, now);
+    }
+}
+
+// --- prerequisites ---
+
+void Overseer::need(Job& job, const std::vector<std::string>& prerequisites, TimePoint now) {
+    const auto& uid = job.spec.uid;
+    const auto news = prerequisites_.opened(uid, job.spec.rank, prerequisites);
+    job.rank = prerequisites_.rank(uid);
+    job.waits = prerequisites_.waits(uid);
+    if (!job.waits && !prerequisites.empty()) take_in({{uid}, {}, {}}, now);
+    take_in(news, now);
+}
+
+bool Overseer::take_in(const Prerequisites::News& news, TimePoint now) {
+    for (const auto& uid : news.ready) {
+        auto* job = find(uid);
+        if (!job) continue;
+        // All its times count from now on. The windows of those before it closed long ago: it has been known for at
+        // least as long as any window gathers, and must not wait for another.
+        job->waits = false;
+        job->arrived = job->eligible_at = now;
+        if (const auto at = prerequisites_.ready_at(uid)) job->window = window_at(at);
+        spdlog::debug("event=job_ready job={} class={}", uid, job->spec.job_class);
+    }
+    // Before all other records: its users may be told by then.
+    for (const auto& uid : news.doomed)
+        if (auto* job = find(uid); job && !job->doomed) {
+            spdlog::info("event=job_doomed job={}", uid);
+            job->doomed = true;
+            mark_urgent(uid);
+        }
+    for (const auto& uid : news.reranked)
+        if (auto* job = find(uid)) job->rank = prerequisites_.rank(uid);
+    return !news.ready.empty() || !news.doomed.empty();
+}
+
+std::vector<std::string> Overseer::missing() const {
+    std::vector<std::string> out;
+    for (const auto& uid : prerequisites_.unknown()) out.push_back(outcome_key(uid));
+    for (const auto& [uid, cut] : cut_)
+        if (!cut.first.stamp) {
+            out.push_back(work_key(uid, 0));
+        } else {
+            const auto pieces = cut.first.value.as_object().at("cut").to_number<std::uint32_t>();
+            for (std::uint32_t n = 1; n <= pieces; ++n)
+                if (!cut.pieces.contains(n)) out.push_back(piece_key(uid, n));
+        }
+    return out;
+}
+
+// --- what has to be put there ---
+
+boost::json::object Overseer::outcome(const Job& job, wire::JobState state, std::int64_t at) const {
+    const auto spec = wire::spec_to_record(job.spec);
+    return outcome_record(form_, state, at, &spec, {job.spec.shape, job.spec.tasks});
+}
+
+std::vector<std::pair<std::uint32_t, boost::json::object>> Overseer::changed_records(Job& job) {
+    std::vector<std::pair<std::uint32_t, boost::json::object>> out;
+    for (std::uint32_t c = 0; c < job.chunks.size(); ++c) {
+        if (job.chunks[c].durable >= job.chunks[c].changed) continue;
+        auto record = work_record(job, c);
+        if (form_.newest() && job.page > 1 && !form_.fits(record)) {
+            job.use_pages(job.page / 2);
+            spdlog::debug("event=smaller_records job={} tasks={}", job.spec.uid, job.page);
+            return changed_records(job);
+        }
+        out.emplace_back(c, std::move(record));
+    }
+    return out;
+}
+
+Batch Overseer::next_batch(std::size_t most, std::int64_t at) {
     Batch batch;
-    most = std::clamp<std::size_t>(most, 2, settings_.txn_ops);
+    most = std::clamp<std::size_t>(most, 2, form_.limits().txn_ops);
+    if (singles_ > 0) {
+        --singles_;
+        most = 1;
+    }
     batch.txn.conditions.push_back({election::term_key, term_stamp_});
     std::size_t bytes = 0;
     std::size_t looked = 0;
@@ -30,32 +253,37 @@
         bool left = false;
         if (over) {
             forget(uid);
+        } else if (job->doomed && !job->cancelled) {
+            batch.txn.conditions.push_back({outcome_key(uid), 0});
+            batch.txn.changes.push_back({outcome_key(uid), outcome(*job, wire::JobState::cancelled, at), 0});
+            batch.parts.push_back({uid, 0, job->generation, Batch::Part::Kind::abort, at});
+            batch.keys.push_back(outcome_key(uid));
+            bytes += 1024;
         } else if (complete) {
             // Whoever comes first decides between done and cancelled: both are conditioned on there being no outcome.
             batch.txn.conditions.push_back({outcome_key(uid), 0});
-            batch.txn.changes.push_back({outcome_key(uid), outcome_record(job->spec, wire::JobState::done), 0});
-            batch.parts.push_back({uid, 0, job->generation, Batch::Part::Kind::finish});
+            batch.txn.changes.push_back({outcome_key(uid), outcome(*job, wire::JobState::done, at), 0});
+            batch.parts.push_back({uid, 0, job->generation, Batch::Part::Kind::finish, at});
             batch.keys.push_back(outcome_key(uid));
             bytes += 1024;
         } else if (!job->cancelled) {
-            for (std::uint32_t c = 0; c < job->chunks.size(); ++c) {
+            for (auto& [c, record] : changed_records(*job)) {
                 auto& chunk = job->chunks[c];
-                if (chunk.durable >= chunk.changed) continue;
                 if (batch.txn.changes.size() >= most || bytes >= max_txn_bytes) {
                     left = true;
                     break;
                 }
-                auto record = work_record(*job, c);
                 bytes += 600 + record["tasks"].as_array().size() * 32;
                 // No placement may be added once the job was cancelled.
                 if (batch.keys.empty() || batch.keys.back() != outcome_key(uid)) {
                     batch.txn.conditions.push_back({outcome_key(uid), 0});
                     batch.keys.push_back(outcome_key(uid));
                 }
-                batch.txn.conditions.push_back({work_key(uid, c), chunk.stamp});
-                batch.txn.changes.push_back({work_key(uid, c), std::move(record), 0});
-                batch.parts.push_back({uid, c, chunk.changed, Batch::Part::Kind::write});
-                batch.keys.insert(batch.keys.end() - 1, work_key(uid, c));
+                const auto key = work_key(uid, c, job->page);
+                batch.txn.conditions.push_back({key, chunk.stamp});
+                batch.txn.changes.push_back({key, std::move(record), 0});
+                batch.parts.push_back({uid, c, chunk.changed, Batch::Part::Kind::write, 0});
+                batch.keys.insert(batch.keys.end() - 1, key);
             }
         }
         if (left) mark_dirty(uid);
@@ -66,9 +294,12 @@
 // The job is over and none of its tasks is anywhere. Workers that still show one are told to clear it. Its records may
 // stay for a while: what reads them looks for an outcome as well.
 void Overseer::forget(const std::string& uid) {
-    const auto& chunks = find(uid)->chunks;
-    for (std::uint32_t c = 0; c < chunks.size(); ++c)
-        if (chunks[c].stamp) leftovers_.emplace_back(work_key(uid, c), chunks[c].stamp);
+    // The first record goes last: as long as it is there, the others are known to be somebody's.
+    auto& job = *find(uid);
+    job.use_pages(job.page);
+    std::stable_partition(job.overruled.begin(), job.overruled.end(),
+                          [&](const OldRecord& r) { return r.key == work_key(uid, 0); });
+    for (const auto& r : job.overruled) leftovers_.emplace_back(r.key, r.stamp);
     jobs_.erase(uid);
 }
 
@@ -88,7 +319,8 @@
         leftovers_.emplace_back(txn.conditions[i].key, txn.conditions[i].stamp);
 }
 
-void Overseer::committed(const Batch& batch, std::uint64_t revision, TimePoint now) {
+bool Overseer::committed(const Batch& batch, std::uint64_t revision, TimePoint now) {
+    bool ready = false;
     for (const auto& p : batch.parts) {
         auto* job = find(p.uid);
         if (!job) continue;
@@ -101,17 +333,44 @@
                 spdlog::info("event=job_done job={} class={} seconds={:.1f}", p.uid, job->spec.job_class,
                              Seconds(now - job->arrived).count());
                 job->finished = true;
+                ready = take_in(prerequisites_.over(p.uid, true, p.at), now) || ready;
+                break;
+            case Batch::Part::Kind::abort:
+                cancel(*job, now);
+                take_in(prerequisites_.over(p.uid, false, p.at), now);
                 break;
         }
         if (job->finished || job->cancelled) mark_dirty(p.uid);
     }
+    return ready;
+}
+
+// One record that is never taken must not stop all others: each is tried alone, and the one at fault is cut smaller, or
+// left for a while.
+void Overseer::rejected(const Batch& batch, TimePoint now) {
+    if (batch.parts.size() > 1) {
+        singles_ = batch.parts.size();
+        for (auto p = batch.parts.rbegin(); p != batch.parts.rend(); ++p) mark_urgent(p->uid);
+        return;
+    }
+    for (const auto& p : batch.parts) {
+        auto* job = find(p.uid);
+        if (!job) continue;
+        if (p.kind == Batch::Part::Kind::write && job->page > 1 && form_.newest()) {
+            job->use_pages(job->page / 2);
+            mark_dirty(p.uid);
+            continue;
+        }
+        spdlog::error("event=record_rejected job={} chunk={}", p.uid, p.chunk);
+        if (later_set_.insert(p.uid).second) due_later_.emplace_back(now + try_again, p.uid);
+    }
 }
 
 void Overseer::reread(const state::Item& item, TimePoint now) {
-    std::string uid;
-    std::uint32_t chunk = 0;
-    if (parse_work_key(item.key, uid, chunk)) {
-        if (auto* job = find(uid); job && chunk < job->chunks.size()) job->chunks[chunk].stamp = item.stamp;
+    if (const auto key = parse_work_key(item.key)) {
+        auto* job = find(key->uid);
+        if (job && !key->piece && key->page == job->page && key->chunk < job->chunks.size())
+            job->chunks[key->chunk].stamp = item.stamp;
         return;
     }
     job_changed(item, now);
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -32,8 +32,8 @@
 
 }  // namespace
 
-Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, Links links)
-    : ex_(ex), store_(store), settings_(settings), links_(std::move(links)) {}
+Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links)
+    : ex_(ex), store_(store), settings_(settings), form_(form), links_(std::move(links)) {}
 
 // Why the job can never run, if it cannot.
 std::optional<std::string> Desk::never_runs(const wire::JobSpec& spec) const {
@@ -59,7 +59,7 @@
     Known k;
     if (const auto* state = o.if_contains("state"))
         k.state = wire::job_state_from(std::string_view(state->as_string()));
-    k.tasks = o.at("spec").as_object().at("shards").to_number<std::uint32_t>();
+    k.size = wire::size_from_record(o);
     if (known_.size() >= max_known) known_.clear();  // a cache: what is missing is read again
     const auto [it, fresh] = known_.try_emplace(uid, k);
     // Answers of the service may overtake one another on their way here; a job only ever moves forward.
@@ -117,7 +117,7 @@
     else if (count.running > 0)
         status = "running";
     if (as_submission) return reply(200, wire::submission_answer(uid, status));
-    return reply(200, wire::poll_answer(uid, status, k.state == JobState::done ? k.tasks : count.done, count.running));
+    return reply(200, wire::poll_answer(uid, status, k.state == JobState::done ? k.size.tasks : count.done, count.running));
 }
 
 awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
@@ -140,40 +140,48 @@
     }
     unsigned status = 400;
     spec.accepted_ms = links_.time_of_day_ms();
-    if (complaint.empty() && boost::json::serialize(wire::spec_to_record(spec)).size() > settings_.value_bytes / 3)
-        complaint = "body: its names are too long to be kept";
     if (complaint.empty() && links_.types())
         if (auto why = never_runs(spec)) {
             complaint = *why;
             status = 422;
         }
-    if (!complaint.empty()) {
-        if (uid.empty()) co_return reply(status, wire::error_body(complaint));
-        // A job once accepted stays accepted, whatever a repetition of its submission says.
-        const auto exists = co_await look_up(uid);
-        if (!exists) co_return come_back("the state service cannot be reached");
-        co_return *exists ? status_of(uid, true) : reply(status, wire::error_body(complaint));
-    }
+    if (!complaint.empty()) co_return co_await refuse(std::move(uid), status, std::move(complaint));
     if (known_.contains(uid)) co_return co_await current(uid, true);
-    if (!links_.types()) {
+    const bool early = !form_.newest() && !agent::readable_by_all(spec, form_);
+    if (early || !links_.types()) {
         const auto exists = co_await look_up(uid);
         if (exists && *exists) co_return status_of(uid, true);
-        co_return come_back("the machine types are not known yet");
+        // A controller of an older version could not read it, or would start it too early.
+        co_return come_back(early ? "not before all controllers have the new version"
+                                  : "the machine types are not known yet");
     }
     // What would wait too long is refused at once, with the time when it may be taken.
     if (const auto wait = store_.write_wait(); wait > most_wait)
         co_return come_back("too many submissions at once", wait);
-    const auto record = agent::first_work_record(spec);
+    if (!spec.prerequisites.empty()) {
+        auto needs = co_await check_prerequisites(spec);
+        if (needs.unknown) co_return come_back("the state service cannot be reached");
+        if (needs.complaint) co_return co_await refuse(std::move(uid), 422, std::move(*needs.complaint));
+    }
+    const auto records = agent::accepted_records(spec, form_);
+    if (records.empty()) {
+        const bool types = spec.types && spec.types->size() > spec.prerequisites.size();
+        std::string too_long = types ? "hosttypes" : spec.prerequisites.size() > 1 ? "prereqs" : "body";
+        too_long += ": too long to be kept";
+        co_return co_await refuse(std::move(uid), 400, std::move(too_long));
+    }
     auto txn = absent(uid);
-    txn.changes.push_back({agent::work_key(uid, 0), record, 0});
+    txn.changes = records;
     const auto result = co_await store_.commit(std::move(txn), Urgency::user);
     if (result.outcome == Outcome::ok) {
-        state::Item item;
-        item.key = agent::work_key(uid, 0);
-        item.value = record;
-        item.stamp = result.revision;
-        learn(uid, item);
-        links_.job_changed(item);
+        for (const auto& record : records) {
+            state::Item item;
+            item.key = record.key;
+            item.value = *record.value;
+            item.stamp = result.revision;
+            if (&record == &records.front()) learn(uid, item);
+            links_.job_changed(item);
+        }
         spdlog::info("event=job_accepted job={} class={} tasks={}", uid, spec.job_class, spec.tasks);
         co_return reply(201, wire::submission_answer(uid, "pending"));
     }
@@ -184,6 +192,38 @@
     co_return come_back("the state service cannot be reached");
 }
 
+// A job once accepted stays accepted, whatever a repetition of its submission says.
+awaitable<Reply> Desk::refuse(std::string uid, unsigned status, std::string complaint) {
+    if (uid.empty()) co_return reply(status, wire::error_body(complaint));
+    const auto exists = co_await look_up(uid);
+    if (!exists) co_return come_back("the state service cannot be reached");
+    co_return *exists ? status_of(uid, true) : reply(status, wire::error_body(complaint));
+}
+
+// A job that is known here was accepted, for good. Of any other the state service is asked now: jobs of a pipeline come
+// one right after the other, to different controllers.
+awaitable<Desk::Needs> Desk::check_prerequisites(const wire::JobSpec& spec) {
+    Needs out;
+    for (const auto& uid : spec.prerequisites) {
+        if (!known_.contains(uid)) {
+            const auto exists = co_await look_up(uid);
+            if (!exists) {
+                out.unknown = true;
+                co_return out;
+            }
+            if (!*exists) {
+                out.complaint = "prereqs: " + uid + " was never accepted";
+                co_return out;
+            }
+        }
+        if (const auto it = known_.find(uid); it != known_.end() && it->second.size.shape == wire::Shape::service) {
+            out.complaint = "prereqs: " + uid + " is a service, which is never done";
+            co_return out;
+        }
+    }
+    co_return out;
+}
+
 awaitable<Reply> Desk::poll(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
     if (const auto it = known_.find(uid); it != known_.end() && it->second.state != JobState::open)
@@ -213,7 +253,7 @@
 awaitable<void> Desk::check_waiting() {
     while (!waiting_.empty()) {
         std::vector<std::shared_ptr<Waiter>> batch;
-        const std::size_t most = settings_.txn_ops * 2;  // of two conditions at most; a transaction may have twice that
+        const std::size_t most = form_.limits().txn_ops * 2;  // of two conditions at most; a transaction may have twice that
         while (!waiting_.empty() && batch.size() < most) {
             batch.push_back(std::move(waiting_.front()));
             waiting_.pop_front();
@@ -255,8 +295,10 @@
         if (known_[uid].state != JobState::open) co_return status_of(uid, true);
         state::Item item;
         item.key = agent::outcome_key(uid);
-        item.value = agent::outcome_record(wire::spec_from_record(got.item.value.as_object().at("spec").as_object()),
-                                           JobState::cancelled);
+        const auto& record = got.item.value.as_object();
+        const auto* spec = record.if_contains("spec");
+        item.value = agent::outcome_record(form_, JobState::cancelled, 0, spec ? &spec->as_object() : nullptr,
+                                           wire::size_from_record(record));
         state::Txn txn;
         txn.conditions.push_back({item.key, 0});
         txn.changes.push_back({item.key, item.value, 0});
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -28,7 +28,8 @@
         std::function<void(const state::Item&)> job_changed;  // a hint for a leader in this process
     };
 
-    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, Links links);
+    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form,
+         Links links);
 
     awaitable<Reply> submit(std::string body);
     awaitable<Reply> poll(std::string uid);
@@ -37,7 +38,7 @@
   private:
     struct Known {
         wire::JobState state = wire::JobState::open;
-        std::uint32_t tasks = 0;
+        wire::JobSize size;
     };
     struct Waiter {
         explicit Waiter(net::Executor ex) : done(ex) {}
@@ -51,6 +52,13 @@
     awaitable<state::GetResult> find(const std::string& uid);
     static state::Txn absent(const std::string& uid);
     awaitable<std::optional<bool>> look_up(const std::string& uid);  // whether it exists; nothing: unknown
+    // Why not, if the job cannot have these prerequisites; nothing if it can, or if `unknown`.
+    struct Needs {
+        bool unknown = false;
+        std::optional<std::string> complaint;
+    };
+    awaitable<Needs> check_prerequisites(const wire::JobSpec& spec);
+    awaitable<Reply> refuse(std::string uid, unsigned status, std::string complaint);
     awaitable<Reply> current(const std::string& uid, bool as_submission);
     awaitable<bool> check_fresh(const std::string& uid);
     awaitable<void> check_waiting();
@@ -59,6 +67,7 @@
     net::Executor ex_;
     state::Store& store_;
     const config::Settings& settings_;
+    const state::Form& form_;
     Links links_;
     std::unordered_map<std::string, Known> known_;
     std::deque<std::shared_ptr<Waiter>> waiting_;
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t max_counts = 20'000;
 constexpr double knocks_kept = 0.8;  // from one message of a peer to the next, a second later
-constexpr const char* catalog_key = "fleet/catalog";
+const std::string catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
 
 net::Reply reply(unsigned status, std::string body) {
@@ -32,19 +32,33 @@
         .count();
 }
 
+std::vector<wire::MachineType> kept_types(const std::vector<state::Item>& items) {
+    std::vector<wire::MachineType> out;
+    for (const auto& item : items) try {
+            for (auto& type : wire::parse_catalog(boost::json::serialize(item.value))) {
+                const auto same = [&](const wire::MachineType& t) { return t.name == type.name; };
+                if (std::none_of(out.begin(), out.end(), same)) out.push_back(std::move(type));
+            }
+        } catch (const wire::BadBody& e) {
+            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+        }
+    return out;
+}
+
 }  // namespace
 
 Controller::Controller(net::asio::io_context& io, config::Settings settings, config::Tunables tunables)
     : ex_(io.get_executor()),
       settings_(std::move(settings)),
       tunables_(std::move(tunables)),
-      store_(ex_, settings_),
+      form_(settings_),
+      store_(ex_, settings_, form_),
       cloud_(ex_, settings_),
       elector_(ex_, store_, settings_.member, tunables_.election_lease,
                {[this](election::Term term) {
                     store_.set_leading(true);
-                    reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, term,
-                                                     Reign::Links{[this] { elector_.doubt(); }});
+                    reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term,
+                                                     Reign::Links{[this] { elector_.doubt(); }, time_of_day_ms});
                     reign_->start(types_);
                 },
                 [this] {
@@ -52,7 +66,8 @@
                     if (reign_) reign_->stop();
                     reign_.reset();
                 }}),
-      desk_(ex_, store_, settings_,
+      members_(store_, settings_, form_),
+      desk_(ex_, store_, settings_, form_,
             {time_of_day_ms, [this] { return types_.empty() ? nullptr : &types_; },
              [this](const std::string& uid) {
                  if (reign_)
@@ -73,6 +88,7 @@
     server_.start();
     peers_.start();
     net::asio::co_spawn(ex_, elector_.run(), net::asio::detached);
+    net::asio::co_spawn(ex_, members_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, catalog_loop(), net::asio::detached);
     net::asio::co_spawn(ex_, peer_loop(), net::asio::detached);
 }
@@ -97,28 +113,33 @@
 // A controller that starts while the cloud is out of order still has to tell what can run: the machine types are
 // kept in the state service too.
 awaitable<void> Controller::keep_catalog() {
-    auto kept = co_await store_.get(catalog_key, state::Urgency::bookkeeping);
-    if (kept.outcome != state::Outcome::ok) co_return;
-    auto record = wire::catalog_record(types_);
-    if (kept.item.stamp) try {
-            if (wire::parse_catalog(boost::json::serialize(kept.item.value)).size() == types_.size()) co_return;
-        } catch (const wire::BadBody&) {
+    auto kept = co_await store_.range(catalog_key, std::string(), state::Urgency::bookkeeping);
+    if (kept.outcome != state::Outcome::ok || kept_types(kept.items).size() == types_.size()) co_return;
+    // In as many values as it takes.
+    std::size_t n = 0;
+    for (std::size_t at = 0; at < types_.size(); ++n) {
+        auto count = types_.size() - at;
+        auto record = wire::catalog_record({types_.begin() + static_cast<std::ptrdiff_t>(at), types_.end()});
+        while (count > 1 && !form_.fits(record)) {
+            count = (count + 1) / 2;
+            record = wire::catalog_record({types_.begin() + static_cast<std::ptrdiff_t>(at),
+                                           types_.begin() + static_cast<std::ptrdiff_t>(at + count)});
         }
-    state::Txn txn;
-    txn.conditions.push_back({catalog_key, kept.item.stamp});
-    txn.changes.push_back({catalog_key, std::move(record), 0});
-    co_await store_.commit(std::move(txn), state::Urgency::bookkeeping);
+        at += count;
+        const auto key = catalog_key + (n ? "/" + std::to_string(n) : std::string());
+        const auto old = std::find_if(kept.items.begin(), kept.items.end(), [&](const auto& i) { return i.key == key; });
+        state::Txn txn;
+        txn.conditions.push_back({key, old == kept.items.end() ? 0 : old->stamp});
+        txn.changes.push_back({key, std::move(record), 0});
+        co_await store_.commit(std::move(txn), state::Urgency::bookkeeping);
+    }
 }
 
 awaitable<void> Controller::recall_catalog() {
-    auto kept = co_await store_.get(catalog_key, state::Urgency::bookkeeping);
-    if (kept.outcome != state::Outcome::ok || !kept.item.stamp || !types_.empty()) co_return;
-    try {
-        types_ = wire::parse_catalog(boost::json::serialize(kept.item.value));
-        if (reign_) reign_->catalog(types_);
-    } catch (const wire::BadBody& e) {
-        spdlog::error("event=record_unreadable key={} why=\"{}\"", catalog_key, e.what());
-    }
+    auto kept = co_await store_.range(catalog_key, std::string(), state::Urgency::bookkeeping);
+    if (kept.outcome != state::Outcome::ok || !types_.empty()) co_return;
+    types_ = kept_types(kept.items);
+    if (reign_ && !types_.empty()) reign_->catalog(types_);
 }
 
 awaitable<void> Controller::peer_loop() {
@@ -131,6 +152,7 @@
         b.leading = elector_.leading();
         b.writes = store_.take_write_demand();
         b.knocks = std::exchange(knocks_, 0);
+        b.format = static_cast<std::uint32_t>(form_.format());
         share_writes(b.writes);
         if (reign_)
             for (auto& [uid, c] : reign_->overseer().take_counts()) b.counts.push_back({uid, c.done, c.running});
@@ -177,6 +199,7 @@
 
 void Controller::received(const peer::Beat& beat) {
     elector_.heard(beat.term, beat.leader);
+    form_.all_read(beat.format);
     auto& peer = peer_state_[beat.member];
     peer = {Clock::now(), beat.state_ok, beat.writes, peer.knocks * knocks_kept + beat.knocks};
     if (counts_.size() > max_counts) counts_.clear();
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "api/desk.hpp"
 #include "app/reign.hpp"
+#include "election/members.hpp"
 #include "cloud/client.hpp"
 #include "peer/link.hpp"
 #include "state/http_store.hpp"
@@ -28,9 +29,11 @@
     net::Executor ex_;
     config::Settings settings_;
     config::Tunables tunables_;
+    state::Form form_;
     state::HttpStore store_;
     cloud::HttpCloud cloud_;
     election::Elector elector_;
+    election::Members members_;
     std::shared_ptr<Reign> reign_;
     std::vector<wire::MachineType> types_;
     std::unordered_map<std::string, api::DisplayCount> counts_;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -17,6 +17,7 @@
 constexpr auto follow_gap = 120ms;
 constexpr auto plan_gap = 200ms;
 constexpr auto tidy_gap = 500ms;
+constexpr auto missing_gap = 100ms, missing_again = 300ms;
 constexpr auto hold_step = 60ms;
 constexpr auto hold_for_plan = 420ms, hold_for_write = 1200ms;  // that an answer to a worker may wait for work
 constexpr int max_tries = 30;
@@ -24,14 +25,15 @@
 }  // namespace
 
 Reign::Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
-             const config::Tunables& tunables, election::Term term, Links links)
+             const config::Tunables& tunables, const state::Form& form, election::Term term, Links links)
     : ex_(ex),
       store_(store),
       cloud_(cloud),
       settings_(settings),
+      form_(form),
       links_(std::move(links)),
       term_(term.number),
-      overseer_(settings, tunables, term.number, term.stamp, Clock::now()),
+      overseer_(settings, tunables, form, term.number, term.stamp, Clock::now()),
       commit_(ex),
       plan_(ex),
       last_awake_(Clock::now()) {}
@@ -58,6 +60,7 @@
     net::asio::co_spawn(ex_, run_loop(self, list_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, cloud_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, tidy_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, missing_loop()), net::asio::detached);
 }
 
 void Reign::stop() {
@@ -156,10 +159,11 @@
 // What looks open may be of jobs that are over: their outcomes tell.
 awaitable<bool> Reign::check_open_jobs() {
     const auto open = overseer_.open_jobs();
-    const std::size_t most = settings_.txn_ops * 4;
+    std::size_t most = 0;
     for (std::size_t at = 0; at < open.size(); at += most) {
         state::TxnResult result;
         do {
+            most = form_.limits().txn_ops * 4;  // which may fall from one try to the next
             state::Txn txn;
             for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
                 txn.conditions.push_back({agent::outcome_key(open[i]), 0});
@@ -223,13 +227,16 @@
         co_await commit_.wait(1s);
         while (!stopped_ && loaded_) {
             // In small portions: a large one would use up the writes of a second and keep users waiting for as long.
-            auto batch = overseer_.next_batch(store_.write_portion());
+            auto batch = overseer_.next_batch(store_.write_portion(), links_.time_of_day_ms());
             if (batch.empty()) break;
             state::Txn txn = batch.txn;
             const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
             if (stopped_) co_return;
             if (result.outcome == Outcome::ok) {
-                overseer_.committed(batch, result.revision, Clock::now());
+                if (overseer_.committed(batch, result.revision, Clock::now())) {
+                    stir_ = true;  // what waited for that may start
+                    plan_.notify();
+                }
                 continue;
             }
             if (result.outcome == Outcome::conflict &&
@@ -242,6 +249,11 @@
             }
             spdlog::info("event=write_failed outcome={} failed={}", static_cast<int>(result.outcome),
                          result.failed.size());
+            if (result.outcome == Outcome::too_large) {
+                overseer_.rejected(batch, Clock::now());
+                co_await net::sleep_for(150ms);
+                continue;
+            }
             if (result.outcome == Outcome::refused) {
                 co_await net::sleep_for(150ms);
             } else {
@@ -268,6 +280,23 @@
     }
 }
 
+// Reads what the watch will not tell again: how jobs ended that others wait for. It does so beside the hand-over, which
+// must not take longer the more there is to read.
+awaitable<void> Reign::missing_loop() {
+    while (!stopped_) {
+        co_await net::sleep_for(missing_gap);
+        if (stopped_ || !loaded_) continue;
+        const auto keys = overseer_.missing();
+        for (const auto& key : keys) {
+            auto got = co_await store_.get(key, Urgency::bookkeeping);
+            if (stopped_) co_return;
+            if (got.outcome != Outcome::ok) break;
+            if (overseer_.job_changed(got.item, Clock::now())) wake();
+        }
+        if (!keys.empty()) co_await net::sleep_for(missing_again);
+    }
+}
+
 // A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
 // remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
 awaitable<bool> Reign::still_leading() {
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -16,10 +16,11 @@
   public:
     struct Links {
         std::function<void()> doubt;  // the term's stamp may no longer hold
+        std::function<std::int64_t()> time_of_day_ms;
     };
 
     Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
-          const config::Tunables& tunables, election::Term term, Links links);
+          const config::Tunables& tunables, const state::Form& form, election::Term term, Links links);
 
     void start(const std::vector<wire::MachineType>& types);
     void stop();
@@ -45,6 +46,7 @@
     awaitable<void> list_loop();
     awaitable<void> cloud_loop();
     awaitable<void> tidy_loop();
+    awaitable<void> missing_loop();
     awaitable<void> return_machines();
     awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
@@ -57,6 +59,7 @@
     state::Store& store_;
     cloud::Cloud& cloud_;
     const config::Settings& settings_;
+    const state::Form& form_;
     Links links_;
     std::uint64_t term_;
     agent::Overseer overseer_;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -58,6 +58,8 @@
         fail(key, "a table");
     }
 
+    bool has(const char* key) const { return table_.get(key) != nullptr; }
+
     template <class F>
     void each(const char* key, F visit) const {
         const auto* node = table_.get(key);
@@ -110,6 +112,22 @@
     throw BadSetting(field + ": expected ADDRESS:PORT, found \"" + text + "\"");
 }
 
+namespace {
+// What is not named stays as it is at present, where there is a present.
+StateLimits limits_of(const Fields& f, const StateLimits* present) {
+    const auto amount = [&](const char* key, double now, double least) {
+        return f.amount(key, present ? std::optional(now) : std::nullopt, least);
+    };
+    const StateLimits was = present ? *present : StateLimits{};
+    StateLimits l;
+    l.rps = amount("rps", was.rps, 1);
+    l.write_rps = amount("write_rps", was.write_rps, 1);
+    l.value_bytes = static_cast<std::size_t>(amount("value_kb", double(was.value_bytes) / 1024, 1) * 1024);
+    l.txn_ops = static_cast<std::size_t>(amount("txn_ops", double(was.txn_ops), 2));
+    return l;
+}
+}  // namespace
+
 const Team* Settings::team(const std::string& name) const {
     for (const auto& t : teams)
         if (t.name == name) return &t;
@@ -156,10 +174,8 @@
     s.gang_peer = workers.duration("gang_peer_s");
     s.cancel = workers.duration("cancel_s");
     const auto state = cluster.section("state");
-    s.state_rps = state.amount("rps", std::nullopt, 1);
-    s.write_rps = state.amount("write_rps", std::nullopt, 1);
-    s.value_bytes = static_cast<std::size_t>(state.amount("value_kb", std::nullopt, 1) * 1024);
-    s.txn_ops = static_cast<std::size_t>(state.amount("txn_ops", std::nullopt, 2));
+    s.limits = limits_of(state, nullptr);
+    if (state.has("next")) s.next_limits = limits_of(state.section("next"), &s.limits);
     const auto cloud = cluster.section("cloud");
     s.cloud_rps = cloud.amount("rps", std::nullopt, 0.1);
     s.list_lag = Seconds(cloud.amount("list_lag_s"));
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -40,6 +40,12 @@
     double share = 0;
 };
 
+// What the state service takes: requests and changes a second, bytes a value, changes a transaction.
+struct StateLimits {
+    double rps = 50, write_rps = 20;
+    std::size_t value_bytes = 16 * 1024, txn_ops = 12;
+};
+
 struct Settings {
     std::string member, zone;
     Address listen, peer_listen;
@@ -50,8 +56,8 @@
     std::vector<Team> teams;
     std::vector<Objective> objectives;
     Seconds report{3}, lease{30}, gang_wait{30}, gang_peer{4}, cancel{60};
-    double state_rps = 50, write_rps = 20;
-    std::size_t value_bytes = 16 * 1024, txn_ops = 12;
+    StateLimits limits;
+    std::optional<StateLimits> next_limits;  // that come some time after an upgrade, without notice
     double cloud_rps = 4;
     Seconds list_lag{5};
     std::size_t max_sockets = 1000;
--- /dev/null
+++ b/src/election/members.hpp
@@ -0,0 +1,32 @@
+// Which form every controller of the cluster can read. Each puts a key of its own in the state service that says what it
+// reads; a key stays when its controller dies. So what is known of a form once all keys are there holds for good, for a
+// controller that is down or cut off as well, and nothing is ever concluded from silence.
+#pragma once
+#include "state/form.hpp"
+#include "state/store.hpp"
+
+namespace flintdale::election {
+
+using net::awaitable;
+
+inline constexpr const char* members_prefix = "members/";
+
+class Members {
+  public:
+    Members(state::Store& store, const config::Settings& settings, state::Form& form);
+
+    awaitable<void> run();
+
+  private:
+    awaitable<bool> enroll();
+    // Counts the keys; true once all controllers are there.
+    awaitable<bool> all_there();
+
+    state::Store& store_;
+    state::Form& form_;
+    std::string member_;
+    std::vector<std::string> names_;  // of all controllers
+    std::uint64_t revision_ = 0;
+};
+
+}  // namespace flintdale::election
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -95,12 +95,12 @@
     gone_.insert(name);
 }
 
-void Ledger::assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec) {
+void Ledger::assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, wire::Rank rank) {
     if (!m.tasks.insert(task).second) return;
     placement::take(m.row.free, spec.need);
     ++m.row.load;
     if (spec.shape == wire::Shape::service) placement::give(m.row.standing, spec.need);
-    m.fetching[task] = {{directory_.image(spec.image), spec.image_gb}, spec.rank};
+    m.fetching[task] = {{directory_.image(spec.image), spec.image_gb}, rank};
     m.update_row();
 }
 
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -95,7 +95,7 @@
     std::map<std::string, std::unique_ptr<Machine>>& all() { return machines_; }
     const std::map<std::string, std::unique_ptr<Machine>>& all() const { return machines_; }
 
-    void assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
+    void assign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, wire::Rank rank);
     // The task has its image now, which it fetched or shares with others.
     void has_image(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
     void unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now);
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -30,6 +30,7 @@
     b.setLeading(beat.leading);
     b.setWrites(beat.writes);
     b.setKnocks(beat.knocks);
+    b.setFormat(beat.format);
     const auto n = std::min(beat.counts.size(), max_counts);
     auto counts = b.initCounts(static_cast<unsigned>(n));
     for (unsigned i = 0; i < n; ++i) {
@@ -56,6 +57,7 @@
         beat.leading = b.getLeading();
         beat.writes = b.getWrites();
         beat.knocks = b.getKnocks();
+        beat.format = b.getFormat();
         for (const auto c : b.getCounts()) beat.counts.push_back({c.getUid().cStr(), c.getDone(), c.getRunning()});
         return beat;
     } catch (const kj::Exception& e) {
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -21,6 +21,7 @@
     bool state_ok = false, leading = false;
     double writes = 0;         // to the state service, that it lately asked for
     std::uint32_t knocks = 0;  // reports that it turned away to the leader since its last message
+    std::uint32_t format = 0;  // that it knows every controller to read
     std::vector<Count> counts;
 };
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -63,7 +63,7 @@
 bool JobHosts::excludes(Id slot) const { return std::find(excluded.begin(), excluded.end(), slot) != excluded.end(); }
 
 Ask make_ask(const JobSpec& spec, const Rules& rules, Directory& directory) {
-    Ask ask{&spec, directory.image(spec.image), {}};
+    Ask ask{&spec, directory.image(spec.image), spec.rank, {}};
     for (const auto& p : directory.pools()) ask.pools.push_back(allowed(spec, rules, p.type, p.zone, p.spot));
     return ask;
 }
@@ -124,12 +124,12 @@
 bool Planner::candidate(const Ask& ask, const JobHosts& job, const Host& host) const {
     const auto& spec = *ask.spec;
     if (!ask.takes(host.pool) || !fits(spec.need, host.free)) return false;
-    if (host.held_for && spec.rank <= *host.held_for) return false;
+    if (host.held_for && ask.rank <= *host.held_for) return false;
     // The margin is for what else the machine holds. An empty machine needs none, or a task that fills a machine
     // could never run.
     if (host.load > 0 && host.free.memory_gb + slack < spec.need.memory_gb * (1 + margin_)) return false;
     // Fetches share the machine's rate: one more would hold up the more important task that waits for its own.
-    if (spec.rank < host.fetching_for && !host.fetching.empty() && !host.has(ask.image) && !host.fetches(ask.image))
+    if (ask.rank < host.fetching_for && !host.fetching.empty() && !host.has(ask.image) && !host.fetches(ask.image))
         return false;
     if (spec.one_zone)
         for (Id zone = 0; zone < job.per_zone.size(); ++zone)
@@ -168,7 +168,7 @@
     auto& host = hosts_[i];
     if (!host.has(ask.image)) {
         if (!host.fetches(ask.image)) host.fetching.push_back({ask.image, ask.spec->image_gb});
-        host.fetching_for = std::max(host.fetching_for, ask.spec->rank);
+        host.fetching_for = std::max(host.fetching_for, ask.rank);
     }
     job.add_to_zone(host.zone);
     job.own.push_back(host.slot);
@@ -303,7 +303,7 @@
     }
     count = std::min(count, choices.size());
     std::nth_element(choices.begin(), choices.begin() + static_cast<std::ptrdiff_t>(count - 1), choices.end());
-    for (std::size_t k = 0; k < count; ++k) hosts_[choices[k].at].held_for = spec.rank;
+    for (std::size_t k = 0; k < count; ++k) hosts_[choices[k].at].held_for = ask.rank;
 }
 
 bool before(const Waiting& a, const Waiting& b, double ageing) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -74,7 +74,8 @@
 struct Ask {
     const JobSpec* spec = nullptr;
     Id image = 0;
-    std::vector<char> pools;  // by the pool's number: whether its machines are allowed
+    wire::Rank rank = wire::Rank::normal;  // which it may have from jobs that need it
+    std::vector<char> pools;               // by the pool's number: whether its machines are allowed
 
     bool takes(Id pool) const { return pool < pools.size() && pools[pool]; }
 };
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -57,17 +57,14 @@
 
 }  // namespace
 
-HttpStore::HttpStore(net::Executor ex, const config::Settings& s)
-    : rps_(s.state_rps * safety),
-      write_rps_(s.write_rps * safety),
+HttpStore::HttpStore(net::Executor ex, const config::Settings& s, Form& form)
+    : form_(form),
       nodes_(std::max<std::size_t>(1, s.nodes)),
       http_(ex, s.state.host, s.state.port, 8),
       watches_(ex, s.state.host, s.state.port, 4),
-      gate_(ex,
-            Budget(rps_ / static_cast<double>(nodes_), write_rps_ / static_cast<double>(nodes_), steady_clock::now())),
+      gate_(ex, Budget(s.limits.rps * safety / static_cast<double>(nodes_),
+                       s.limits.write_rps * safety / static_cast<double>(nodes_), steady_clock::now())),
       demand_share_(1.0 / static_cast<double>(nodes_)) {
-    // All controllers together borrow less than the second's burst that the service allows.
-    gate_.budget().set_borrowing(write_rps_ * borrowed / static_cast<double>(nodes_));
     set_rates();
 }
 
@@ -85,7 +82,10 @@
     const double others = nodes_ > 1 ? static_cast<double>(nodes_ - 1) : 1.0;
     const double share = nodes_ == 1 ? 1.0 : leading_ ? leader_share : (1.0 - leader_share) / others;
     const double writes = nodes_ == 1 ? 1.0 : share * (1.0 - by_demand) + demand_share_ * by_demand;
-    gate_.budget().set_rates(rps_ * share, write_rps_ * writes);
+    const auto& limits = form_.limits();
+    // All controllers together borrow less than the second's burst that the service allows.
+    gate_.budget().set_borrowing(limits.write_rps * safety * borrowed / static_cast<double>(nodes_));
+    gate_.budget().set_rates(limits.rps * safety * share, limits.write_rps * safety * writes);
 }
 
 bool HttpStore::healthy(steady_clock::time_point now) const {
@@ -144,13 +144,24 @@
     co_return r;
 }
 
+void HttpStore::rejected(const Txn& txn, std::size_t largest) {
+    const auto& next = form_.next_limits();
+    if (largest <= next.value_bytes && txn.changes.size() <= next.txn_ops && txn.conditions.size() <= next.txn_ops * 4)
+        return;
+    if (!form_.newest()) spdlog::info("event=limits_lowered format={} why=\"a size was refused\"", newest_format);
+    form_.all_read(newest_format);
+    set_rates();
+}
+
 awaitable<TxnResult> HttpStore::commit(Txn txn, Urgency urgency) {
+    std::size_t largest = 0;
     json::array conditions, changes;
     for (const auto& c : txn.conditions) conditions.push_back(json::object{{"key", c.key}, {"stamp", c.stamp}});
     for (auto& c : txn.changes) {
         json::object change;
         if (c.value) {
             change["write"] = c.key;
+            if (!form_.newest()) largest = std::max(largest, Form::size_of(*c.value));
             change["v"] = std::move(*c.value);
             if (c.lease) change["permit"] = c.lease;
         } else {
@@ -171,8 +182,12 @@
     if (answer.status == 400) {
         const bool lease = o && text(*o, "error").find("lease") != std::string::npos;
         r.outcome =
-            lease || answer.body.find("no such lease") != std::string::npos ? Outcome::no_lease : Outcome::refused;
-        if (r.outcome == Outcome::refused) spdlog::error("event=txn_rejected body={}", answer.body);
+            lease || answer.body.find("no such lease") != std::string::npos ? Outcome::no_lease : Outcome::too_large;
+        if (r.outcome == Outcome::too_large) {
+            spdlog::info("event=txn_rejected changes={} conditions={} body={}", txn.changes.size(),
+                         txn.conditions.size(), answer.body);
+            rejected(txn, largest);
+        }
         co_return r;
     }
     if (r.outcome == Outcome::ok || r.outcome == Outcome::conflict) {
--- a/src/state/http_store.hpp
+++ b/src/state/http_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "config/settings.hpp"
 #include "net/http_client.hpp"
+#include "state/form.hpp"
 #include "state/gate.hpp"
 #include "state/store.hpp"
 
@@ -8,7 +9,8 @@
 
 class HttpStore : public Store {
   public:
-    HttpStore(net::Executor ex, const config::Settings& settings);
+    // `form` is told when the service shows that its limits have changed.
+    HttpStore(net::Executor ex, const config::Settings& settings, Form& form);
 
     // The shares of all controllers together stay within the limits. The leader does most of the work; of the writes
     // a part follows what each has lately asked for, so that a crowd of submissions at one of them need not wait for
@@ -35,7 +37,10 @@
     awaitable<net::HttpAnswer> call(net::http::verb verb, std::string target, std::string body, double writes,
                                     Urgency urgency, std::chrono::steady_clock::duration limit);
 
-    double rps_, write_rps_;
+    // A 400 for what the present limits allow and the limits to come do not: those have come.
+    void rejected(const Txn& txn, std::size_t largest);
+
+    Form& form_;
     std::size_t nodes_;
     net::HttpClient http_, watches_;
     Gate gate_;
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -1,5 +1,6 @@
 #include "wire/json.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <utility>
@@ -10,7 +11,6 @@
 
 constexpr std::uint32_t max_tasks = 100'000;
 constexpr std::size_t max_name = 200;
-constexpr std::size_t max_types = 40;
 constexpr double max_amount = 1e9;
 
 template <class E, std::size_t N>
@@ -208,7 +208,6 @@
     if (find(o, "hosttypes")) {
         const auto& types = list(o, "hosttypes");
         if (types.empty()) bad("hosttypes", "must be null or name a type");
-        if (types.size() > max_types) bad("hosttypes", "names too many types");
         s.types.emplace();
         for (const auto& t : types) {
             if (!t.is_string() || t.get_string().empty() || t.get_string().size() > max_name)
@@ -224,6 +223,14 @@
     s.checkpoint = Seconds(amount(o, "snapshot_s"));
     s.save = Seconds(amount(o, "flush_s"));
     if (find(o, "due_s")) s.deadline = Seconds(amount(o, "due_s"));
+    if (find(o, "prereqs"))
+        for (const auto& v : list(o, "prereqs")) {
+            if (!v.is_string() || !valid_uid(std::string_view(v.get_string()))) bad("prereqs", "must hold names of jobs");
+            s.prerequisites.emplace_back(v.get_string());
+        }
+    // Whoever is named twice is needed once.
+    std::sort(s.prerequisites.begin(), s.prerequisites.end());
+    s.prerequisites.erase(std::unique(s.prerequisites.begin(), s.prerequisites.end()), s.prerequisites.end());
     return s;
 }
 
@@ -258,6 +265,7 @@
                    {"at", s.accepted_ms}};
     if (s.types) o["hosttypes"] = json::value_from(*s.types);
     if (s.zone) o["hall"] = *s.zone;
+    if (!s.prerequisites.empty()) o["prereqs"] = json::value_from(s.prerequisites);
     if (s.deadline) o["due_s"] = seconds_or_null(s.deadline);
     return o;
 }
@@ -268,6 +276,17 @@
     return s;
 }
 
+JobSize size_from_record(const json::object& record) {
+    const auto* spec = find(record, "spec");
+    const auto& o = spec ? as_object(*spec, "spec") : record;
+    return {word(o, "shape", shapes), static_cast<std::uint32_t>(count(o, "shards"))};
+}
+
+void size_to_record(const JobSize& size, json::object& record) {
+    record["shape"] = name_of(shapes, size.shape);
+    record["shards"] = size.tasks;
+}
+
 json::array ranges_to_record(const std::vector<TaskRange>& ranges) {
     json::array out;
     for (const auto& r : ranges) out.push_back({r.from, r.to, r.attempt, r.machine, r.done ? 1 : 0});
--- a/src/wire/json.hpp
+++ b/src/wire/json.hpp
@@ -28,6 +28,9 @@
 // Records of the state service.
 json::object spec_to_record(const JobSpec& spec);
 JobSpec spec_from_record(const json::object& record);
+// From any record that names them, the submission's or that of a job whose submission is kept elsewhere or no more.
+JobSize size_from_record(const json::object& record);
+void size_to_record(const JobSize& size, json::object& record);
 json::array ranges_to_record(const std::vector<TaskRange>& ranges);
 std::vector<TaskRange> ranges_from_record(const json::array& record);
 std::string_view job_state_name(JobState state);
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -18,4 +18,5 @@
     leading @5 :Bool;
     writes @6 :Float64;       # to the state service, that the sender lately asked for
     knocks @7 :UInt32;        # reports that the sender turned away to the leader since its last message
+    format @8 :UInt32;        # that the sender knows every controller to read; 0 from versions that do not tell
 }
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -33,7 +33,14 @@
     bool one_zone = false, spread = false, spot = false;
     Seconds estimate{0}, checkpoint{0}, save{0};
     std::optional<Seconds> deadline;
-    std::int64_t accepted_ms = 0;  // time of day at the accepting controller
+    std::vector<std::string> prerequisites;  // jobs that have to be done before any task of this one starts
+    std::int64_t accepted_ms = 0;            // time of day at the accepting controller
+};
+
+// What is told of a job that is over.
+struct JobSize {
+    Shape shape = Shape::array;
+    std::uint32_t tasks = 0;
 };
 
 enum class JobState : std::uint8_t { open, done, cancelled };
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -13,7 +13,9 @@
     config::Settings cluster = settings();
     std::vector<wire::MachineType> known = types();
     bool types_known = true;
-    api::Desk one{io.get_executor(), store, cluster, links()}, two{io.get_executor(), store, cluster, links()};
+    state::Form form{cluster};
+    api::Desk one{io.get_executor(), store, cluster, form, links()},
+        two{io.get_executor(), store, cluster, form, links()};
 
     api::Desk::Links links() {
         return {[] { return std::int64_t{1000}; }, [this] { return types_known ? &known : nullptr; },
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -172,7 +172,7 @@
     txn.conditions.push_back({election::term_key, old.stamp});
     txn.changes.push_back({election::term_key, boost::json::object{{"n", ++term}}, 0});
     const auto won = keys.commit(txn);
-    leader = std::make_unique<Overseer>(settings, tunables, term, won.revision, now);
+    leader = std::make_unique<Overseer>(settings, tunables, form, term, won.revision, now);
     leader->catalog(types());
     leader->load(keys.range(agent::work_prefix), now);
     for (const auto& uid : leader->open_jobs())
@@ -184,7 +184,7 @@
     state::Txn txn;
     txn.conditions.push_back({agent::outcome_key(spec.uid), 0});
     txn.conditions.push_back({agent::work_key(spec.uid, 0), 0});
-    txn.changes.push_back({agent::work_key(spec.uid, 0), agent::first_work_record(spec), 0});
+    txn.changes = agent::accepted_records(spec, form);
     ASSERT_EQ(keys.commit(txn).outcome, state::Outcome::ok);
     if (leader) tell(spec.uid);
 }
@@ -192,9 +192,12 @@
 bool World::cancel(const std::string& uid) {
     const auto* job = leader->job(uid);
     const auto spec = job ? job->spec : wire::JobSpec{};
+    const auto kept = wire::spec_to_record(spec);
+    const auto outcome =
+        agent::outcome_record(form, wire::JobState::cancelled, 0, &kept, {spec.shape, spec.tasks});
     state::Txn txn;
     txn.conditions.push_back({agent::outcome_key(uid), 0});
-    txn.changes.push_back({agent::outcome_key(uid), agent::outcome_record(spec, wire::JobState::cancelled), 0});
+    txn.changes.push_back({agent::outcome_key(uid), outcome, 0});
     return keys.commit(txn).outcome == state::Outcome::ok;
 }
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -55,6 +55,7 @@
 struct World {
     config::Settings settings = test::settings();
     config::Tunables tunables;
+    state::Form form{settings};
     Keys keys;
     TimePoint now{1000s};
     std::uint64_t term = 0;
