--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -305,6 +305,7 @@
 
 state::Txn Overseer::leftovers(std::size_t most) {
     state::Txn txn;
+    most = std::min(most, form_.limits().txn_ops);
     for (; !leftovers_.empty() && txn.changes.size() < most; leftovers_.pop_back()) {
         const auto& [key, stamp] = leftovers_.back();
         txn.conditions.push_back({key, stamp});
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t max_known = 20'000;
+constexpr int max_rounds = 32;  // of looking at what a job needs, and what that needs
 constexpr std::chrono::milliseconds most_wait{2000};  // that a submission waits for its write; users give up after 5 s
 
 Reply reply(unsigned status, std::string body) {
@@ -60,6 +61,8 @@
     if (const auto* state = o.if_contains("state"))
         k.state = wire::job_state_from(std::string_view(state->as_string()));
     k.size = wire::size_from_record(o);
+    if (const auto* spec = o.if_contains("spec"); spec && k.state == JobState::open)
+        k.prerequisites = wire::spec_from_record(spec->as_object()).prerequisites;
     if (known_.size() >= max_known) known_.clear();  // a cache: what is missing is read again
     const auto [it, fresh] = known_.try_emplace(uid, k);
     // Answers of the service may overtake one another on their way here; a job only ever moves forward.
@@ -121,9 +124,10 @@
 }
 
 awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
-    const auto exists = co_await look_up(uid);
-    if (!exists) co_return come_back("the state service cannot be reached");
-    co_return status_of(uid, as_submission);
+    const auto it = known_.find(uid);
+    const bool final = it != known_.end() && it->second.state != JobState::open;  // such states never change
+    const bool fresh = final || co_await check_fresh(uid);
+    co_return fresh ? status_of(uid, as_submission) : come_back("the state service cannot be reached");
 }
 
 awaitable<Reply> Desk::submit(std::string body) {
@@ -150,7 +154,7 @@
     const bool early = !form_.newest() && !agent::readable_by_all(spec, form_);
     if (early || !links_.types()) {
         const auto exists = co_await look_up(uid);
-        if (exists && *exists) co_return status_of(uid, true);
+        if (exists && *exists) co_return co_await current(uid, true);
         // A controller of an older version could not read it, or would start it too early.
         co_return come_back(early ? "not before all controllers have the new version"
                                   : "the machine types are not known yet");
@@ -188,7 +192,7 @@
     if (result.outcome == Outcome::refused) co_return come_back("the state service refuses");
     // Either it exists, or the answer was lost and it may exist.
     const auto exists = co_await look_up(uid);
-    if (exists && *exists) co_return status_of(uid, true);
+    if (exists && *exists) co_return co_await current(uid, true);
     co_return come_back("the state service cannot be reached");
 }
 
@@ -197,7 +201,8 @@
     if (uid.empty()) co_return reply(status, wire::error_body(complaint));
     const auto exists = co_await look_up(uid);
     if (!exists) co_return come_back("the state service cannot be reached");
-    co_return *exists ? status_of(uid, true) : reply(status, wire::error_body(complaint));
+    if (*exists) co_return co_await current(uid, true);
+    co_return reply(status, wire::error_body(complaint));
 }
 
 // A job that is known here was accepted, for good. Of any other the state service is asked now: jobs of a pipeline come
@@ -226,10 +231,7 @@
 
 awaitable<Reply> Desk::poll(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
-    if (const auto it = known_.find(uid); it != known_.end() && it->second.state != JobState::open)
-        co_return status_of(uid, false);  // final states never change
-    if (!co_await check_fresh(uid)) co_return come_back("the state service cannot be reached");
-    co_return status_of(uid, false);
+    co_return co_await current(uid, false);
 }
 
 // Whether what is known of the job is confirmed by the state service after this call began. Everyone who asks
@@ -253,37 +255,93 @@
 awaitable<void> Desk::check_waiting() {
     while (!waiting_.empty()) {
         std::vector<std::shared_ptr<Waiter>> batch;
-        const std::size_t most = form_.limits().txn_ops * 2;  // of two conditions at most; a transaction may have twice that
+        const std::size_t most = form_.limits().txn_ops * 2;
         while (!waiting_.empty() && batch.size() < most) {
             batch.push_back(std::move(waiting_.front()));
             waiting_.pop_front();
         }
+        std::set<std::string> confirmed;
+        // A round may find out what else a job needs, which has to be looked at as well.
+        for (int round = 0; round < max_rounds && !batch.empty(); ++round) {
+            std::set<std::string> asked;
+            for (const auto& w : batch)
+                for (auto& uid : line(w->uid))
+                    if (!confirmed.contains(uid)) asked.insert(std::move(uid));
+            auto now_sure = co_await check({asked.begin(), asked.end()});
+            confirmed.merge(now_sure);
+            std::erase_if(batch, [&](const std::shared_ptr<Waiter>& w) {
+                bool all = true, failed = false;
+                for (const auto& uid : line(w->uid)) {
+                    all = all && confirmed.contains(uid);
+                    failed = failed || (asked.contains(uid) && !confirmed.contains(uid));
+                }
+                if (!all && !failed && round + 1 < max_rounds) return false;
+                w->fresh = all;
+                // Its outcome will be written; whoever asks after an outage must not be told less until then.
+                if (all && needs_cancelled(w->uid)) known_[w->uid].state = JobState::cancelled;
+                w->answered = true;
+                w->done.cancel();
+                return true;
+            });
+        }
+    }
+    checking_ = false;
+}
+
+// Those of the jobs of which it is certain now whether they are open, over, or no jobs at all. Known jobs that are over
+// need no check, so all that are known are believed to be open.
+awaitable<std::set<std::string>> Desk::check(std::vector<std::string> uids) {
+    std::set<std::string> sure;
+    const std::size_t most = form_.limits().txn_ops * 4;
+    for (std::size_t next = 0; next < uids.size();) {
         state::Txn txn;
-        // Known jobs that are over need no check, so all that are known are believed to be open.
-        for (const auto& w : batch) {
-            txn.conditions.push_back({agent::outcome_key(w->uid), 0});
-            if (!known_.contains(w->uid)) txn.conditions.push_back({agent::work_key(w->uid, 0), 0});
+        const auto first = next;
+        for (; next < uids.size() && txn.conditions.size() + 2 <= most; ++next) {
+            txn.conditions.push_back({agent::outcome_key(uids[next]), 0});
+            if (!known_.contains(uids[next])) txn.conditions.push_back({agent::work_key(uids[next], 0), 0});
         }
         const auto result = co_await store_.commit(std::move(txn), Urgency::user);
-        for (const auto& w : batch) {
-            const auto exists = [&](const std::string& key) {
-                return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
-            };
-            const bool over = exists(agent::outcome_key(w->uid));
-            if (result.outcome == Outcome::ok ||
-                (result.outcome == Outcome::conflict && !over && !exists(agent::work_key(w->uid, 0)))) {
-                w->fresh = true;
-            } else if (result.outcome == Outcome::conflict) {
-                auto key = over ? agent::outcome_key(w->uid) : agent::work_key(w->uid, 0);
+        if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) continue;
+        const auto exists = [&](const std::string& key) {
+            return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
+        };
+        for (auto i = first; i < next; ++i) {
+            const bool over = exists(agent::outcome_key(uids[i]));
+            if (over || exists(agent::work_key(uids[i], 0))) {
+                auto key = over ? agent::outcome_key(uids[i]) : agent::work_key(uids[i], 0);
                 const auto got = co_await store_.get(std::move(key), Urgency::user);
-                w->fresh = got.outcome == Outcome::ok && learn(w->uid, got.item);
-                if (w->fresh) links_.job_changed(got.item);
+                if (got.outcome != Outcome::ok || !learn(uids[i], got.item)) continue;
+                links_.job_changed(got.item);
             }
-            w->answered = true;
-            w->done.cancel();
+            sure.insert(uids[i]);
         }
     }
-    checking_ = false;
+    co_return sure;
+}
+
+std::vector<std::string> Desk::line(const std::string& uid) const {
+    std::vector<std::string> out{uid};
+    for (std::size_t i = 0; i < out.size(); ++i) {
+        const auto it = known_.find(out[i]);
+        if (it == known_.end()) continue;
+        for (const auto& name : it->second.prerequisites) {
+            const auto need = known_.find(name);
+            const bool over = need != known_.end() && need->second.state != JobState::open;
+            if (!over && std::find(out.begin(), out.end(), name) == out.end()) out.push_back(name);
+        }
+    }
+    return out;
+}
+
+bool Desk::needs_cancelled(const std::string& uid) const {
+    for (const auto& open : line(uid)) {
+        const auto it = known_.find(open);
+        if (it == known_.end() || it->second.state != JobState::open) continue;
+        for (const auto& name : it->second.prerequisites)
+            if (const auto need = known_.find(name); need != known_.end() && need->second.state == JobState::cancelled)
+                return true;
+    }
+    return false;
 }
 
 awaitable<Reply> Desk::cancel(std::string uid) {
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 #include "agent/job.hpp"
@@ -39,6 +40,7 @@
     struct Known {
         wire::JobState state = wire::JobState::open;
         wire::JobSize size;
+        std::vector<std::string> prerequisites;
     };
     struct Waiter {
         explicit Waiter(net::Executor ex) : done(ex) {}
@@ -62,6 +64,10 @@
     awaitable<Reply> current(const std::string& uid, bool as_submission);
     awaitable<bool> check_fresh(const std::string& uid);
     awaitable<void> check_waiting();
+    // The job and all open ones that it needs, directly or through others, as far as they are known.
+    std::vector<std::string> line(const std::string& uid) const;
+    bool needs_cancelled(const std::string& uid) const;
+    awaitable<std::set<std::string>> check(std::vector<std::string> uids);
     Reply status_of(const std::string& uid, bool as_submission) const;
 
     net::Executor ex_;
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -276,7 +276,7 @@
         auto sent = txn;
         const auto result = co_await store_.commit(std::move(sent), Urgency::leftover);
         // After a conflict they are somebody else's; a later leader finds what nobody has removed.
-        if (result.outcome == Outcome::refused || result.outcome == Outcome::unknown) overseer_.keep_leftovers(txn);
+        if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) overseer_.keep_leftovers(txn);
     }
 }
 
--- a/src/election/members.cpp
+++ b/src/election/members.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 Members::Members(state::Store& store, const config::Settings& settings, state::Form& form)
-    : store_(store), form_(form), member_(settings.member) {
+    : store_(store), form_(form), member_(settings.member), nodes_(settings.nodes) {
     names_.push_back(settings.member);
     for (const auto& peer : settings.peers) names_.push_back(peer.member);
 }
@@ -51,7 +51,8 @@
         common = std::min(common, it == page.items.end() ? state::oldest_format : format_in(*it));
     }
     spdlog::info("event=members enrolled={} of={} format={}", page.items.size(), names_.size(), common);
-    if (common < state::newest_format) co_return false;
+    // Without all their names there is no telling that all are there.
+    if (names_.size() < nodes_ || common < state::newest_format) co_return false;
     form_.all_read(common);
     co_return true;
 }
--- a/src/election/members.hpp
+++ b/src/election/members.hpp
@@ -25,6 +25,7 @@
     state::Store& store_;
     state::Form& form_;
     std::string member_;
+    std::size_t nodes_;
     std::vector<std::string> names_;  // of all controllers
     std::uint64_t revision_ = 0;
 };
--- /dev/null
+++ b/tests/chain_test.cpp
@@ -0,0 +1,296 @@
+// Jobs that need others: when they start, and what becomes of them when one is cancelled.
+#include "world.hpp"
+
+namespace flintdale::test {
+
+using wire::Cause;
+using wire::Rank;
+using wire::Shape;
+
+namespace {
+
+struct Chain : ::testing::Test, World {
+    Worker m1, m2;
+
+    Chain() {
+        m2.name = "n-000002";
+        m2.zone = "b";
+        form.all_read(state::newest_format);
+    }
+    void meet(Worker& w) {
+        beat(w);
+        beat(w);
+    }
+    static wire::JobSpec after(const std::string& uid, std::vector<std::string> needs, Shape shape = Shape::array) {
+        auto s = job(uid, shape, 1);
+        s.prerequisites = std::move(needs);
+        return s;
+    }
+    void run(const std::string& uid, Worker& w) {
+        settle();
+        meet(w);
+        ASSERT_TRUE(place()) << uid;
+        beat(w);
+        w.run_all();
+        beat(w);
+    }
+    // Its only task completes, and the leader puts that on record.
+    void finish(const std::string& uid, Worker& w) {
+        w.finish(uid, 0, Cause::done);
+        beat(w);
+        commit();
+        ASSERT_EQ(state_of(uid), "done");
+        beat(w);
+    }
+};
+
+}  // namespace
+
+TEST_F(Chain, too_early_nothing_is_placed_before_all_that_it_needs_is_done_on_record) {
+    elect();
+    accept(job("run-1", Shape::array, 2));
+    accept(after("run-2", {"run-1"}));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());
+    beat(m1);
+    m1.run_all();
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    EXPECT_FALSE(place()) << "one task of two is done";
+    m1.finish("run-1", 1, Cause::done);
+    beat(m1);
+    EXPECT_FALSE(leader->place(now)) << "its end is not on record yet";
+    commit();
+    EXPECT_TRUE(place()) << "and nothing waits for another window";
+    EXPECT_EQ(machine_of("run-2", 0), "n-000001");
+}
+
+TEST_F(Chain, too_early_a_lost_write_of_the_end_is_read_again_before_anything_starts) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    accept(after("run-2", {"run-1"}));
+    run("run-1", m1);
+    m1.finish("run-1", 0, Cause::done);
+    beat(m1);
+    const auto batch = leader->next_batch(1000);
+    ASSERT_EQ(keys.commit(batch.txn).outcome, state::Outcome::ok);  // and the answer is lost
+    EXPECT_FALSE(leader->place(now));
+    for (const auto& key : batch.keys) leader->reread(keys.get(key), now);
+    leader->retry(batch);
+    EXPECT_TRUE(place());
+}
+
+TEST_F(Chain, too_early_a_new_leader_waits_until_it_has_read_how_a_prerequisite_ended) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    run("run-1", m1);
+    finish("run-1", m1);
+    accept(after("run-2", {"run-1"}));
+    EXPECT_TRUE(leader->missing().empty()) << "this leader remembers";
+    elect();
+    settle();
+    meet(m1);
+    EXPECT_FALSE(place());
+    EXPECT_EQ(leader->missing(), std::vector<std::string>{"jobs/over/run-1"});
+    read_missing();
+    EXPECT_TRUE(place());
+    EXPECT_TRUE(leader->missing().empty());
+}
+
+TEST_F(Chain, too_early_a_leader_whose_records_linger_does_not_take_over_for_done) {
+    // run-1 was cancelled, and its work was not removed before the leader died. The next one knows that it is over and
+    // not how, until it reads that.
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    accept(after("run-2", {"run-1"}));
+    ASSERT_TRUE(cancel("run-1"));
+    elect();
+    settle();
+    meet(m1);
+    EXPECT_FALSE(place());
+    read_missing();
+    EXPECT_FALSE(place());
+    commit();
+    EXPECT_EQ(state_of("run-2"), "aborted");
+}
+
+TEST_F(Chain, too_early_a_job_may_be_heard_of_before_the_one_that_it_needs) {
+    elect();
+    accept(job("run-9", Shape::array, 1));
+    leader.reset();
+    accept(after("run-2", {"run-1"}));
+    accept(job("run-1", Shape::array, 1));
+    elect();
+    settle();
+    meet(m1);
+    EXPECT_TRUE(place());
+    EXPECT_EQ(machine_of("run-2", 0), "");
+    EXPECT_TRUE(leader->missing().empty()) << "both are known by now";
+}
+
+TEST_F(Chain, too_early_what_was_placed_once_may_go_on_under_the_next_leader) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    accept(after("run-2", {"run-1"}));
+    run("run-1", m1);
+    finish("run-1", m1);
+    run("run-2", m1);
+    elect();
+    settle();
+    meet(m1);
+    EXPECT_TRUE(leader->missing().empty());
+    m1.finish("run-2", 0, Cause::stopped);
+    beat(m1);
+    EXPECT_TRUE(place());
+}
+
+TEST_F(Chain, orphaned_all_that_needs_a_cancelled_job_is_aborted_directly_or_through_others) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    accept(after("run-2", {"run-1"}));
+    accept(after("run-3", {"run-1"}));
+    accept(after("run-4", {"run-2", "run-3"}));
+    accept(job("run-5", Shape::array, 1));
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    commit();
+    for (const auto* uid : {"run-2", "run-3", "run-4"}) {
+        EXPECT_EQ(state_of(uid), "aborted") << uid;
+        EXPECT_FALSE(leader->knows(uid)) << uid;
+    }
+    EXPECT_EQ(state_of("run-5"), "open");
+    accept(after("run-6", {"run-4"}));
+    commit();
+    EXPECT_EQ(state_of("run-6"), "aborted") << "it names one that is cancelled already";
+}
+
+TEST_F(Chain, orphaned_the_next_leader_goes_on_where_the_last_one_died) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    for (int i = 2; i < 12; ++i) accept(after("run-" + std::to_string(i), {"run-" + std::to_string(i - 1)}));
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    lower_limits(2048, 4);
+    ASSERT_TRUE(commit_one());  // of three that it takes
+    elect();
+    read_missing();
+    commit();
+    for (int i = 2; i < 12; ++i) EXPECT_EQ(state_of("run-" + std::to_string(i)), "aborted") << i;
+}
+
+TEST_F(Chain, orphaned_hundreds_go_before_all_bookkeeping) {
+    elect();
+    for (int i = 0; i < 20; ++i) accept(job("run-a" + std::to_string(i), Shape::array, 1));
+    accept(job("run-1", Shape::array, 1));
+    for (int i = 0; i < 300; ++i) accept(after("run-b" + std::to_string(i), {"run-1"}));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(leader->place(now));
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    lower_limits(2048, 4);
+    for (int i = 0; i < 75; ++i) ASSERT_TRUE(commit_one());
+    for (int i = 0; i < 300; ++i) ASSERT_EQ(state_of("run-b" + std::to_string(i)), "aborted") << i;
+}
+
+TEST_F(Chain, orphaned_a_job_accepted_while_another_controller_cancels_what_it_needs) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    ASSERT_TRUE(cancel("run-1"));
+    accept(after("run-2", {"run-1"}));  // heard of before the cancellation
+    settle();
+    meet(m1);
+    place();
+    EXPECT_EQ(machine_of("run-2", 0), "");
+    tell("run-1");
+    commit();
+    EXPECT_EQ(state_of("run-2"), "aborted");
+}
+
+TEST_F(Chain, a_cancellation_that_comes_too_late_lets_the_next_job_go_on) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    accept(after("run-2", {"run-1"}));
+    run("run-1", m1);
+    finish("run-1", m1);
+    EXPECT_FALSE(cancel("run-1"));
+    meet(m1);
+    EXPECT_TRUE(place());
+    EXPECT_EQ(state_of("run-2"), "open");
+}
+
+TEST_F(Chain, a_waiting_job_is_cancelled_like_any_and_lends_its_rank_no_more) {
+    elect();
+    auto first = job("run-1", Shape::array, 1);
+    first.rank = Rank::idle;
+    accept(first);
+    auto last = after("run-2", {"run-1"});
+    last.rank = Rank::high;
+    accept(last);
+    EXPECT_EQ(leader->job("run-1")->rank, Rank::high);
+    ASSERT_TRUE(cancel("run-2"));
+    tell("run-2");
+    commit();
+    EXPECT_EQ(state_of("run-2"), "aborted");
+    EXPECT_EQ(leader->job("run-1")->rank, Rank::idle);
+    EXPECT_EQ(state_of("run-1"), "open");
+}
+
+TEST_F(Chain, nothing_is_rented_held_or_stopped_for_a_job_that_waits_and_it_takes_nothing_of_a_limit) {
+    elect();
+    auto first = job("run-1", Shape::array, 1);
+    first.team = "limited";  // two such tasks fill its limit
+    accept(first);
+    auto waiting = after("run-2", {"run-1"}, Shape::gang);
+    waiting.tasks = 2;
+    waiting.team = "limited";
+    waiting.rank = Rank::critical;
+    accept(waiting);
+    auto other = job("run-3", Shape::array, 1);
+    other.team = "limited";
+    other.rank = Rank::idle;
+    accept(other);
+    settle();
+    EXPECT_EQ(leader->rent(now).size(), 1u);
+    meet(m1);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(leader->job("run-1")->placed + leader->job("run-3")->placed, 2u);
+    EXPECT_TRUE(leader->rent(now).empty());
+    EXPECT_FALSE(leader->job("run-3")->tasks[0].draining);
+}
+
+TEST_F(Chain, the_first_job_of_an_urgent_chain_goes_before_what_is_shorter_and_less_urgent) {
+    elect();
+    auto first = job("run-1", Shape::array, 2);
+    first.rank = Rank::idle;
+    accept(first);
+    auto shorter = job("run-0", Shape::array, 2);
+    shorter.estimate = Seconds(5);
+    accept(shorter);
+    auto last = after("run-2", {"run-1"});
+    last.rank = Rank::high;
+    accept(last);
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(machine_of("run-1", 0), "n-000001");
+    EXPECT_EQ(machine_of("run-0", 0), "");
+}
+
+TEST_F(Chain, times_count_from_when_the_last_prerequisite_was_done_under_the_next_leader_too) {
+    elect();
+    accept(job("run-1", Shape::array, 1));
+    accept(after("run-2", {"run-1"}));
+    run("run-1", m1);
+    pass(Seconds(300));
+    wall_ms = 1'300'000;
+    finish("run-1", m1);
+    EXPECT_EQ(leader->job("run-2")->arrived, now);
+    EXPECT_EQ(leader->job("run-2")->window, 1'300'000 / 5'000);
+    elect();
+    read_missing();
+    EXPECT_EQ(leader->job("run-2")->window, 1'300'000 / 5'000);
+}
+
+}  // namespace flintdale::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -77,6 +77,13 @@
 
 state::TxnResult Keys::commit(const state::Txn& txn) {
     state::TxnResult r;
+    bool large = txn.changes.size() > txn_ops || txn.conditions.size() > txn_ops * 4;
+    for (const auto& c : txn.changes)
+        large = large || (c.value && boost::json::serialize(*c.value).size() > value_bytes);
+    if (large) {
+        r.outcome = state::Outcome::too_large;
+        return r;
+    }
     for (const auto& c : txn.conditions)
         if (get(c.key).stamp != c.stamp) r.failed.push_back(c.key);
     if (!r.failed.empty()) {
@@ -212,20 +219,43 @@
     return orders.value_or(std::vector<Order>{});
 }
 
+bool World::commit_one() {
+    const auto batch = leader->next_batch(1000, wall_ms);
+    if (batch.empty()) return false;
+    const auto r = keys.commit(batch.txn);
+    if (r.outcome == state::Outcome::ok) {
+        leader->committed(batch, r.revision, now);
+        return true;
+    }
+    if (r.outcome == state::Outcome::too_large) {
+        leader->rejected(batch, now);
+        return true;
+    }
+    for (const auto& key : r.failed)
+        if (key == election::term_key) return false;  // another leads: nothing of this one counts any more
+    for (const auto& key : r.failed) leader->reread(keys.get(key), now);
+    leader->retry(batch);
+    return true;
+}
+
 void World::commit() {
-    for (auto batch = leader->next_batch(1000); !batch.empty(); batch = leader->next_batch(1000)) {
-        const auto r = keys.commit(batch.txn);
-        if (r.outcome == state::Outcome::ok) {
-            leader->committed(batch, r.revision, now);
-            continue;
-        }
-        for (const auto& key : r.failed)
-            if (key == election::term_key) return;  // another leads: nothing of this one counts any more
-        for (const auto& key : r.failed) leader->reread(keys.get(key), now);
-        leader->retry(batch);
+    while (commit_one()) {
     }
-    const auto rest = leader->leftovers(1000);
-    if (!rest.changes.empty()) keys.commit(rest);
+    for (auto rest = leader->leftovers(1000); !rest.changes.empty(); rest = leader->leftovers(1000))
+        EXPECT_NE(keys.commit(rest).outcome, state::Outcome::too_large);
+}
+
+void World::read_missing() {
+    for (const auto& key : leader->missing()) leader->job_changed(keys.get(key), now);
+}
+
+void World::lower_limits(std::size_t value_bytes, std::size_t txn_ops) {
+    auto next = settings;
+    next.next_limits = settings.limits;
+    next.next_limits->value_bytes = keys.value_bytes = value_bytes;
+    next.next_limits->txn_ops = keys.txn_ops = txn_ops;
+    form = state::Form(next);
+    form.all_read(state::newest_format);
 }
 
 bool World::place() {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -25,6 +25,8 @@
 // The state service's keys.
 class Keys {
   public:
+    // What a value and a transaction may hold; more is refused for good.
+    std::size_t value_bytes = 64 * 1024, txn_ops = 1000;
     state::TxnResult commit(const state::Txn& txn);
     state::Item get(const std::string& key) const;
     std::vector<state::Item> range(const std::string& prefix) const;
@@ -59,6 +61,7 @@
     Keys keys;
     TimePoint now{1000s};
     std::uint64_t term = 0;
+    std::int64_t wall_ms = 1'000'000;  // the time of day
     std::unique_ptr<Overseer> leader;
 
     // A new leader: raises the term, loads what is on record, and hears nothing yet.
@@ -69,6 +72,9 @@
     // One report and its answer; the orders are carried out unless the answer is lost.
     std::vector<Order> beat(Worker& w, bool answer_arrives = true);
     void commit();                             // everything the leader wants on record
+    bool commit_one();                         // one transaction of it; false if there is none
+    void read_missing();                       // what the leader asks to be read
+    void lower_limits(std::size_t value_bytes, std::size_t txn_ops);  // as all controllers know the newest format
     bool place();                              // place, and put it on record
     std::vector<std::string> returns() const;  // the machines that the leader wants returned now
     void pass(Seconds s) { now += wire::to_clock(s); }
