--- a/src/agent/job.cpp
+++ b/src/agent/job.cpp
@@ -99,7 +99,8 @@
         boost::json::object piece;
         for (;;) {
             // Not in the middle of a character.
-            while (at + length < text.size() && (static_cast<unsigned char>(text[at + length]) & 0xC0) == 0x80) --length;
+            while (at + length < text.size() && (static_cast<unsigned char>(text[at + length]) & 0xC0) == 0x80)
+                --length;
             piece["text"] = text.substr(at, length);
             const auto size = state::Form::size_of(piece);
             if (size <= form.room()) break;
--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -17,7 +17,8 @@
 
 // Tasks per record of the state service. Where the limit on values does not let that many be kept, a job goes over to
 // smaller records, half the size each time: a record of fewer tasks overrules one of more for all of its tasks, so that
-// what was written in its size need not be written again, and each write by itself leaves what the next leader can read.
+// what was written in its size need not be written again, and each write by itself leaves what the next leader can
+// read.
 inline constexpr std::uint32_t chunk_tasks = 256;
 
 struct Task {
@@ -47,12 +48,12 @@
 
 struct Job {
     JobSpec spec;
-    mutable placement::Ask ask;  // its wishes in numbers, made when first needed
+    mutable placement::Ask ask;            // its wishes in numbers, made when first needed
     wire::Rank rank = wire::Rank::normal;  // its own, or that of a job which needs it
     bool waits = false;                    // not all that it needs is known to be done
     bool doomed = false;                   // something that it needs was cancelled: so must it be
     bool cancelled = false;
-    bool finished = false;  // the outcome is durable
+    bool finished = false;             // the outcome is durable
     std::uint32_t page = chunk_tasks;  // tasks per record
     std::vector<Task> tasks;
     std::vector<Chunk> chunks;
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -47,16 +47,14 @@
                 leftovers_.emplace_back(item->key, item->stamp);
         return;
     }
-    for (const auto& [key, item] : records)
-        assembled(key, *item, now, true);
+    for (const auto& [key, item] : records) assembled(key, *item, now, true);
     auto* job = find(uid);
     if (!job) return;
     // Of two records with the same task the one with fewer tasks holds; it was written later.
-    std::sort(records.begin(), records.end(),
-              [](const auto& a, const auto& b) { return a.first.page > b.first.page; });
+    std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) { return a.first.page > b.first.page; });
     std::vector<wire::TaskRange> last(job->spec.tasks);
     for (const auto& [key, item] : records) {
-        if (key.piece) continue;
+        if (key.piece || key.page > job->page) continue;  // the beginning of a cut submission has no tasks
         if (key.page < job->page) job->use_pages(key.page);
         if (key.chunk >= job->chunks.size()) continue;
         job->chunks[key.chunk].stamp = item->stamp;
@@ -137,8 +135,8 @@
         const auto state = wire::job_state_from(std::string_view(o.at("state").as_string()));
         const auto uid = item.key.substr(item.key.rfind('/') + 1);
         const auto* at = o.if_contains("at");
-        bool news = take_in(prerequisites_.over(uid, state == wire::JobState::done, at ? at->to_number<std::int64_t>() : 0),
-                            now);
+        bool news = take_in(
+            prerequisites_.over(uid, state == wire::JobState::done, at ? at->to_number<std::int64_t>() : 0), now);
         auto* job = find(uid);
         if (!job || job->cancelled || job->finished) return news;
         if (state == wire::JobState::cancelled) {
--- a/src/agent/prerequisites.hpp
+++ b/src/agent/prerequisites.hpp
@@ -1,6 +1,6 @@
-// Who waits for whom, and what follows: which jobs may start, which are cancelled with one that they need, and which rank
-// a job takes from those that need it. Pure: no I/O, no clock. Work is done for the jobs that a piece of news concerns,
-// never for all. There are no cycles, for a submission can only name jobs that were accepted before it.
+// Who waits for whom, and what follows: which jobs may start, which are cancelled with one that they need, and which
+// rank a job takes from those that need it. Pure: no I/O, no clock. Work is done for the jobs that a piece of news
+// concerns, never for all. There are no cycles, for a submission can only name jobs that were accepted before it.
 #pragma once
 #include <cstdint>
 #include <deque>
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t max_known = 20'000;
-constexpr int max_rounds = 32;  // of looking at what a job needs, and what that needs
+constexpr int max_rounds = 32;                        // of looking at what a job needs, and what that needs
 constexpr std::chrono::milliseconds most_wait{2000};  // that a submission waits for its write; users give up after 5 s
 
 Reply reply(unsigned status, std::string body) {
@@ -33,7 +33,8 @@
 
 }  // namespace
 
-Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links)
+Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form,
+           Links links)
     : ex_(ex), store_(store), settings_(settings), form_(form), links_(std::move(links)) {}
 
 // Why the job can never run, if it cannot.
@@ -120,7 +121,8 @@
     else if (count.running > 0)
         status = "running";
     if (as_submission) return reply(200, wire::submission_answer(uid, status));
-    return reply(200, wire::poll_answer(uid, status, k.state == JobState::done ? k.size.tasks : count.done, count.running));
+    return reply(200,
+                 wire::poll_answer(uid, status, k.state == JobState::done ? k.size.tasks : count.done, count.running));
 }
 
 awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -29,8 +29,7 @@
         std::function<void(const state::Item&)> job_changed;  // a hint for a leader in this process
     };
 
-    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form,
-         Links links);
+    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links);
 
     awaitable<Reply> submit(std::string body);
     awaitable<Reply> poll(std::string uid);
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -127,7 +127,8 @@
         }
         at += count;
         const auto key = catalog_key + (n ? "/" + std::to_string(n) : std::string());
-        const auto old = std::find_if(kept.items.begin(), kept.items.end(), [&](const auto& i) { return i.key == key; });
+        const auto old =
+            std::find_if(kept.items.begin(), kept.items.end(), [&](const auto& i) { return i.key == key; });
         state::Txn txn;
         txn.conditions.push_back({key, old == kept.items.end() ? 0 : old->stamp});
         txn.changes.push_back({key, std::move(record), 0});
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -2,8 +2,8 @@
 #pragma once
 #include "api/desk.hpp"
 #include "app/reign.hpp"
-#include "election/members.hpp"
 #include "cloud/client.hpp"
+#include "election/members.hpp"
 #include "peer/link.hpp"
 #include "state/http_store.hpp"
 
--- a/src/election/members.hpp
+++ b/src/election/members.hpp
@@ -1,6 +1,6 @@
-// Which form every controller of the cluster can read. Each puts a key of its own in the state service that says what it
-// reads; a key stays when its controller dies. So what is known of a form once all keys are there holds for good, for a
-// controller that is down or cut off as well, and nothing is ever concluded from silence.
+// Which form every controller of the cluster can read. Each puts a key of its own in the state service that says what
+// it reads; a key stays when its controller dies. So what is known of a form once all keys are there holds for good,
+// for a controller that is down or cut off as well, and nothing is ever concluded from silence.
 #pragma once
 #include "state/form.hpp"
 #include "state/store.hpp"
--- a/src/state/form.hpp
+++ b/src/state/form.hpp
@@ -6,8 +6,9 @@
 
 namespace flintdale::state {
 
-// The forms of what controllers keep in the state service and tell each other. A controller reads all of them. It writes
-// a new one only once every controller of the cluster is known to read it: see election::Members and docs/operations.md.
+// The forms of what controllers keep in the state service and tell each other. A controller reads all of them. It
+// writes a new one only once every controller of the cluster is known to read it: see election::Members and
+// docs/operations.md.
 //   1: a work record has 256 tasks; a submission has no prerequisites
 //   2: smaller records overrule larger ones for their tasks; submissions with prerequisites, and cut into pieces;
 //      outcomes without the submission
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -16,10 +16,10 @@
     ok,
     conflict,  // a condition failed; nothing was changed
     no_lease,
-    refused,  // 429 or 503: not carried out
+    refused,    // 429 or 503: not carried out
     too_large,  // or otherwise never taken as it is; nothing was changed
-    too_old,  // a watch from before the kept changes
-    unknown,  // no answer: may have been carried out, or may still be
+    too_old,    // a watch from before the kept changes
+    unknown,    // no answer: may have been carried out, or may still be
 };
 
 struct Item {
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -225,7 +225,8 @@
     if (find(o, "due_s")) s.deadline = Seconds(amount(o, "due_s"));
     if (find(o, "prereqs"))
         for (const auto& v : list(o, "prereqs")) {
-            if (!v.is_string() || !valid_uid(std::string_view(v.get_string()))) bad("prereqs", "must hold names of jobs");
+            if (!v.is_string() || !valid_uid(std::string_view(v.get_string())))
+                bad("prereqs", "must hold names of jobs");
             s.prerequisites.emplace_back(v.get_string());
         }
     // Whoever is named twice is needed once.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -33,6 +33,42 @@
     EXPECT_EQ(settings().lease, Seconds(18));
 }
 
+TEST(Config, limits_to_come_take_what_they_do_not_name_from_the_present_and_are_checked) {
+    const std::string cluster = R"(
+member = "one"
+location = "a"
+serve_on = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster.workers]
+report_s = 3.0
+lease_s = 18.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 48.0
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 16.0
+txn_ops = 12
+)";
+    const auto with = [&](const std::string& next) { return cluster + "[cluster.state.next]\n" + next; };
+    EXPECT_FALSE(config::parse_settings(cluster, "f").next_limits);
+    const auto next = *config::parse_settings(with("value_kb = 2.0\ntxn_ops = 4\n"), "f").next_limits;
+    EXPECT_EQ(next.value_bytes, 2048u);
+    EXPECT_EQ(next.txn_ops, 4u);
+    EXPECT_EQ(next.rps, 100.0);
+    EXPECT_EQ(next.write_rps, 30.0);
+    EXPECT_NE(settings_error(with("txn_ops = 0")).find("cluster.state.next.txn_ops"), std::string::npos);
+    EXPECT_NE(settings_error(with("write_rps = \"few\"")).find("cluster.state.next.write_rps"), std::string::npos);
+    EXPECT_NE(settings_error(cluster + "next = 3\n").find("cluster.state.next"), std::string::npos);
+}
+
 TEST(Config, operators_settings_are_checked) {
     EXPECT_EQ(config::parse_tunables("[placement]\nwindow_s = 2.5\n[groups]\ntrain = g8 g4\n", "f").window,
               Seconds(2.5));
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -31,6 +31,22 @@
         io.run();
         return out;
     }
+    // A submission that needs others.
+    static std::string after(const std::string& uid, const std::string& needs) {
+        auto b = body(uid);
+        b.pop_back();
+        return b + R"(,"prereqs":)" + needs + "}";
+    }
+    void end(const std::string& uid, const std::string& state) {
+        state::Txn txn;
+        txn.changes.push_back(
+            {"jobs/over/" + uid, boost::json::object{{"state", state}, {"shape", "array"}, {"shards", 1}}, 0});
+        store.keys.commit(txn);
+    }
+    std::string told(api::Desk& desk, const std::string& uid) {
+        const auto r = run(desk.poll(uid));
+        return r.status == 200 ? std::string(boost::json::parse(r.body).at("status").as_string()) : "";
+    }
     static std::string body(const std::string& uid, const std::string& owner = "team", int tasks = 1) {
         return R"({"uid":")" + uid + R"(","jobclass":"c","owner":")" + owner +
                R"(","shape":"array","rank":"normal","shards":)" + std::to_string(tasks) +
@@ -123,4 +139,85 @@
     EXPECT_LE(store.commits, 2);
 }
 
+TEST_F(DeskStory, prerequisites_are_not_taken_before_all_controllers_can_read_them) {
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    const auto r = run(one.submit(after("run-2", R"(["run-1"])")));
+    EXPECT_EQ(r.status, 503u);
+    EXPECT_GT(r.retry_after, 0u);
+    EXPECT_EQ(run(one.submit(after("run-3", "[]"))).status, 201u) << "none, empty and null are the same";
+    EXPECT_EQ(run(one.submit(after("run-4", "null"))).status, 201u);
+    form.all_read(state::newest_format);
+    EXPECT_EQ(run(two.submit(after("run-2", R"(["run-1","run-1"])"))).status, 201u);
+    EXPECT_EQ(run(one.submit(after("run-2", R"(["run-999"])"))).status, 200u) << "a repetition, whatever it names";
+}
+
+TEST_F(DeskStory, only_jobs_that_were_accepted_and_can_be_done_may_be_named) {
+    form.all_read(state::newest_format);
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    auto service = body("run-2");
+    service.replace(service.find("array"), 5, "standing");
+    ASSERT_EQ(run(one.submit(service)).status, 201u);
+    EXPECT_EQ(run(two.submit(after("run-3", R"(["run-1","run-9"])"))).status, 422u);
+    EXPECT_EQ(run(two.submit(after("run-3", R"(["run-3"])"))).status, 422u) << "itself";
+    EXPECT_EQ(run(two.submit(after("run-3", R"(["run-2"])"))).status, 422u) << "a service is never done";
+    for (const auto* bad : {R"("run-1")", R"([1])", R"(["x"])", R"({})"})
+        EXPECT_EQ(run(two.submit(after("run-3", bad))).status, 400u) << bad;
+    end("run-1", "done");
+    EXPECT_EQ(run(two.submit(after("run-3", R"(["run-1"])"))).status, 201u);
+    store.refuse = true;
+    EXPECT_EQ(run(two.submit(after("run-4", R"(["run-8"])"))).status, 503u) << "silence is no proof";
+}
+
+TEST_F(DeskStory, orphaned_whoever_is_asked_tells_aborted_as_soon_as_what_a_job_needs_is_cancelled) {
+    form.all_read(state::newest_format);
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    ASSERT_EQ(run(one.submit(after("run-2", R"(["run-1"])"))).status, 201u);
+    ASSERT_EQ(run(two.submit(after("run-3", R"(["run-2"])"))).status, 201u);
+    EXPECT_EQ(told(two, "run-3"), "pending");
+    // No leader is there to put the end of run-2 and run-3 on record.
+    ASSERT_EQ(run(one.cancel("run-1")).status, 200u);
+    EXPECT_EQ(told(two, "run-3"), "aborted");
+    EXPECT_EQ(told(one, "run-3"), "aborted");
+    EXPECT_NE(run(one.submit(after("run-2", R"(["run-1"])"))).body.find("aborted"), std::string::npos);
+    EXPECT_NE(run(one.cancel("run-3")).body.find("aborted"), std::string::npos);
+}
+
+TEST_F(DeskStory, a_job_whose_prerequisites_are_done_is_pending_like_any) {
+    form.all_read(state::newest_format);
+    ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
+    ASSERT_EQ(run(two.submit(after("run-2", R"(["run-1"])"))).status, 201u);
+    end("run-1", "done");
+    EXPECT_EQ(told(one, "run-2"), "pending");
+    EXPECT_EQ(told(one, "run-1"), "done");
+    store.refuse = true;
+    EXPECT_EQ(told(one, "run-2"), "") << "what it needs is known to be done, but not whether it is open";
+}
+
+TEST_F(DeskStory, what_is_too_long_for_the_old_form_waits_and_what_can_never_be_kept_is_told_by_name) {
+    std::string types = R"(["small")", names = R"(["run-1")";
+    for (int i = 0; i < 200; ++i) {
+        types += ",\"type-number-" + std::to_string(i) + '"';
+        names += ",\"run-" + std::to_string(100 + i) + '"';
+    }
+    auto many = body("run-1");
+    many.replace(many.find(R"("hosttypes":null)"), 16, R"("hosttypes":)" + types + "]");
+    EXPECT_EQ(run(one.submit(many)).status, 503u);
+    auto next = cluster;
+    next.next_limits = next.limits;
+    next.next_limits->value_bytes = 2048;
+    next.next_limits->txn_ops = 4;
+    form = state::Form(next);
+    form.all_read(state::newest_format);
+    EXPECT_EQ(run(one.submit(many)).status, 201u);
+    EXPECT_EQ(told(two, "run-1"), "pending");
+    ASSERT_EQ(run(two.cancel("run-1")).status, 200u);
+    EXPECT_EQ(told(one, "run-1"), "aborted");
+    auto more = body("run-2");
+    more.replace(more.find(R"("hosttypes":null)"), 16,
+                 R"("hosttypes":)" + types + types.substr(1).insert(0, ",") + types.substr(1).insert(0, ",") + "]");
+    const auto r = run(one.submit(more));
+    EXPECT_EQ(r.status, 400u);
+    EXPECT_NE(r.body.find("hosttypes"), std::string::npos);
+}
+
 }  // namespace flintdale::test
--- /dev/null
+++ b/tests/format_test.cpp
@@ -0,0 +1,314 @@
+// Two versions side by side, and limits that come without notice. The records of the version in production are written
+// out here, as it writes them, and are not produced by the code under test.
+#include "election/members.hpp"
+#include "fake_store.hpp"
+
+namespace flintdale::test {
+
+using wire::Cause;
+using wire::Shape;
+
+namespace {
+
+constexpr const char* production_spec =
+    R"({"uid":"run-1","jobclass":"class","owner":"team","shape":"array","rank":"normal","shards":3,"cores":4E0,)"
+    R"("accelerators":1E0,"mem_gb":1E1,"bundle":"image","image_gb":1E0,"one_zone":false,"scatter":false,)"
+    R"("loaners":false,"guess_s":6E1,"snapshot_s":0E0,"flush_s":0E0,"at":1000})";
+
+std::string record(const std::string& tasks) {
+    return R"({"spec":)" + std::string(production_spec) + R"(,"tasks":)" + tasks + "}";
+}
+
+struct Upgrade : ::testing::Test, World {
+    Worker m1;
+
+    void put(const std::string& key, const std::string& value) {
+        state::Txn txn;
+        txn.changes.push_back({key, boost::json::parse(value), 0});
+        ASSERT_EQ(keys.commit(txn).outcome, state::Outcome::ok);
+    }
+    std::string text(const std::string& key) const { return boost::json::serialize(keys.get(key).value); }
+    void meet(Worker& w) {
+        beat(w);
+        beat(w);
+    }
+    // An array that an older version accepted and placed, one task a machine, in records of 256.
+    void large_array(std::uint32_t tasks) {
+        auto spec = wire::spec_from_record(boost::json::parse(production_spec).as_object());
+        spec.tasks = tasks;
+        boost::json::array ranges;
+        for (std::uint32_t i = 0; i < tasks; ++i) ranges.push_back({i, i, 1, "n-" + std::to_string(100'000 + i), 0});
+        for (std::uint32_t c = 0; c * 256 < tasks; ++c) {
+            boost::json::object value;
+            if (c == 0) value["spec"] = wire::spec_to_record(spec);
+            boost::json::array part(ranges.begin() + c * 256, ranges.begin() + std::min<long>((c + 1) * 256, tasks));
+            value["tasks"] = std::move(part);
+            put(c ? "jobs/work/run-1/" + std::to_string(c) : "jobs/work/run-1", boost::json::serialize(value));
+        }
+    }
+    Worker on(std::uint32_t task) const {
+        Worker w;
+        w.name = "n-" + std::to_string(100'000 + task);
+        w.type = "large";
+        return w;
+    }
+    // What a new leader would read of each task: its machine, "done" or "".
+    std::vector<std::string> read() {
+        World reader;
+        reader.keys = keys;
+        reader.form = form;
+        reader.term = term + 10;
+        reader.elect();
+        std::vector<std::string> out;
+        const auto* j = reader.leader->job("run-1");
+        if (!j) return out;
+        for (const auto& t : j->tasks)
+            out.push_back(t.state == agent::Task::State::done ? "done" : t.machine ? t.machine->name : "");
+        return out;
+    }
+};
+
+}  // namespace
+
+TEST_F(Upgrade, the_new_version_reads_what_the_old_one_wrote) {
+    put("jobs/work/run-1", record(R"([[0,0,2,"n-000001",0],[1,1,1,"",1],[2,2,1,"",0]])"));
+    put("jobs/work/run-2", R"({"spec":{},"tasks":[]})");
+    put("jobs/over/run-3", R"({"state":"aborted","spec":)" + std::string(production_spec) + "}");
+    elect();
+    EXPECT_EQ(machine_of("run-1", 0), "n-000001");
+    EXPECT_EQ(leader->job("run-1")->tasks[0].attempt, 2u);
+    EXPECT_EQ(leader->count("run-1")->done, 1u);
+    EXPECT_EQ(leader->job("run-1")->rank, wire::Rank::normal);
+    EXPECT_FALSE(leader->knows("run-3"));
+}
+
+TEST_F(Upgrade, before_the_switch_the_new_version_writes_what_the_old_one_would) {
+    elect();
+    auto spec = wire::spec_from_record(boost::json::parse(production_spec).as_object());
+    accept(spec);
+    EXPECT_EQ(text("jobs/work/run-1"), record("[]"));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());  // two fit
+    EXPECT_EQ(text("jobs/work/run-1"), record(R"([[0,1,1,"n-000001",0],[2,2,0,"",0]])"));
+    beat(m1);
+    m1.run_all();
+    m1.finish("run-1", 0, Cause::done);
+    m1.finish("run-1", 1, Cause::done);
+    beat(m1);
+    ASSERT_TRUE(place());
+    commit();
+    EXPECT_EQ(text("jobs/work/run-1"), record(R"([[0,1,1,"",1],[2,2,1,"n-000001",0]])"));
+    beat(m1);
+    m1.run_all();
+    m1.finish("run-1", 2, Cause::done);
+    beat(m1);
+    const auto batch = leader->next_batch(1000, 5000);
+    ASSERT_EQ(batch.txn.changes.size(), 1u);
+    EXPECT_EQ(batch.txn.changes[0].key, "jobs/over/run-1");
+    EXPECT_EQ(boost::json::serialize(*batch.txn.changes[0].value),
+              R"({"state":"done","spec":)" + std::string(production_spec) + "}");
+}
+
+TEST_F(Upgrade, the_limits_fall_in_the_midst_of_a_large_array_and_every_write_leaves_what_the_next_leader_reads) {
+    constexpr std::uint32_t tasks = 600;
+    large_array(tasks);
+    ASSERT_GT(text("jobs/work/run-1/1").size(), 6000u);
+    elect();
+    lower_limits(2048, 4);
+    std::vector<Worker> workers;
+    for (std::uint32_t i = 0; i < tasks; ++i) workers.push_back(on(i));
+    std::vector<std::string> expected;
+    for (const auto& w : workers) expected.push_back(w.name);
+    for (std::uint32_t round = 0; round < 10; ++round) {
+        // A tenth of the tasks ends, here and there, and the leader dies and comes back in between.
+        for (std::uint32_t i = round; i < tasks; i += 10) {
+            wire::TaskReport t;
+            t.id = {"run-1", i};
+            t.attempt = 1;
+            t.status = TaskStatus::exited;
+            t.cause = Cause::done;
+            workers[i].tasks = {t};
+            beat(workers[i]);
+        }
+        pass(Seconds(9));  // the records of ended tasks have waited long enough
+        leader->place(now);
+        int writes = 0;
+        while (commit_one()) {
+            if (++writes > 200) FAIL() << "it goes on for ever";
+            if (round == 9) continue;
+            const auto found = read();
+            ASSERT_EQ(found.size(), tasks);
+            for (std::uint32_t i = 0; i < tasks; ++i)
+                ASSERT_TRUE(found[i] == expected[i] || (found[i] == "done" && i % 10 == round))
+                    << i << ": " << found[i];
+        }
+        for (std::uint32_t i = round; i < tasks; i += 10) expected[i] = "done";
+        if (round < 9) {
+            EXPECT_EQ(read(), expected) << round;
+        }
+        if (round % 3 == 1) {
+            elect();
+            for (auto& w : workers) {
+                w.tasks.clear();
+                beat(w, false);
+            }
+        }
+    }
+    EXPECT_EQ(state_of("run-1"), "done");
+    commit();
+    EXPECT_TRUE(keys.range("jobs/work/").empty()) << "nothing of it is left over";
+}
+
+TEST_F(Upgrade, a_record_that_is_refused_is_cut_and_stops_nobody_else) {
+    // The limits have fallen, and nobody here knows of it yet but for the refusal: no limits to come were announced.
+    form.all_read(state::newest_format);
+    elect();
+    accept(job("run-2", Shape::array, 90));
+    accept(job("run-3", Shape::array, 1));
+    keys.value_bytes = 1200;
+    settle();
+    std::vector<Worker> workers;
+    for (std::uint32_t i = 0; i < 91; ++i) {
+        workers.push_back(on(i));
+        workers.back().type = "small";
+        meet(workers.back());
+    }
+    leader->place(now);
+    for (int i = 0; i < 100 && commit_one(); ++i) {
+    }
+    EXPECT_FALSE(leader->dirty());
+    int runs = 0;
+    for (auto& w : workers)
+        for (const auto& o : beat(w)) runs += o.verb == Verb::run;
+    EXPECT_EQ(runs, 91) << "all that was placed is on record";
+}
+
+TEST_F(Upgrade, jobs_accepted_with_a_large_description_are_placed_and_end_under_small_limits) {
+    elect();
+    auto spec = job("run-2", Shape::array, 2);
+    spec.types.emplace();
+    for (int i = 0; i < 300; ++i) spec.types->push_back("type-" + std::to_string(i));
+    spec.types->push_back("small");
+    accept(spec);
+    lower_limits(2048, 4);
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());
+    ASSERT_TRUE(ordered(beat(m1), Verb::run, "run-2", 0));
+    elect();
+    EXPECT_EQ(machine_of("run-2", 1), "n-000001");
+    beat(m1);
+    m1.run_all();
+    m1.finish("run-2", 0, Cause::done);
+    m1.finish("run-2", 1, Cause::done);
+    beat(m1);
+    commit();
+    EXPECT_EQ(state_of("run-2"), "done");
+    EXPECT_TRUE(keys.range("jobs/work/").empty());
+}
+
+TEST_F(Upgrade, a_long_submission_is_cut_and_every_leader_puts_it_together) {
+    elect();
+    lower_limits(2048, 4);
+    auto spec = job("run-2", Shape::array, 2);
+    for (int i = 0; i < 200; ++i) spec.prerequisites.push_back("run-" + std::to_string(100'000 + i));
+    spec.zone = "b\"\\\u00e9";
+    accept(spec);
+    EXPECT_FALSE(leader->knows("run-2")) << "only its first record was told";
+    read_missing();
+    ASSERT_TRUE(leader->knows("run-2"));
+    EXPECT_EQ(leader->job("run-2")->spec.prerequisites, spec.prerequisites);
+    EXPECT_EQ(leader->job("run-2")->spec.zone, spec.zone);
+    elect();
+    ASSERT_TRUE(leader->knows("run-2"));
+    EXPECT_EQ(leader->job("run-2")->spec.prerequisites.size(), 200u);
+    ASSERT_TRUE(cancel("run-2"));
+    tell("run-2");
+    commit();
+    EXPECT_TRUE(keys.range("jobs/work/").empty());
+}
+
+namespace {
+
+struct MembersStory : ::testing::Test {
+    net::asio::io_context io;
+    FakeStore store;
+
+    struct Node {
+        config::Settings settings = test::settings();
+        state::Form form;
+        election::Members members;
+        static config::Settings named(const std::string& name) {
+            auto s = test::settings();
+            s.member = name;
+            s.nodes = 3;
+            for (const auto* other : {"one", "two", "three"})
+                if (other != name) s.peers.push_back({other, "a", {}});
+            s.next_limits = s.limits;
+            s.next_limits->txn_ops = 4;
+            return s;
+        }
+        Node(net::asio::io_context& io, state::Store& store, const std::string& name)
+            : settings(named(name)), form(settings), members(store, settings, form) {
+            net::asio::co_spawn(io, members.run(), net::asio::detached);
+        }
+    };
+    // All that can happen without the passing of time.
+    void settle() {
+        io.restart();
+        while (io.poll() > 0) {
+        }
+    }
+};
+
+}  // namespace
+
+TEST_F(MembersStory, the_new_form_is_used_once_the_last_controller_has_the_new_version) {
+    Node one(io, store, "one");
+    settle();
+    Node two(io, store, "two");
+    settle();
+    EXPECT_FALSE(two.form.newest());
+    EXPECT_EQ(two.form.limits().txn_ops, 12u);
+    Node three(io, store, "three");
+    settle();
+    EXPECT_TRUE(three.form.newest());
+    EXPECT_EQ(three.form.limits().txn_ops, 4u) << "the limits come without notice";
+    Node again(io, store, "one");
+    settle();
+    EXPECT_TRUE(again.form.newest()) << "whoever starts later finds it out, though the others may be gone";
+}
+
+TEST_F(MembersStory, a_controller_that_cannot_ask_changes_nothing_and_a_lost_answer_does_no_harm) {
+    for (const auto* name : {"two", "three"}) {
+        state::Txn txn;
+        txn.changes.push_back({std::string("members/") + name, boost::json::object{{"format", 2}}, 0});
+        store.keys.commit(txn);
+    }
+    store.refuse = true;
+    Node cut_off(io, store, "one");
+    settle();
+    EXPECT_FALSE(cut_off.form.newest());
+    store.refuse = false;
+    store.lose_answers = 1;
+    Node one(io, store, "one");
+    settle();
+    EXPECT_FALSE(one.form.newest()) << "it does not know yet whether its own key is there";
+    Node again(io, store, "one");
+    settle();
+    EXPECT_TRUE(again.form.newest());
+}
+
+TEST_F(MembersStory, one_that_reads_less_keeps_all_to_the_old_form) {
+    state::Txn txn;
+    txn.changes.push_back({"members/two", boost::json::object{{"format", 1}}, 0});
+    txn.changes.push_back({"members/three", boost::json::object{{"format", 3}}, 0});
+    txn.changes.push_back({"members/four", boost::json::object{{"format", 2}}, 0});
+    store.keys.commit(txn);
+    Node one(io, store, "one");
+    settle();
+    EXPECT_FALSE(one.form.newest());
+}
+
+}  // namespace flintdale::test
--- a/tests/prerequisites_test.cpp
+++ b/tests/prerequisites_test.cpp
@@ -39,7 +39,8 @@
     EXPECT_EQ(p.over("top", false, 0).doomed, (Names{"left", "right", "end"}));
     EXPECT_TRUE(p.over("left", false, 0).doomed.empty());
     EXPECT_FALSE(p.waits("other"));
-    EXPECT_EQ(p.opened("late", Rank::normal, {"end"}).doomed, Names{"late"}) << "it names what is about to be cancelled";
+    EXPECT_EQ(p.opened("late", Rank::normal, {"end"}).doomed, Names{"late"})
+        << "it names what is about to be cancelled";
     p.over("end", false, 0);
     EXPECT_EQ(p.opened("later", Rank::normal, {"end", "other"}).doomed, Names{"later"});
     EXPECT_TRUE(p.over("other", true, 0).ready.empty()) << "what is doomed is never ready";
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -137,6 +137,7 @@
     b.term = 7;
     b.state_ok = true;
     b.knocks = 12;
+    b.format = 2;
     b.counts = {{"run-1", 3, 4}};
     const auto back = peer::decode(peer::encode(b));
     EXPECT_EQ(back.member, "one");
@@ -144,6 +145,7 @@
     EXPECT_EQ(back.term, 7u);
     EXPECT_TRUE(back.state_ok);
     EXPECT_EQ(back.knocks, 12u);
+    EXPECT_EQ(back.format, 2u);
     ASSERT_EQ(back.counts.size(), 1u);
     EXPECT_EQ(back.counts[0].running, 4u);
     EXPECT_THROW(peer::decode("abcdefghijklmnop"), std::exception);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -200,8 +200,7 @@
     const auto* job = leader->job(uid);
     const auto spec = job ? job->spec : wire::JobSpec{};
     const auto kept = wire::spec_to_record(spec);
-    const auto outcome =
-        agent::outcome_record(form, wire::JobState::cancelled, 0, &kept, {spec.shape, spec.tasks});
+    const auto outcome = agent::outcome_record(form, wire::JobState::cancelled, 0, &kept, {spec.shape, spec.tasks});
     state::Txn txn;
     txn.conditions.push_back({agent::outcome_key(uid), 0});
     txn.changes.push_back({agent::outcome_key(uid), outcome, 0});
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -71,12 +71,12 @@
     void tell(const std::string& uid);       // the leader learns what is on record of the job
     // One report and its answer; the orders are carried out unless the answer is lost.
     std::vector<Order> beat(Worker& w, bool answer_arrives = true);
-    void commit();                             // everything the leader wants on record
-    bool commit_one();                         // one transaction of it; false if there is none
-    void read_missing();                       // what the leader asks to be read
+    void commit();                                                    // everything the leader wants on record
+    bool commit_one();                                                // one transaction of it; false if there is none
+    void read_missing();                                              // what the leader asks to be read
     void lower_limits(std::size_t value_bytes, std::size_t txn_ops);  // as all controllers know the newest format
-    bool place();                              // place, and put it on record
-    std::vector<std::string> returns() const;  // the machines that the leader wants returned now
+    bool place();                                                     // place, and put it on record
+    std::vector<std::string> returns() const;                         // the machines that the leader wants returned now
     void pass(Seconds s) { now += wire::to_clock(s); }
     // Far enough that windows have closed and a new leader has heard its round of reports.
     void settle() { pass(Seconds(10)); }
