--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -223,6 +223,7 @@
 }
 
 awaitable<void> Reign::commit_loop() {
+    auto last_outcome = Outcome::ok;
     while (!stopped_) {
         co_await commit_.wait(1s);
         while (!stopped_ && loaded_) {
@@ -233,6 +234,7 @@
             const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
             if (stopped_) co_return;
             if (result.outcome == Outcome::ok) {
+                last_outcome = Outcome::ok;
                 if (overseer_.committed(batch, result.revision, Clock::now())) {
                     stir_ = true;  // what waited for that may start
                     plan_.notify();
@@ -247,8 +249,11 @@
                 co_await net::sleep_for(200ms);
                 continue;
             }
-            spdlog::info("event=write_failed outcome={} failed={}", static_cast<int>(result.outcome),
-                         result.failed.size());
+            // In an outage one line tells enough.
+            spdlog::log(result.outcome == last_outcome ? spdlog::level::debug : spdlog::level::info,
+                        "event=write_failed outcome={} failed={}", static_cast<int>(result.outcome),
+                        result.failed.size());
+            last_outcome = result.outcome;
             if (result.outcome == Outcome::too_large) {
                 overseer_.rejected(batch, Clock::now());
                 co_await net::sleep_for(150ms);
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -99,7 +99,12 @@
             continue;
         }
         vacant_since_.reset();
-        co_await watch();
+        // Whoever waits for the vacancy claims it at once, by what the watch has told of the term: a hand-over in an
+        // upgrade should go to a controller that has its turn behind it, and older versions read both keys anew first.
+        const auto last = co_await watch();
+        state::Item nobody;
+        nobody.key = holder_key;
+        if (last && !abstains(false) && co_await campaign(nobody, *last)) co_await lead();
     }
 }
 
@@ -162,28 +167,35 @@
     if (std::exchange(resigned_, false)) co_await store_.revoke(lease_);
 }
 
-awaitable<void> Elector::watch() {
+awaitable<std::optional<state::Item>> Elector::watch() {
     // Both keys share a prefix, so one watch tells of a vacancy and of a new term alike.
     auto now = co_await store_.range("lead/", std::string(), Urgency::leadership);
     if (now.outcome != Outcome::ok) {
         co_await net::sleep_for(300ms);
-        co_return;
+        co_return std::nullopt;
     }
     bool held = false;
-    for (const auto& item : now.items) held = held || item.key == holder_key;
-    if (!held) co_return;
+    state::Item term;
+    for (const auto& item : now.items) {
+        held = held || item.key == holder_key;
+        if (item.key == term_key) term = item;
+    }
+    if (!held) co_return std::nullopt;
     std::uint64_t from = now.revision;
     for (;;) {
         auto seen = co_await store_.follow("lead/", from, 10s);
         if (seen.outcome != Outcome::ok) {
             co_await net::sleep_for(400ms);
-            co_return;
+            co_return std::nullopt;
         }
         from = std::max(from, seen.revision);
         for (std::size_t i = 0; i < seen.events.size(); ++i) {
             const auto& e = seen.events[i];
-            if (e.key == term_key && !seen.deleted[i]) heard(term_number(e), text_in(e, "member"));
-            if (e.key == holder_key && seen.deleted[i]) co_return;
+            if (e.key == term_key && !seen.deleted[i]) {
+                term = e;
+                heard(term_number(e), text_in(e, "member"));
+            }
+            if (e.key == holder_key && seen.deleted[i]) co_return term;
             if (e.key == holder_key) heard(seen_term_, text_in(e, "member"));
         }
     }
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -44,7 +44,8 @@
   private:
     awaitable<void> lead();
     awaitable<bool> campaign(const state::Item& holder, const state::Item& term);
-    awaitable<void> watch();
+    // Returns the term's record when the claim of another has ended; nothing if that is not certain.
+    awaitable<std::optional<state::Item>> watch();
     void depose(const char* why);
     // Whether this controller leaves a vacancy, or its own former claim, to the others for now.
     bool abstains(bool own);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -48,6 +48,22 @@
     EXPECT_EQ(one.won, std::vector<std::uint64_t>{1});
 }
 
+TEST_F(ElectionStory, whoever_waits_for_a_vacancy_claims_it_without_reading_anything_again) {
+    Node one(io, store, "one");
+    settle();
+    state::FollowResult ended;
+    ended.outcome = state::Outcome::ok;
+    ended.events.push_back({election::holder_key, {}, 2});
+    ended.deleted.push_back(true);
+    store.tell = ended;
+    Node two(io, store, "two");
+    store.gets = 0;
+    net::asio::co_spawn(io, store.revoke(1), net::asio::detached);  // the claim of the first ends while two watches
+    settle();
+    EXPECT_EQ(two.won, std::vector<std::uint64_t>{2});
+    EXPECT_EQ(store.gets, 2) << "only when it began";
+}
+
 TEST_F(ElectionStory, a_restarted_leader_takes_over_from_its_former_life_under_a_higher_term) {
     Node before(io, store, "one");
     settle();
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -9,10 +9,12 @@
     Keys keys;
     bool refuse = false;   // an outage, or a refusal of this controller alone
     int lose_answers = 0;  // so many transactions are carried out, but their answers are lost
-    int commits = 0;
+    int commits = 0, gets = 0;
+    std::optional<state::FollowResult> tell;  // what the next watch is told
     std::chrono::duration<double> wait_for_writes{0};
 
     net::awaitable<state::GetResult> get(std::string key, state::Urgency) override {
+        ++gets;
         state::GetResult r;
         r.outcome = refuse ? state::Outcome::refused : state::Outcome::ok;
         if (!refuse) r.item = keys.get(key);
@@ -42,6 +44,7 @@
     net::awaitable<state::FollowResult> follow(std::string, std::uint64_t, std::chrono::milliseconds) override {
         state::FollowResult r;
         r.outcome = state::Outcome::refused;
+        if (tell) r = *std::exchange(tell, std::nullopt);
         co_return r;
     }
     net::awaitable<state::LeaseResult> grant(std::chrono::milliseconds) override {
