--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -190,6 +190,7 @@
     std::uint32_t room_with_image(Job& job, const placement::Planner& plan, const placement::JobHosts& hosts,
                                   std::uint32_t tasks, TimePoint now);
     void preempt(Job& job, const placement::Planner& plan, TimePoint now);
+    bool leaves_ordinary(const Job& job, TimePoint now) const;
     std::uint32_t take_waiting(Job& job);
     std::uint32_t wanted_now(const Job& job) const;
     Seconds target_of(const JobSpec& spec) const;
@@ -227,6 +228,7 @@
     std::set<std::string> counts_changed_;
     std::vector<Move> moves_;
     std::uint64_t passes_ = 0;  // of placing, so far
+    bool gangs_wait_ = false;   // that may not use spot machines and found no room in the last one
     bool waiting_ = false;      // something found no room in the last one
     TimePoint short_at_{};      // when something last waited
     TimePoint no_room_at_{};    // when something last found no room in its turn
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -166,9 +166,23 @@
         return;
     }
     most -= room_with_image(job, plan, hosts, most, now);
+    if (leaves_ordinary(job, now)) {
+        auto spot = ask;
+        for (std::size_t i = 0; i < spot.pools.size(); ++i)
+            spot.pools[i] = spot.pools[i] && ledger_.directory().pools()[i].spot;
+        for (const auto at : plan.place_many(spot, hosts, most)) put(at);
+        return;
+    }
     for (const auto at : plan.place_many(ask, hosts, most)) put(at);
 }
 
+// An array that may use spot machines leaves the others, for half of its time, to gangs that may not and found no room:
+// those would be rented room at several times the price, while arrays hold the machines that suit them.
+bool Overseer::leaves_ordinary(const Job& job, TimePoint now) const {
+    return gangs_wait_ && job.spec.spot && job.is(Shape::array) && job.rank <= Rank::normal &&
+           now - job.arrived < wire::to_clock(target_of(job.spec) * 0.5);
+}
+
 placement::Ask Overseer::at_least(const Job& job, unsigned slots) const {
     auto ask = ask_of(job);
     const auto& pools = ledger_.directory().pools();
@@ -337,7 +351,11 @@
     waiting_ = false;
     auto plan = planner(now);
     finish_moves(plan, now, any);
-    for (auto* job : queue(now, true)) {
+    const auto waiting = queue(now, true);
+    gangs_wait_ = std::any_of(waiting.begin(), waiting.end(), [](const Job* job) {
+        return job->is(Shape::gang) && !job->spec.spot && job->passed_over && job->placed == 0 && !job->doubtful();
+    });
+    for (auto* job : waiting) {
         if (job->is(Shape::gang))
             place_gang(*job, plan, now, any);
         else
