--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -654,6 +654,34 @@
     EXPECT_EQ(machine_of("run-2", 0), "");
 }
 
+// Arrays held the small ordinary machines that suit gangs, which were rented large ones meanwhile.
+TEST_F(Story, queue_an_array_that_may_use_spot_leaves_ordinary_machines_to_a_waiting_gang_for_half_its_time) {
+    elect();
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need.cpus = 8;
+    accept(gang);
+    settle();
+    meet(m1);
+    EXPECT_FALSE(place()) << "it needs two machines";
+    auto array = job("run-2", Shape::array, 1);
+    array.spot = true;
+    array.deadline = Seconds(60);
+    accept(array);
+    auto other = array;
+    other.uid = "run-3";
+    other.rank = wire::Rank::high;
+    accept(other);
+    settle();
+    beat(m1);
+    place();
+    EXPECT_EQ(machine_of("run-2", 0), "");
+    EXPECT_EQ(machine_of("run-3", 0), "n-000001") << "a higher rank waits for nobody";
+    pass(Seconds(25));
+    meet(m1);
+    place();
+    EXPECT_EQ(machine_of("run-2", 0), "n-000001") << "half of its time is gone";
+}
+
 TEST_F(Story, queue_a_critical_service_does_not_wait_for_its_window) {
     elect();
     meet(m1);
