--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -144,6 +144,7 @@
   private:
     // Lowest wins.
     struct Order {
+        bool risky = false;    // may be taken away, and the task is urgent
         bool foreign = false;  // not one of the job's own machines
         int idles = 0;         // accelerators that would lie idle there while the task holds what goes with them
         int wait = 0;
