--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -62,6 +62,21 @@
 
 }  // namespace
 
+TEST(Placement, urgent_tasks_go_last_to_machines_that_may_be_taken_away_and_others_go_there_first) {
+    const auto machines = [] {
+        return Planner({host(1, 4, 90, 0, "a", "type", true), host(2, 4, 90, 3)}, 0.1);
+    };
+    auto s = spec(1, 10);
+    s.spot = true;
+    JobHosts job;
+    auto p = machines();
+    EXPECT_EQ(place_all(p, s, 1, job), std::vector<Id>{1});
+    s.rank = wire::Rank::high;
+    JobHosts urgent;
+    p = machines();
+    EXPECT_EQ(place_all(p, s, 5, urgent), (std::vector<Id>{2, 2, 2, 2, 1}));
+}
+
 TEST(Placement, the_least_loaded_machine_wins_and_ties_go_by_name) {
     Planner p({host(1, 4, 90, 2), host(2, 4, 90, 1), host(3, 4, 90, 1)}, 0.1);
     JobHosts job;
