--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -147,10 +147,10 @@
 }
 
 // Urgent tasks shun machines that may be taken away: a chain whose tasks ran there lost a minute with each that had to
-// start anew. The job's own machines come first, then, for tasks without accelerators, those that have the fewest free, then those
-// where its image is there soonest (in coarse steps, so that load still counts), then spot ones, which not every job
-// may use, then the least loaded. Services stay for good, so they go to large machines and leave whole small ones to
-// gangs.
+// start anew. The job's own machines come first, then, for tasks without accelerators, those that have the fewest free,
+// then those where its image is there soonest (in coarse steps, so that load still counts), then spot ones, which not
+// every job may use, then the least loaded. Services stay for good, so they go to large machines and leave whole small
+// ones to gangs.
 Planner::Order Planner::order(const Ask& ask, std::size_t i) const {
     const auto& h = hosts_[i];
     Order o;
--- a/tests/format_test.cpp
+++ b/tests/format_test.cpp
@@ -110,6 +110,35 @@
               R"({"state":"done","spec":)" + std::string(production_spec) + "}");
 }
 
+TEST_F(Upgrade, an_old_controller_leads_between_two_new_ones_and_nothing_is_lost_or_written_late) {
+    elect();
+    accept(wire::spec_from_record(boost::json::parse(production_spec).as_object()));
+    settle();
+    meet(m1);
+    ASSERT_TRUE(leader->place(now));
+    const auto late = leader->next_batch(1000);
+    // The old one wins the next term, places one task elsewhere and sees it end, and dies.
+    put(election::term_key, R"({"n":2,"member":"two","lease":9})");
+    term = 2;
+    put("jobs/work/run-1", record(R"([[0,0,1,"",1],[1,1,1,"n-000007",0],[2,2,0,"",0]])"));
+    EXPECT_EQ(keys.commit(late.txn).outcome, state::Outcome::conflict);
+    elect();
+    EXPECT_EQ(leader->count("run-1")->done, 1u);
+    EXPECT_EQ(machine_of("run-1", 1), "n-000007");
+    // The last controller is replaced now; what follows is written within the new limits, and read after one more end.
+    lower_limits(380, 4);
+    settle();
+    meet(m1);
+    ASSERT_TRUE(place());
+    EXPECT_EQ(machine_of("run-1", 2), "n-000001");
+    EXPECT_EQ(text("jobs/work/run-1"), record(R"([[0,0,1,"",1],[1,1,1,"n-000007",0],[2,2,0,"",0]])"))
+        << "it does not fit any more, and stays as it is";
+    elect();
+    EXPECT_EQ(machine_of("run-1", 1), "n-000007");
+    EXPECT_EQ(machine_of("run-1", 2), "n-000001");
+    EXPECT_EQ(leader->count("run-1")->done, 1u);
+}
+
 TEST_F(Upgrade, the_limits_fall_in_the_midst_of_a_large_array_and_every_write_leaves_what_the_next_leader_reads) {
     constexpr std::uint32_t tasks = 600;
     large_array(tasks);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -63,9 +63,7 @@
 }  // namespace
 
 TEST(Placement, urgent_tasks_go_last_to_machines_that_may_be_taken_away_and_others_go_there_first) {
-    const auto machines = [] {
-        return Planner({host(1, 4, 90, 0, "a", "type", true), host(2, 4, 90, 3)}, 0.1);
-    };
+    const auto machines = [] { return Planner({host(1, 4, 90, 0, "a", "type", true), host(2, 4, 90, 3)}, 0.1); };
     auto s = spec(1, 10);
     s.spot = true;
     JobHosts job;
