--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -211,19 +211,18 @@
 // one right after the other, to different controllers.
 awaitable<Desk::Needs> Desk::check_prerequisites(const wire::JobSpec& spec) {
     Needs out;
+    std::vector<std::string> asked;
+    for (const auto& uid : spec.prerequisites)
+        if (!known_.contains(uid)) asked.push_back(uid);
+    const auto sure = co_await check(std::move(asked));
     for (const auto& uid : spec.prerequisites) {
-        if (!known_.contains(uid)) {
-            const auto exists = co_await look_up(uid);
-            if (!exists) {
-                out.unknown = true;
-                co_return out;
-            }
-            if (!*exists) {
-                out.complaint = "prereqs: " + uid + " was never accepted";
-                co_return out;
-            }
+        const auto it = known_.find(uid);
+        if (it == known_.end()) {
+            out.unknown = !sure.contains(uid);
+            if (!out.unknown) out.complaint = "prereqs: " + uid + " was never accepted";
+            co_return out;
         }
-        if (const auto it = known_.find(uid); it != known_.end() && it->second.size.shape == wire::Shape::service) {
+        if (it->second.size.shape == wire::Shape::service) {
             out.complaint = "prereqs: " + uid + " is a service, which is never done";
             co_return out;
         }
--- a/src/state/form.hpp
+++ b/src/state/form.hpp
@@ -34,6 +34,17 @@
         limits_ = next_;
     }
 
+    // The service has refused a transaction of that size for good. If the present limits allow it and those to come do
+    // not, they have come, and so every controller has its new version: true if that was news.
+    bool refused(std::size_t largest_value, std::size_t changes, std::size_t conditions) {
+        const auto exceeds = [&](const config::StateLimits& l) {
+            return largest_value > l.value_bytes || changes > l.txn_ops || conditions > l.txn_ops * 4;
+        };
+        if (newest() || exceeds(limits_) || !exceeds(next_)) return false;
+        all_read(newest_format);
+        return true;
+    }
+
     // Whether such a value is taken. The service may print what it keeps with spaces and longer numbers.
     bool fits(const boost::json::value& value) const { return size_of(value) <= room(); }
     std::size_t room() const { return limits_.value_bytes * 17 / 20; }
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -144,15 +144,6 @@
     co_return r;
 }
 
-void HttpStore::rejected(const Txn& txn, std::size_t largest) {
-    const auto& next = form_.next_limits();
-    if (largest <= next.value_bytes && txn.changes.size() <= next.txn_ops && txn.conditions.size() <= next.txn_ops * 4)
-        return;
-    if (!form_.newest()) spdlog::info("event=limits_lowered format={} why=\"a size was refused\"", newest_format);
-    form_.all_read(newest_format);
-    set_rates();
-}
-
 awaitable<TxnResult> HttpStore::commit(Txn txn, Urgency urgency) {
     std::size_t largest = 0;
     json::array conditions, changes;
@@ -186,7 +177,10 @@
         if (r.outcome == Outcome::too_large) {
             spdlog::info("event=txn_rejected changes={} conditions={} body={}", txn.changes.size(),
                          txn.conditions.size(), answer.body);
-            rejected(txn, largest);
+            if (form_.refused(largest, txn.changes.size(), txn.conditions.size())) {
+                spdlog::info("event=limits_lowered format={} why=\"a size was refused\"", form_.format());
+                set_rates();
+            }
         }
         co_return r;
     }
--- a/src/state/http_store.hpp
+++ b/src/state/http_store.hpp
@@ -37,9 +37,6 @@
     awaitable<net::HttpAnswer> call(net::http::verb verb, std::string target, std::string body, double writes,
                                     Urgency urgency, std::chrono::steady_clock::duration limit);
 
-    // A 400 for what the present limits allow and the limits to come do not: those have come.
-    void rejected(const Txn& txn, std::size_t largest);
-
     Form& form_;
     std::size_t nodes_;
     net::HttpClient http_, watches_;
--- a/tests/format_test.cpp
+++ b/tests/format_test.cpp
@@ -189,6 +189,25 @@
     EXPECT_TRUE(keys.range("jobs/work/").empty()) << "nothing of it is left over";
 }
 
+TEST(Form, a_refused_size_proves_the_new_limits_only_if_the_present_ones_allow_it) {
+    auto s = settings();
+    s.next_limits = s.limits;
+    s.next_limits->value_bytes = 2048;
+    s.next_limits->txn_ops = 4;
+    state::Form form(s);
+    EXPECT_FALSE(form.refused(2048, 4, 16)) << "both allow it: something else is wrong with it";
+    EXPECT_FALSE(form.refused(20'000, 1, 1)) << "neither allows it";
+    EXPECT_FALSE(form.newest());
+    EXPECT_TRUE(form.refused(100, 5, 6));
+    EXPECT_TRUE(form.newest());
+    EXPECT_EQ(form.limits().value_bytes, 2048u);
+    EXPECT_FALSE(form.refused(3000, 1, 1)) << "no news any more";
+    s.next_limits.reset();
+    state::Form before(s);
+    EXPECT_FALSE(before.refused(15'000, 12, 48));
+    EXPECT_FALSE(before.newest()) << "no limits are to come";
+}
+
 TEST_F(Upgrade, a_record_that_is_refused_is_cut_and_stops_nobody_else) {
     // The limits have fallen, and nobody here knows of it yet but for the refusal: no limits to come were announced.
     form.all_read(state::newest_format);
