--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace flintdale::app {
 
 using namespace std::chrono_literals;
