--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -30,6 +30,8 @@
             recover(uid, records, now);
         } catch (const std::exception& e) {
             spdlog::error("event=record_unreadable job={} why=\"{}\"", uid, e.what());
+            // Where its tasks are cannot be told, so none of them may be started.
+            jobs_.erase(uid);
         }
     }
 }
--- a/tests/format_test.cpp
+++ b/tests/format_test.cpp
@@ -82,6 +82,17 @@
     EXPECT_FALSE(leader->knows("run-3"));
 }
 
+TEST_F(Upgrade, ran_twice_a_job_whose_records_cannot_be_read_is_left_alone) {
+    put("jobs/work/run-1", record(R"([[0,0,1,"n-000009",0],[1,"?"]])"));
+    put("jobs/work/run-2", R"({"spec":7,"tasks":[]})");
+    elect();
+    settle();
+    meet(m1);
+    EXPECT_FALSE(place());
+    EXPECT_FALSE(leader->knows("run-1"));
+    EXPECT_GT(keys.get("jobs/work/run-1").stamp, 0u) << "nor is anything of it removed";
+}
+
 TEST_F(Upgrade, before_the_switch_the_new_version_writes_what_the_old_one_would) {
     elect();
     auto spec = wire::spec_from_record(boost::json::parse(production_spec).as_object());
