--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -217,6 +217,8 @@
         for (const auto& [member, heard] : peer_state_)
             if (heard.state_ok && now - heard.heard < 3s)
                 return reply(503, wire::error_body("the state service cannot be reached from here"));
+    // Whoever takes turns with others in an upgrade is counted before it serves; in an outage nobody can be.
+    if (!members_.enrolled() && store_.healthy(now)) return reply(503, wire::error_body("not enrolled yet"));
     if (types_.empty()) return reply(503, wire::error_body("the machine types are not known yet"));
     return reply(200, "{\"ready\":true}");
 }
--- a/src/election/members.cpp
+++ b/src/election/members.cpp
@@ -59,8 +59,8 @@
 
 awaitable<void> Members::run() {
     for (;;) {
-        const bool enrolled = co_await enroll();
-        if (enrolled) break;
+        enrolled_ = co_await enroll();
+        if (enrolled_) break;
         co_await net::sleep_for(300ms);
     }
     for (;;) {
--- a/src/election/members.hpp
+++ b/src/election/members.hpp
@@ -16,6 +16,8 @@
     Members(state::Store& store, const config::Settings& settings, state::Form& form);
 
     awaitable<void> run();
+    // Whether this controller's own key is there.
+    bool enrolled() const { return enrolled_; }
 
   private:
     awaitable<bool> enroll();
@@ -28,6 +30,7 @@
     std::size_t nodes_;
     std::vector<std::string> names_;  // of all controllers
     std::uint64_t revision_ = 0;
+    bool enrolled_ = false;
 };
 
 }  // namespace flintdale::election
--- a/tests/format_test.cpp
+++ b/tests/format_test.cpp
@@ -349,6 +349,7 @@
     Node cut_off(io, store, "one");
     settle();
     EXPECT_FALSE(cut_off.form.newest());
+    EXPECT_FALSE(cut_off.members.enrolled());
     store.refuse = false;
     store.lose_answers = 1;
     Node one(io, store, "one");
@@ -357,6 +358,7 @@
     Node again(io, store, "one");
     settle();
     EXPECT_TRUE(again.form.newest());
+    EXPECT_TRUE(again.members.enrolled());
 }
 
 TEST_F(MembersStory, one_that_reads_less_keeps_all_to_the_old_form) {
