Leaders note which images machines hold, for the leader after them

Every 10 s the leader writes pages of notes (Cap'n Proto, Zstandard) that changed; a new one reads them beside the hand-over. Notes are advice, and no rule rests on them.

--- /dev/null
+++ b/src/agent/notebook.cpp
@@ -0,0 +1,51 @@
+#include "agent/notebook.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <set>
+
+namespace flintdale::agent {
+
+std::vector<state::Change> Notebook::pages(std::span<const wire::MachineNote> notes) {
+    std::vector<state::Change> out;
+    std::set<std::string> needed;
+    for (std::size_t at = 0, n = 0; at < notes.size(); ++n) {
+        auto count = std::min(per_page_, notes.size() - at);
+        boost::json::value value = boost::json::string(wire::encode_notes(notes.subspan(at, count)));
+        while (count > 1 && !form_.fits(value)) {
+            count = per_page_ = (count + 1) / 2;
+            value = boost::json::string(wire::encode_notes(notes.subspan(at, count)));
+        }
+        at += count;
+        const auto key = notes_prefix + std::to_string(n);
+        needed.insert(key);
+        if (on_record_[key] != std::string_view(value.as_string())) out.push_back({key, std::move(value), 0});
+    }
+    for (const auto& [key, text] : on_record_)
+        if (!needed.contains(key)) out.push_back({key, std::nullopt, 0});
+    return out;
+}
+
+void Notebook::written(const state::Change& page) {
+    if (page.value)
+        on_record_[page.key] = std::string(page.value->as_string());
+    else
+        on_record_.erase(page.key);
+}
+
+std::vector<wire::MachineNote> Notebook::read(const std::vector<state::Item>& items) {
+    std::vector<wire::MachineNote> out;
+    for (const auto& item : items) {
+        on_record_[item.key].clear();
+        try {
+            auto notes = wire::decode_notes(std::string_view(item.value.as_string()));
+            std::move(notes.begin(), notes.end(), std::back_inserter(out));
+        } catch (const std::exception& e) {
+            spdlog::info("event=notes_unreadable key={} why=\"{}\"", item.key, e.what());
+        }
+    }
+    return out;
+}
+
+}  // namespace flintdale::agent
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -18,6 +18,7 @@
 constexpr auto plan_gap = 200ms;
 constexpr auto tidy_gap = 500ms;
 constexpr auto missing_gap = 100ms, missing_again = 300ms;
+constexpr auto notes_gap = 10s;
 constexpr auto hold_step = 60ms;
 constexpr auto hold_for_plan = 420ms, hold_for_write = 1200ms;  // that an answer to a worker may wait for work
 constexpr int max_tries = 30;
@@ -34,6 +35,7 @@
       links_(std::move(links)),
       term_(term.number),
       overseer_(settings, tunables, form, term.number, term.stamp, Clock::now()),
+      notebook_(form),
       commit_(ex),
       plan_(ex),
       last_awake_(Clock::now()) {}
@@ -61,6 +63,7 @@
     net::asio::co_spawn(ex_, run_loop(self, cloud_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, tidy_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, missing_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, notes_loop()), net::asio::detached);
 }
 
 void Reign::stop() {
@@ -302,6 +305,37 @@
     }
 }
 
+// Reads what the leader before has noted of the machines, beside the hand-over, and then keeps notes for the next one.
+awaitable<void> Reign::notes_loop() {
+    std::vector<state::Item> items;
+    for (std::string after;;) {
+        auto page = co_await store_.range(agent::notes_prefix, after, Urgency::leadership);
+        if (stopped_) co_return;
+        if (page.outcome != Outcome::ok) {
+            co_await net::sleep_for(150ms);
+            continue;
+        }
+        for (auto& item : page.items) items.push_back(std::move(item));
+        if (!page.more || page.items.empty()) break;
+        after = items.back().key;
+    }
+    overseer_.ledger().recall(notebook_.read(items));
+    while (!stopped_) {
+        co_await net::sleep_for(notes_gap);
+        if (stopped_ || !loaded_) continue;
+        const auto notes = overseer_.ledger().notes();
+        for (const auto& page : notebook_.pages(notes)) {
+            state::Txn txn;
+            txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
+            txn.changes.push_back(page);
+            const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
+            if (stopped_) co_return;
+            if (result.outcome != Outcome::ok) break;  // the next round tries again
+            notebook_.written(page);
+        }
+    }
+}
+
 // A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
 // remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
 awaitable<bool> Reign::still_leading() {
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <memory>
 
+#include "agent/notebook.hpp"
 #include "agent/overseer.hpp"
 #include "cloud/client.hpp"
 #include "election/elector.hpp"
@@ -47,6 +48,7 @@
     awaitable<void> cloud_loop();
     awaitable<void> tidy_loop();
     awaitable<void> missing_loop();
+    awaitable<void> notes_loop();
     awaitable<void> return_machines();
     awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
@@ -63,6 +65,7 @@
     Links links_;
     std::uint64_t term_;
     agent::Overseer overseer_;
+    agent::Notebook notebook_;
     net::Wakeup commit_, plan_;
     TimePoint last_awake_;
     bool stopped_ = false, loaded_ = false, stir_ = false;
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -1,6 +1,7 @@
 #include "fleet/ledger.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace flintdale::fleet {
 
@@ -70,7 +71,13 @@
         by_slot_.push_back(slot.get());
         slot->known_since = slot->last_report = slot->idle_since = now;
     }
-    if (slot->type.empty() && !type.empty()) describe(*slot, type, zone, spot);
+    if (slot->type.empty() && !type.empty()) {
+        describe(*slot, type, zone, spot);
+        if (const auto it = recalled_.find(name); it != recalled_.end()) {
+            apply(it->second, *slot);
+            recalled_.erase(it);
+        }
+    }
     return *slot;
 }
 
@@ -125,6 +132,37 @@
     if (m.tasks.empty()) m.idle_since = now;
 }
 
+std::vector<wire::MachineNote> Ledger::notes() const {
+    std::vector<wire::MachineNote> out;
+    for (const auto& [name, m] : machines_) {
+        if (m->releasing || (m->images.empty() && !m->suspect)) continue;
+        wire::MachineNote note{name, {}, m->suspect};
+        for (const auto& image : m->images) note.images.push_back({directory_.image_name(image.id), image.gb});
+        out.push_back(std::move(note));
+    }
+    return out;
+}
+
+void Ledger::recall(std::vector<wire::MachineNote> notes) {
+    for (auto& note : notes) {
+        if (gone(note.name)) continue;
+        // How much a machine's cache holds is known with its type.
+        if (auto* m = find(note.name); m && !m->type.empty())
+            apply(note, *m);
+        else
+            recalled_[note.name] = std::move(note);
+    }
+}
+
+// What this leader has seen itself is newer than what was noted.
+void Ledger::apply(const wire::MachineNote& note, Machine& m) {
+    const auto seen = std::exchange(m.images, {});
+    const auto* t = type(m.type);
+    for (const auto& image : note.images) m.used_image({directory_.image(image.name), image.gb}, t ? t->cache_gb : 0);
+    for (const auto& image : seen) m.used_image(image, t ? t->cache_gb : 0);
+    m.suspect = m.suspect || note.suspect;
+}
+
 void Ledger::refused(const Pool& pool, TimePoint now) {
     auto& b = back_off_[pool];
     b.times = std::min(b.times + 1, 4);
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -10,6 +10,7 @@
 
 #include "config/settings.hpp"
 #include "placement/planner.hpp"
+#include "wire/notes.hpp"
 #include "wire/types.hpp"
 
 namespace flintdale::fleet {
@@ -100,6 +101,11 @@
     void has_image(Machine& m, const TaskKey& task, const wire::JobSpec& spec);
     void unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now);
 
+    // What should be known of the machines under a later leader: those that hold images or are at fault, by name.
+    std::vector<wire::MachineNote> notes() const;
+    // What a former leader noted, of machines that are known and of those that will be.
+    void recall(std::vector<wire::MachineNote> notes);
+
     // Pools that refused lately are left alone for a while, longer each time.
     void refused(const Pool& pool, TimePoint now);
     void granted(const Pool& pool) { back_off_.erase(pool); }
@@ -107,6 +113,7 @@
 
   private:
     void used_image(Machine& m, const wire::JobSpec& spec);
+    void apply(const wire::MachineNote& note, Machine& m);
     struct BackOff {
         TimePoint until{};
         int times = 0;
@@ -116,6 +123,7 @@
     mutable placement::Directory directory_;  // numbers names where they are first asked for
     std::vector<Machine*> by_slot_;           // never used again, so that a slot names one machine for good
     std::set<std::string> gone_;
+    std::map<std::string, wire::MachineNote> recalled_;  // of machines that are not known yet
     std::map<Pool, BackOff> back_off_;
 };
 
--- a/src/placement/directory.hpp
+++ b/src/placement/directory.hpp
@@ -21,7 +21,12 @@
         Id zone_id = 0;
     };
 
-    Id image(const std::string& name) { return number(images_, name); }
+    Id image(const std::string& name) {
+        const auto [it, fresh] = images_.try_emplace(name, static_cast<Id>(images_.size()));
+        if (fresh) image_names_.push_back(&it->first);
+        return it->second;
+    }
+    const std::string& image_name(Id image) const { return *image_names_.at(image); }
     Id zone(const std::string& name) { return number(zones_, name); }
 
     Id pool(const std::string& type, const std::string& zone_name, bool spot) {
@@ -37,6 +42,7 @@
     }
 
     std::map<std::string, Id> images_, zones_{{"", unknown_zone}};
+    std::vector<const std::string*> image_names_;
     std::map<std::tuple<std::string, std::string, bool>, Id> pool_ids_;
     std::vector<Pool> pools_;
 };
--- /dev/null
+++ b/src/wire/notes.cpp
@@ -0,0 +1,79 @@
+#include "wire/notes.hpp"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/encoding.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+#include <zstd.h>
+
+#include <map>
+#include <memory>
+
+#include "wire/json.hpp"
+#include "wire/notes.capnp.h"
+
+namespace flintdale::wire {
+
+namespace {
+constexpr int level = 3;                        // of compression: the leader's processor time is scarce
+constexpr std::size_t max_page = 1024 * 1024;  // of a page once it is unpacked: what claims more is none of ours
+}  // namespace
+
+std::string encode_notes(std::span<const MachineNote> notes) {
+    std::map<std::string_view, std::uint32_t> places;
+    std::vector<const MachineNote::Image*> images;
+    for (const auto& note : notes)
+        for (const auto& image : note.images)
+            if (places.try_emplace(image.name, static_cast<std::uint32_t>(images.size())).second)
+                images.push_back(&image);
+    capnp::MallocMessageBuilder message;
+    auto page = message.initRoot<::Page>();
+    auto names = page.initImages(static_cast<unsigned>(images.size()));
+    for (unsigned i = 0; i < images.size(); ++i) {
+        names[i].setName(images[i]->name);
+        names[i].setGb(images[i]->gb);
+    }
+    auto machines = page.initMachines(static_cast<unsigned>(notes.size()));
+    for (unsigned i = 0; i < notes.size(); ++i) {
+        machines[i].setName(notes[i].name);
+        machines[i].setSuspect(notes[i].suspect);
+        auto held = machines[i].initImages(static_cast<unsigned>(notes[i].images.size()));
+        for (unsigned k = 0; k < notes[i].images.size(); ++k) held.set(k, places.at(notes[i].images[k].name));
+    }
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, message);
+    const auto bytes = packed.getArray();
+    std::vector<kj::byte> small(ZSTD_compressBound(bytes.size()));
+    const auto size = ZSTD_compress(small.data(), small.size(), bytes.begin(), bytes.size(), level);
+    const auto text = kj::encodeBase64(kj::arrayPtr(small.data(), size));
+    return {text.cStr(), text.size()};
+}
+
+std::vector<MachineNote> decode_notes(std::string_view text) {
+    const auto small = kj::decodeBase64(kj::arrayPtr(text.data(), text.size()));
+    const auto size = ZSTD_getFrameContentSize(small.begin(), small.size());
+    if (small.hadErrors || size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR || size > max_page)
+        throw BadBody("no page of notes");
+    std::vector<kj::byte> bytes(size);
+    if (ZSTD_decompress(bytes.data(), bytes.size(), small.begin(), small.size()) != size)
+        throw BadBody("a page of notes is damaged");
+    std::vector<MachineNote> out;
+    try {
+        kj::ArrayInputStream stream(kj::arrayPtr(bytes.data(), bytes.size()));
+        capnp::PackedMessageReader message(stream);
+        const auto page = message.getRoot<::Page>();
+        const auto images = page.getImages();
+        for (const auto machine : page.getMachines()) {
+            MachineNote note{machine.getName().cStr(), {}, machine.getSuspect()};
+            for (const auto place : machine.getImages())
+                if (place < images.size()) note.images.push_back({images[place].getName().cStr(), images[place].getGb()});
+            out.push_back(std::move(note));
+        }
+    } catch (const kj::Exception& e) {
+        throw BadBody(std::string("a page of notes cannot be read: ") + e.getDescription().cStr());
+    }
+    return out;
+}
+
+}  // namespace flintdale::wire
