A zone that is cut off is waited for, and its controllers keep its workers' leases alive

Cause: 9 to 14 s after a cut the leader began to return the zone's machines one by one, before a third of their kind was overdue; what was left it returned 45 s after the cut, with images that take a minute to fetch, to rent the like in the same zone, unheard. A zone is now known by its silence within half a report interval, waited for as long as lease and two boots take, and nothing is rented there. And workers that reach a controller but no leader are answered by it, under the leader's own rule for cancellations, with no orders but to stop what was cancelled.

--- /dev/null
+++ b/src/agent/caretaker.cpp
@@ -0,0 +1,49 @@
+#include "agent/caretaker.hpp"
+
+#include "agent/lease_rule.hpp"
+#include "wire/json.hpp"
+
+namespace flintdale::agent {
+
+namespace {
+// Whoever was sent to a leader that does not answer is back by then: four seconds and one for each other controller.
+constexpr std::chrono::seconds back_within{20};
+constexpr double kept_for = 3;             // times cancel_s that a cancellation is remembered
+constexpr std::size_t max_orders = 300;    // of an answer, as from a leader
+constexpr std::size_t max_machines = 100'000;
+}  // namespace
+
+void Caretaker::watched(const std::vector<state::Item>& outcomes, wire::TimePoint began) {
+    fresh_ = began;
+    for (const auto& item : outcomes) {
+        if (!item.value.is_object()) continue;
+        const auto* state = item.value.get_object().if_contains("state");
+        if (!state || !state->is_string() || state->get_string() != wire::job_state_name(wire::JobState::cancelled))
+            continue;
+        auto uid = item.key.substr(item.key.rfind('/') + 1);
+        if (cancelled_.insert(uid).second) cancelled_at_.emplace_back(began, std::move(uid));
+    }
+    while (!cancelled_at_.empty() && began - cancelled_at_.front().first > wire::to_clock(settings_.cancel * kept_for)) {
+        cancelled_.erase(cancelled_at_.front().second);
+        cancelled_at_.pop_front();
+    }
+}
+
+bool Caretaker::knows_enough(wire::TimePoint now) const {
+    return since_ && fresh_ - *since_ >= wire::to_clock(settings_.cancel) && may_answer(settings_, now, fresh_);
+}
+
+std::optional<std::vector<wire::Order>> Caretaker::answer(const wire::WorkerReport& report, wire::TimePoint now) {
+    if (sent_on_.size() > max_machines) sent_on_.clear();
+    const auto [it, first] = sent_on_.try_emplace(report.machine, now);
+    const bool back = !first && now - it->second < back_within;
+    it->second = now;
+    if (!back || !knows_enough(now)) return std::nullopt;
+    std::vector<wire::Order> orders;
+    for (const auto& t : report.tasks)
+        if (t.status != wire::TaskStatus::exited && cancelled_.contains(t.id.uid) && orders.size() < max_orders)
+            orders.push_back({wire::Verb::kill, t.id, t.attempt, wire::Seconds(0)});
+    return orders;
+}
+
+}  // namespace flintdale::agent
--- /dev/null
+++ b/src/agent/caretaker.hpp
@@ -0,0 +1,44 @@
+// Keeps the leases of workers alive that reach this controller and no leader: of a zone that is cut off, or while the
+// state service is away and the leader has ended. It gives no work and takes none: it only stops what was cancelled.
+//
+// Why that is safe: a renewed lease puts no task anywhere, and nobody takes time for evidence that a task is gone. What
+// time does bound is cancelled work, and there this controller is held to the leader's own rule (lease_rule.hpp): what
+// it knows of cancellations is as young as its last whole look at the outcomes, dated when that look began, and it must
+// have watched without a gap for cancel_s, so that whatever was cancelled before has gone.
+#pragma once
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "config/settings.hpp"
+#include "state/store.hpp"
+#include "wire/types.hpp"
+
+namespace flintdale::agent {
+
+class Caretaker {
+  public:
+    explicit Caretaker(const config::Settings& settings) : settings_(settings) {}
+
+    // A look at the outcomes that began then told these changes since the one before, and no others were missed.
+    void watched(const std::vector<state::Item>& outcomes, wire::TimePoint began);
+    // Changes before then may have been missed.
+    void lost_track(wire::TimePoint now) { since_ = now; }
+
+    // Orders for a worker that no leader answers, or nothing if it must be sent on: the first time to the leader, for
+    // it may reach that one; always, while what is known is not enough.
+    std::optional<std::vector<wire::Order>> answer(const wire::WorkerReport& report, wire::TimePoint now);
+
+  private:
+    bool knows_enough(wire::TimePoint now) const;
+
+    const config::Settings& settings_;
+    std::optional<wire::TimePoint> since_;  // when the unbroken watch began
+    wire::TimePoint fresh_{};               // when the last look began
+    std::unordered_set<std::string> cancelled_;
+    std::deque<std::pair<wire::TimePoint, std::string>> cancelled_at_;  // in the order of time, to forget them
+    std::unordered_map<std::string, wire::TimePoint> sent_on_;          // machines, when they were last here
+};
+
+}  // namespace flintdale::agent
--- a/src/agent/job.cpp
+++ b/src/agent/job.cpp
@@ -4,7 +4,7 @@
 
 namespace flintdale::agent {
 
-std::string outcome_key(const std::string& uid) { return std::string(jobs_prefix) + "over/" + uid; }
+std::string outcome_key(const std::string& uid) { return over_prefix + uid; }
 
 std::string work_key(const std::string& uid, std::uint32_t chunk, std::uint32_t page) {
     if (page != chunk_tasks) return work_prefix + uid + "/p" + std::to_string(page) + "." + std::to_string(chunk);
--- a/src/agent/job.hpp
+++ b/src/agent/job.hpp
@@ -93,6 +93,7 @@
 // yet.
 inline constexpr const char* jobs_prefix = "jobs/";
 inline constexpr const char* work_prefix = "jobs/work/";
+inline constexpr const char* over_prefix = "jobs/over/";
 std::string outcome_key(const std::string& uid);
 std::string work_key(const std::string& uid, std::uint32_t chunk, std::uint32_t page = chunk_tasks);
 std::string piece_key(const std::string& uid, std::size_t piece);
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -125,6 +125,8 @@
     struct Found;
     void recover(const std::string& uid, Found& found, TimePoint now);
     Job* assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering);
+    // Zones of which hardly a machine has reported in the last moments, though many should have.
+    std::vector<bool> quiet_zones(TimePoint now) const;
     // What the graph of prerequisites says of open jobs.
     void need(Job& job, const std::vector<std::string>& prerequisites, TimePoint now);
     bool take_in(const Prerequisites::News& news, TimePoint now);
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -23,6 +23,8 @@
 constexpr double late_boots = 1.6;      // times its boot after which a machine is not counted on any more
 constexpr int few_late = 3;             // machines of a pool that may be late by chance
 constexpr double late_cost = 2;         // times the price that a pool with late machines counts as
+constexpr double zone_boots = 2;        // beyond its lease that a machine of a zone that is cut off is waited for
+constexpr std::size_t few_in_zone = 8;  // machines of a zone that may all be silent by chance
 constexpr double deaf_leases = 3;       // that a leader which hears hardly anyone waits before it returns machines
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
 }  // namespace
@@ -52,6 +54,7 @@
     std::map<fleet::Pool, int> ordered;
     std::set<fleet::Pool> late;      // pools of which most machines on their way should be up by now
     std::vector<unsigned> per_zone;  // machines there, ordered ones included
+    std::vector<bool> quiet_zones;   // that are cut off: what is rented there could not be heard
 };
 
 std::optional<fleet::Pool> Overseer::cheapest(const Job& job, const JobHosts& hosts, std::uint32_t count,
@@ -75,6 +78,7 @@
                 const double each_cost = (spot ? type.spot_price : type.price) / std::max(1.0, each);
                 if (cheapest_each == 0 || each_cost < cheapest_each) cheapest_each = each_cost;
                 if (!ledger_.open(pool, now)) continue;
+                if (const auto z = directory.zone(zone); z < basket.quiet_zones.size() && basket.quiet_zones[z]) continue;
                 const double worth = basket.late.contains(pool) ? each_cost * late_cost : each_cost;
                 const auto zone_id = directory.zone(zone);
                 if (job.spec.one_zone && hosts.anywhere() && hosts.in_zone(zone_id) == 0) continue;
@@ -142,6 +146,7 @@
     if (!round_heard(now) || hearing(now).deaf()) return {};
     auto plan = planner(now);
     Basket basket;
+    basket.quiet_zones = quiet_zones(now);
     std::map<fleet::Pool, std::pair<int, int>> on_their_way;  // late ones, all
     for (const auto& [name, m] : ledger_.all()) {
         bool coming = !m->reported && m->tasks.empty();
@@ -237,6 +242,27 @@
     return out;
 }
 
+// A zone that is cut off falls silent as a whole, and that shows before the first of its machines has been silent for
+// long: in half a report interval half of them should report. Single machines, or many that died, change that share
+// little.
+std::vector<bool> Overseer::quiet_zones(TimePoint now) const {
+    struct Count {
+        std::size_t expected = 0, heard = 0;
+    };
+    std::vector<Count> zones;
+    for (const auto& [name, m] : ledger_.all()) {
+        if (m->releasing || m->unlisted || m->listed_failed || (!m->reported && m->tasks.empty())) continue;
+        if (m->row.zone >= zones.size()) zones.resize(m->row.zone + 1);
+        ++zones[m->row.zone].expected;
+        zones[m->row.zone].heard += m->reported && now - m->last_report < wire::to_clock(settings_.report * 0.5);
+    }
+    std::vector<bool> out(zones.size());
+    for (std::size_t z = 0; z < zones.size(); ++z)
+        out[z] = z != placement::unknown_zone && zones[z].expected >= few_in_zone &&
+                 zones[z].heard * 8 < zones[z].expected;
+    return out;
+}
+
 std::vector<Release> Overseer::release(TimePoint now) const {
     // Many machines silent at once more likely means that this controller is cut off than that all have died.
     std::map<bool, std::pair<int, int>> silent;  // by spot: silent, all
@@ -247,6 +273,7 @@
         quiet += now - m->last_report > wire::to_clock(overdue());
     }
     const bool deaf = hearing(now).deaf();
+    const auto quiet = quiet_zones(now);
     std::vector<Release> out;
     for (const auto& [name, m] : ledger_.all()) {
         const char* why = nullptr;
@@ -264,9 +291,9 @@
                 now - since_ > wire::to_clock(settings_.report * 4))
                 why = "never_up";
         } else {
-            const auto [quiet, total] = silent[m->spot];
+            const auto [unheard_of, total] = silent[m->spot];
             // What the cloud no longer lists is not silent because of us.
-            const bool many = quiet > 2 && quiet * 3 > total && !m->unlisted;
+            const bool many = unheard_of > 2 && unheard_of * 3 > total && !m->unlisted;
             // Reports come up to a quarter late, and one may be lost on the way.
             const auto quiet_for = std::max(tunables_.silent, settings_.report * silent_reports);
             // While hardly anyone is heard, the term should pass to a controller that hears more: to return the whole
@@ -274,6 +301,10 @@
             auto patience = many && deaf ? settings_.lease * deaf_leases
                             : many ? std::max(settings_.lease + Seconds(5), listed_dead + settings_.list_lag * 1.5)
                                    : std::min(quiet_for, settings_.lease);
+            // Of a zone that is cut off nothing can be replaced there, and what its machines hold is worth a wait as
+            // long as it takes to have it again. Those that died are listed as such before.
+            if (!m->unlisted && m->row.zone < quiet.size() && quiet[m->row.zone])
+                patience = std::max(patience, settings_.lease + boot * zone_boots);
             // Cancelled work must be gone in time, whatever else is out of reach.
             if (unheard > settings_.report * 3)
                 for (const auto& [uid, i] : m->tasks)
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t max_counts = 20'000;
+constexpr std::chrono::milliseconds watch_hold{1000}, watch_gap{1500};
 constexpr double knocks_kept = 0.8;  // from one message of a peer to the next, a second later
 const std::string catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
@@ -69,6 +70,7 @@
                     reign_.reset();
                 }}),
       members_(store_, settings_, form_),
+      caretaker_(settings_),
       desk_(ex_, store_, settings_, form_,
             {time_of_day_ms, [this] { return types_.empty() ? nullptr : &types_; },
              [this](const std::string& uid) {
@@ -93,6 +95,7 @@
     net::asio::co_spawn(ex_, members_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, catalog_loop(), net::asio::detached);
     net::asio::co_spawn(ex_, peer_loop(), net::asio::detached);
+    net::asio::co_spawn(ex_, outcomes_loop(), net::asio::detached);
 }
 
 awaitable<void> Controller::catalog_loop() {
@@ -145,6 +148,40 @@
     if (reign_ && !types_.empty()) reign_->catalog(types_);
 }
 
+// Follows which jobs are cancelled, for the day on which workers reach this controller and no leader.
+awaitable<void> Controller::outcomes_loop() {
+    const std::string prefix = agent::over_prefix;
+    std::optional<std::uint64_t> revision;
+    for (;;) {
+        const auto began = Clock::now();
+        if (!revision) {
+            // No key comes after this one: the answer only tells where the service stands.
+            auto here = co_await store_.range(prefix, prefix + "~", state::Urgency::bookkeeping);
+            if (here.outcome == state::Outcome::ok) {
+                revision = here.revision;
+                caretaker_.lost_track(Clock::now());
+            }
+        } else {
+            auto seen = co_await store_.follow(prefix, *revision, watch_hold);
+            if (seen.outcome == state::Outcome::too_old) revision.reset();
+            if (seen.outcome == state::Outcome::ok) {
+                revision = std::max(*revision, seen.revision);
+                caretaker_.watched(seen.events, began);
+            }
+        }
+        if (const auto next = began + watch_gap; next > Clock::now()) co_await net::sleep_for(next - Clock::now());
+    }
+}
+
+// No leader is heard, and none could be elected from here.
+bool Controller::leaderless() const {
+    const auto now = Clock::now();
+    if (store_.healthy(now)) return false;
+    for (const auto& [member, peer] : peer_state_)
+        if (peer.leading && now - peer.heard < 3s) return false;
+    return true;
+}
+
 awaitable<void> Controller::peer_loop() {
     for (;;) {
         peer::Beat b;
@@ -204,7 +241,7 @@
     elector_.heard(beat.term, beat.leader);
     form_.all_read(beat.format);
     auto& peer = peer_state_[beat.member];
-    peer = {Clock::now(), beat.state_ok, beat.writes, peer.knocks * knocks_kept + beat.knocks};
+    peer = {Clock::now(), beat.state_ok, beat.leading, beat.writes, peer.knocks * knocks_kept + beat.knocks};
     if (counts_.size() > max_counts) counts_.clear();
     for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
 }
@@ -233,6 +270,9 @@
     if (r.token > elector_.term()) elector_.heard(r.token, std::string());
     auto reign = reign_;
     if (!reign) {
+        if (leaderless())
+            if (const auto orders = caretaker_.answer(r, Clock::now()))
+                co_return reply(200, wire::report_answer(elector_.term(), *orders));
         const auto& leader = elector_.leader();
         const auto other = leader == settings_.member ? std::string_view() : std::string_view(leader);
         if (!other.empty()) ++knocks_;
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -1,5 +1,6 @@
 // Wires the packages into one controller.
 #pragma once
+#include "agent/caretaker.hpp"
 #include "api/desk.hpp"
 #include "app/reign.hpp"
 #include "cloud/client.hpp"
@@ -19,6 +20,8 @@
     awaitable<net::Reply> beat(std::string body);
     awaitable<void> catalog_loop();
     awaitable<void> peer_loop();
+    awaitable<void> outcomes_loop();
+    bool leaderless() const;
     awaitable<void> keep_catalog();
     awaitable<void> recall_catalog();
     void share_writes(double own);
@@ -34,12 +37,13 @@
     cloud::HttpCloud cloud_;
     election::Elector elector_;
     election::Members members_;
+    agent::Caretaker caretaker_;
     std::shared_ptr<Reign> reign_;
     std::vector<wire::MachineType> types_;
     std::unordered_map<std::string, api::DisplayCount> counts_;
     struct PeerState {
         wire::TimePoint heard{};
-        bool state_ok = false;
+        bool state_ok = false, leading = false;
         double writes = 0;
         double knocks = 0;  // of the last seconds, older ones counting less
     };
