Caretakers look at the cancellations each second and use the whole of the rule's time

Cause: in Riga a cut of 51.5 s outlived what caretakers could answer by some seconds: looks were up to 2.5 s old and the margin of 3 s covered an answer's way, which a lease does not count. Now a look a second, and 1 s for clocks.

--- a/src/agent/caretaker.cpp
+++ b/src/agent/caretaker.cpp
@@ -8,6 +8,7 @@
 namespace {
 // Whoever was sent to a leader that does not answer is back by then: four seconds and one for each other controller.
 constexpr std::chrono::seconds back_within{20};
+constexpr wire::Seconds drift{1};          // of clocks; the answer is decided when the report arrives
 constexpr double kept_for = 3;             // times cancel_s that a cancellation is remembered
 constexpr std::size_t max_orders = 300;    // of an answer, as from a leader
 constexpr std::size_t max_machines = 100'000;
@@ -30,7 +31,7 @@
 }
 
 bool Caretaker::knows_enough(wire::TimePoint now) const {
-    return since_ && fresh_ - *since_ >= wire::to_clock(settings_.cancel) && may_answer(settings_, now, fresh_);
+    return since_ && fresh_ - *since_ >= wire::to_clock(settings_.cancel) && may_answer(settings_, now, fresh_, drift);
 }
 
 std::optional<std::vector<wire::Order>> Caretaker::answer(const wire::WorkerReport& report, wire::TimePoint now) {
--- a/src/agent/lease_rule.hpp
+++ b/src/agent/lease_rule.hpp
@@ -5,9 +5,10 @@
 
 // Whether a leader may keep workers' leases alive. Work of a job cancelled elsewhere must be gone in time, and
 // a task dies at the latest a lease after the last answer; so what is known of cancellations must be younger
-// than what cancel_s leaves beyond the lease. The margin covers drifting clocks and answers under way.
-inline bool may_answer(const config::Settings& s, wire::TimePoint now, wire::TimePoint cancellations_known_at) {
-    constexpr wire::Seconds margin{3};
+// than what cancel_s leaves beyond the lease. The margin covers drifting clocks, and the time from the report's
+// arrival to this look at the clock: a lease runs from when the report was sent, however late its answer leaves.
+inline bool may_answer(const config::Settings& s, wire::TimePoint now, wire::TimePoint cancellations_known_at,
+                       wire::Seconds margin = wire::Seconds(3)) {
     return now - cancellations_known_at < wire::to_clock(s.cancel - s.lease - margin);
 }
 
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t max_counts = 20'000;
-constexpr std::chrono::milliseconds watch_hold{1000}, watch_gap{1500};
+constexpr std::chrono::milliseconds watch_gap{1000};
 constexpr double knocks_kept = 0.8;  // from one message of a peer to the next, a second later
 const std::string catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
@@ -162,7 +162,7 @@
                 caretaker_.lost_track(Clock::now());
             }
         } else {
-            auto seen = co_await store_.follow(prefix, *revision, watch_hold);
+            auto seen = co_await store_.follow(prefix, *revision, 0ms);
             if (seen.outcome == state::Outcome::too_old) revision.reset();
             if (seen.outcome == state::Outcome::ok) {
                 revision = std::max(*revision, seen.revision);
