A gang's member that waits under an attempt given up makes way before the new one runs

And a leader that had just begun took members that had given up waiting for members without the image.

--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -218,6 +218,8 @@
     } else if (r.cause == Cause::unknown || r.cause == Cause::no_room || r.cause == Cause::busy) {
         job.eligible_at = std::max(job.eligible_at, now + 2s);
     }
+    // It waited for the others, so it had its image; a leader that has just begun has not seen it wait.
+    if (r.cause == Cause::alone) ledger_.has_image(m, {job.spec.uid, task}, job.spec);
     if (r.cause == Cause::alone && !job.gang_started && !job.gang_failing && !job.cancelled && !m.taken_at &&
         !job.tasks[task].draining) {
         job.tasks[task].parked = true;
@@ -419,7 +421,14 @@
         auto* job = find(uid);
         if (!job || job->cancelled || job->finished || (job->is(Shape::gang) && job->gang_failing)) continue;
         const auto& t = job->tasks[i];
-        if (!t.sent && !t.seen && !t.draining) order_run(*job, i, *m, out);
+        if (t.sent || t.seen || t.draining || out.size() + 2 > max_orders) continue;
+        // A member that waits there under an attempt that was given up must make way first: a worker refuses a task
+        // that it has under another attempt, and the gang would fail at once.
+        for (const auto& old : r.tasks)
+            if (old.id.uid == uid && old.id.index == i && old.attempt != t.attempt && job->durable(i) &&
+                old.status != TaskStatus::exited)
+                out.push_back({Verb::kill, old.id, old.attempt, Seconds(0)});
+        order_run(*job, i, *m, out);
     }
     return out;
 }
