Room with the image is made again for replicas that are lost later

Need: replicas of a job that had once had room made were placed where their image was not, though arrays could be stopped where it was.

--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 constexpr auto preempt_gap = 10s;  // enough for what was stopped to go and for its room to be taken
+constexpr auto room_again = 30s;   // until room for a job's replicas may be made once more
 constexpr std::int64_t merged_window = -1;
 constexpr double nearly_all = 0.95;  // of the machines with work, that a new leader wants to have heard
 }  // namespace
@@ -321,7 +322,8 @@
     const auto wait = plan.host(at).image_wait(ask.image, job.spec.image_gb);
     const Seconds until_free = settings_.report * 1.25 + wire::Seconds(3);
     if (wait < until_free * 3) return 0;
-    if (job.room_made_by != TimePoint{}) return 0;  // it is tried once
+    // Room that was made and is not enough is not made again at once; replicas lost later have their own turn.
+    if (job.room_made_by != TimePoint{} && now < job.room_made_by + room_again) return 0;
     struct Room {
         Seconds loss;
         std::vector<TaskKey> tasks;
