--- a/src/agent/caretaker.cpp
+++ b/src/agent/caretaker.cpp
@@ -8,9 +8,9 @@
 namespace {
 // Whoever was sent to a leader that does not answer is back by then: four seconds and one for each other controller.
 constexpr std::chrono::seconds back_within{20};
-constexpr wire::Seconds drift{1};          // of clocks; the answer is decided when the report arrives
-constexpr double kept_for = 3;             // times cancel_s that a cancellation is remembered
-constexpr std::size_t max_orders = 300;    // of an answer, as from a leader
+constexpr wire::Seconds drift{1};        // of clocks; the answer is decided when the report arrives
+constexpr double kept_for = 3;           // times cancel_s that a cancellation is remembered
+constexpr std::size_t max_orders = 300;  // of an answer, as from a leader
 constexpr std::size_t max_machines = 100'000;
 }  // namespace
 
@@ -24,7 +24,8 @@
         auto uid = item.key.substr(item.key.rfind('/') + 1);
         if (cancelled_.insert(uid).second) cancelled_at_.emplace_back(began, std::move(uid));
     }
-    while (!cancelled_at_.empty() && began - cancelled_at_.front().first > wire::to_clock(settings_.cancel * kept_for)) {
+    while (!cancelled_at_.empty() &&
+           began - cancelled_at_.front().first > wire::to_clock(settings_.cancel * kept_for)) {
         cancelled_.erase(cancelled_at_.front().second);
         cancelled_at_.pop_front();
     }
--- a/src/agent/notebook.hpp
+++ b/src/agent/notebook.hpp
@@ -28,7 +28,7 @@
 
   private:
     const state::Form& form_;
-    std::size_t per_page_ = 512;                 // machines; halved until a page fits
+    std::size_t per_page_ = 512;                    // machines; halved until a page fits
     std::map<std::string, std::string> on_record_;  // text of each page; empty where it is not known
 };
 
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -78,7 +78,8 @@
                 const double each_cost = (spot ? type.spot_price : type.price) / std::max(1.0, each);
                 if (cheapest_each == 0 || each_cost < cheapest_each) cheapest_each = each_cost;
                 if (!ledger_.open(pool, now)) continue;
-                if (const auto z = directory.zone(zone); z < basket.quiet_zones.size() && basket.quiet_zones[z]) continue;
+                if (const auto z = directory.zone(zone); z < basket.quiet_zones.size() && basket.quiet_zones[z])
+                    continue;
                 const double worth = basket.late.contains(pool) ? each_cost * late_cost : each_cost;
                 const auto zone_id = directory.zone(zone);
                 if (job.spec.one_zone && hosts.anywhere() && hosts.in_zone(zone_id) == 0) continue;
@@ -258,8 +259,8 @@
     }
     std::vector<bool> out(zones.size());
     for (std::size_t z = 0; z < zones.size(); ++z)
-        out[z] = z != placement::unknown_zone && zones[z].expected >= few_in_zone &&
-                 zones[z].heard * 8 < zones[z].expected;
+        out[z] =
+            z != placement::unknown_zone && zones[z].expected >= few_in_zone && zones[z].heard * 8 < zones[z].expected;
     return out;
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -155,11 +155,13 @@
     const auto& h = hosts_[i];
     Order o;
     o.risky = h.spot && ask.rank >= wire::Rank::high;
-    o.foreign = own_[i] != epoch_;
+    const bool service = ask.spec->shape == wire::Shape::service;
+    o.foreign = !service && own_[i] != epoch_;
+    o.shared = service && own_[i] == epoch_;
     if (ask.spec->need.gpus <= slack) o.idles = static_cast<int>(h.free.gpus + slack);
     o.wait = static_cast<int>(h.image_wait(ask.image, ask.spec->image_gb) / image_step);
     o.ordinary = !h.spot;
-    o.size = ask.spec->shape == wire::Shape::service ? -static_cast<int>(slots(ask.spec->need, h.capacity)) : 0;
+    o.size = service ? -static_cast<int>(slots(ask.spec->need, h.capacity)) : 0;
     o.load = h.load;
     o.at = i;
     return o;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -150,6 +150,7 @@
         int wait = 0;
         bool ordinary = false;
         int size = 0;
+        bool shared = false;  // holds a replica of the same service already
         unsigned load = 0;
         std::size_t at = 0;
         auto operator<=>(const Order&) const = default;
--- a/src/wire/notes.cpp
+++ b/src/wire/notes.cpp
@@ -16,7 +16,7 @@
 namespace flintdale::wire {
 
 namespace {
-constexpr int level = 3;                        // of compression: the leader's processor time is scarce
+constexpr int level = 3;                       // of compression: the leader's processor time is scarce
 constexpr std::size_t max_page = 1024 * 1024;  // of a page once it is unpacked: what claims more is none of ours
 }  // namespace
 
@@ -67,7 +67,8 @@
         for (const auto machine : page.getMachines()) {
             MachineNote note{machine.getName().cStr(), {}, machine.getSuspect()};
             for (const auto place : machine.getImages())
-                if (place < images.size()) note.images.push_back({images[place].getName().cStr(), images[place].getGb()});
+                if (place < images.size())
+                    note.images.push_back({images[place].getName().cStr(), images[place].getGb()});
             out.push_back(std::move(note));
         }
     } catch (const kj::Exception& e) {
--- a/src/wire/notes.hpp
+++ b/src/wire/notes.hpp
@@ -1,4 +1,5 @@
-// Notes on machines, in pages that a value of the state service can hold: Cap'n Proto, compressed by Zstandard, as text.
+// Notes on machines, in pages that a value of the state service can hold: Cap'n Proto, compressed by Zstandard, as
+// text.
 #pragma once
 #include <span>
 #include <string>
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,329 @@
+// What one leader leaves to the next, and who looks after workers while there is none.
+#include "agent/caretaker.hpp"
+#include "agent/notebook.hpp"
+#include "world.hpp"
+
+namespace flintdale::test {
+
+using wire::Cause;
+using wire::MachineNote;
+using wire::Shape;
+
+namespace {
+
+Worker machine(const std::string& name, const std::string& zone) {
+    Worker w;
+    w.name = name;
+    w.zone = zone;
+    return w;
+}
+
+std::vector<MachineNote> many_notes(int n) {
+    std::vector<MachineNote> out;
+    const auto image = [](int k) { return MachineNote::Image{"image-" + std::to_string(k), 4.5 + k}; };
+    for (int i = 0; i < n; ++i)
+        out.push_back(
+            {"n-" + std::to_string(1000000 + i * 7919), {image(i * 31 % 17), image(20 + i % 13)}, i % 50 == 0});
+    return out;
+}
+
+std::vector<state::Item> as_items(const std::vector<state::Change>& pages) {
+    std::vector<state::Item> out;
+    for (const auto& p : pages)
+        if (p.value) out.push_back({p.key, *p.value, 1});
+    return out;
+}
+
+state::Item outcome(const std::string& uid, const char* state) {
+    return {agent::outcome_key(uid), boost::json::object{{"state", state}}, 1};
+}
+
+wire::WorkerReport with_task(const std::string& uid) {
+    wire::WorkerReport r;
+    r.machine = "n-000001";
+    wire::TaskReport t;
+    t.id = {uid, 0};
+    t.attempt = 3;
+    t.status = TaskStatus::running;
+    r.tasks.push_back(t);
+    return r;
+}
+
+// A caretaker that has watched for as long as it must, at `now`.
+struct Watching : ::testing::Test {
+    config::Settings settings = test::settings();  // lease 18 s, cancellations 48 s
+    agent::Caretaker caretaker{settings};
+    TimePoint now{1000s};
+    void watch(Seconds s) {
+        for (; s.count() > 0; s -= Seconds(1)) {
+            now += 1s;
+            caretaker.watched({}, now);
+        }
+    }
+    void SetUp() override {
+        caretaker.lost_track(now);
+        watch(settings.cancel);
+    }
+    std::optional<std::vector<Order>> asked_twice(const wire::WorkerReport& r) {
+        EXPECT_FALSE(caretaker.answer(r, now)) << "it may reach the leader, and is sent there first";
+        return caretaker.answer(r, now);
+    }
+};
+
+struct Zones : ::testing::Test, World {
+    std::vector<Worker> here, there;
+    Zones() {
+        for (int i = 0; i < 20; ++i) {
+            here.push_back(machine("n-00010" + std::to_string(10 + i), "a"));
+            there.push_back(machine("n-00020" + std::to_string(10 + i), "b"));
+        }
+        settings.lease = Seconds(20);
+    }
+    int second = 0;
+    // So many seconds, in which machines report every third, as they should, but for the first so many of zone b.
+    void live(int seconds, std::size_t silent_there) {
+        for (const int end = second + seconds; second < end; ++second) {
+            pass(Seconds(1));
+            for (std::size_t i = 0; i < here.size(); ++i)
+                if ((static_cast<int>(i) + second) % 3 == 0) {
+                    beat(here[i]);
+                    if (i >= silent_there) beat(there[i]);
+                }
+        }
+    }
+    std::size_t returned(const std::string& prefix) const {
+        std::size_t n = 0;
+        for (const auto& name : returns()) n += name.starts_with(prefix);
+        return n;
+    }
+};
+
+}  // namespace
+
+TEST(Notes, a_page_says_what_was_noted) {
+    const auto notes = many_notes(40);
+    EXPECT_EQ(wire::decode_notes(wire::encode_notes(notes)), notes);
+    EXPECT_TRUE(wire::decode_notes(wire::encode_notes({})).empty());
+}
+
+TEST(Notes, damaged_text_is_refused) {
+    auto text = wire::encode_notes(many_notes(40));
+    EXPECT_THROW(wire::decode_notes("no page"), wire::BadBody);
+    EXPECT_THROW(wire::decode_notes(text.substr(0, text.size() / 2)), wire::BadBody);
+    text[text.size() / 2] = text[text.size() / 2] == 'A' ? 'B' : 'A';
+    try {
+        wire::decode_notes(text);  // what still unpacks is advice like any other
+    } catch (const wire::BadBody&) {
+    }
+}
+
+TEST(Notes, pages_fit_into_values_and_only_what_changed_is_written_again) {
+    auto settings = test::settings();
+    settings.limits.value_bytes = 2048;
+    const state::Form form(settings);
+    agent::Notebook book(form);
+    auto notes = many_notes(1500);
+    const auto pages = book.pages(notes);
+    ASSERT_GT(pages.size(), 2u);
+    for (const auto& p : pages) {
+        EXPECT_TRUE(form.fits(*p.value));
+        book.written(p);
+    }
+    EXPECT_TRUE(book.pages(notes).empty());
+    notes.back().suspect = !notes.back().suspect;
+    EXPECT_EQ(book.pages(notes).size(), 1u);
+    agent::Notebook next(form);
+    EXPECT_EQ(next.read(as_items(pages)).size(), 1500u);
+    notes.resize(3);
+    const auto fewer = next.pages(notes);
+    EXPECT_EQ(fewer.size(), pages.size()) << "one page, and the rest of the former leader's go";
+    EXPECT_FALSE(fewer.back().value);
+}
+
+TEST(Notes, one_page_that_cannot_be_read_spoils_no_other) {
+    auto settings = test::settings();
+    const state::Form form(settings);
+    auto items = as_items(agent::Notebook(form).pages(many_notes(600)));
+    ASSERT_GE(items.size(), 2u);
+    items.front().value = 7;
+    EXPECT_FALSE(agent::Notebook(form).read(items).empty());
+}
+
+// After each hand-over tasks were placed as if no machine held any image, and fetched for a minute or two what lay on
+// the machine beside.
+TEST(Notes, a_new_leader_places_where_the_image_lies) {
+    World w;
+    Worker m1 = machine("n-000001", "a"), m2 = machine("n-000002", "a");
+    w.elect();
+    auto first = job("run-1", Shape::array, 1);
+    first.image_gb = 5;
+    w.accept(first);
+    w.settle();
+    w.beat(m2);
+    w.beat(m2);
+    ASSERT_TRUE(w.place());
+    w.beat(m2);
+    m2.run_all();
+    w.beat(m2);
+    m2.finish("run-1", 0, Cause::done);
+    w.beat(m2);
+    w.commit();
+    const auto notes = w.leader->ledger().notes();
+    ASSERT_EQ(notes.size(), 1u);
+    EXPECT_EQ(notes[0].name, "n-000002");
+    for (const bool told : {false, true}) {
+        w.elect();
+        for (auto* m : {&m1, &m2})
+            for (int i = 0; i < 2; ++i) w.beat(*m);
+        if (told) w.leader->ledger().recall(notes);
+        auto next = first;
+        next.uid = told ? "run-3" : "run-2";
+        w.accept(next);
+        w.settle();
+        w.beat(m1);
+        w.beat(m2);
+        ASSERT_TRUE(w.place());
+        EXPECT_EQ(w.machine_of(next.uid, 0), told ? "n-000002" : "n-000001");
+        w.cancel(next.uid);
+    }
+}
+
+TEST(Notes, of_machines_that_report_later_are_kept_until_then_and_own_eyes_count_more) {
+    fleet::Ledger ledger;
+    ledger.set_types(types());
+    ledger.recall({{"n-000001", {{"old", 5}, {"both", 5}}, true}});
+    EXPECT_EQ(ledger.find("n-000001"), nullptr) << "a note is no machine";
+    auto& m = ledger.add("n-000001", "small", "a", false, TimePoint{1s});
+    EXPECT_TRUE(m.suspect);
+    ASSERT_EQ(m.images.size(), 2u);
+    ledger.remove("n-000001");
+    ledger.recall({{"n-000001", {}, true}});
+    EXPECT_EQ(ledger.find("n-000001"), nullptr);
+}
+
+// Riga's loss: the member whose report let the gang regroup was answered with the new run alone, refused it (in_use),
+// and the gang failed and fetched again on other machines.
+TEST(Gangs, a_member_that_waits_under_the_old_attempt_makes_way_in_the_answer_that_was_held) {
+    World w;
+    Worker m1 = machine("n-000001", "a"), m2 = machine("n-000002", "a");
+    w.elect();
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need = {8, 2, 40};
+    w.accept(gang);
+    w.settle();
+    for (auto* m : {&m1, &m2})
+        for (int i = 0; i < 2; ++i) w.beat(*m);
+    ASSERT_TRUE(w.place());
+    w.beat(m1);
+    w.beat(m2);
+    const auto late = m2.tasks.at(0).id.index;
+    m1.tasks.at(0).status = TaskStatus::waiting;
+    w.beat(m1);
+    m1.finish("run-1", m1.tasks.at(0).id.index, Cause::alone);
+    w.beat(m1);
+    m2.tasks.at(0).status = TaskStatus::waiting;
+    const auto report = m2.report();
+    ASSERT_TRUE(w.leader->report(report, w.now)->empty()) << "the new attempt is not on record yet";
+    EXPECT_TRUE(w.leader->runs(report).empty());
+    w.commit();
+    const auto orders = w.leader->runs(report);
+    ASSERT_EQ(orders.size(), 2u);
+    EXPECT_EQ(orders[0].verb, Verb::kill);
+    EXPECT_EQ(orders[0].attempt, 1u);
+    EXPECT_EQ(orders[1].verb, Verb::run);
+    EXPECT_EQ(orders[1].attempt, 2u);
+    EXPECT_EQ(orders[1].id.index, late);
+}
+
+TEST(Gangs, a_member_that_gave_up_waiting_has_its_image_for_a_new_leader_too) {
+    World w;
+    Worker m1 = machine("n-000001", "a"), m2 = machine("n-000002", "a");
+    w.elect();
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need = {8, 2, 40};
+    w.accept(gang);
+    w.settle();
+    for (auto* m : {&m1, &m2})
+        for (int i = 0; i < 2; ++i) w.beat(*m);
+    ASSERT_TRUE(w.place());
+    w.beat(m1);
+    m1.finish("run-1", m1.tasks.at(0).id.index, Cause::alone);
+    w.elect();
+    w.beat(m1);
+    EXPECT_EQ(w.leader->job("run-1")->parked, 1u);
+    ASSERT_EQ(w.leader->ledger().notes().size(), 1u);
+    EXPECT_EQ(w.leader->ledger().notes()[0].name, "n-000001");
+}
+
+TEST_F(Watching, a_worker_that_comes_back_from_the_leader_unheard_keeps_its_lease) {
+    const auto orders = asked_twice(with_task("run-1"));
+    ASSERT_TRUE(orders);
+    EXPECT_TRUE(orders->empty()) << "nothing is given to it, and nothing taken";
+}
+
+TEST_F(Watching, cancelled_work_is_stopped) {
+    caretaker.watched({outcome("run-1", "aborted"), outcome("run-2", "done")}, now);
+    const auto orders = asked_twice(with_task("run-1"));
+    ASSERT_TRUE(orders);
+    ASSERT_EQ(orders->size(), 1u);
+    EXPECT_EQ(orders->at(0).verb, Verb::kill);
+    EXPECT_EQ(orders->at(0).attempt, 3u);
+    EXPECT_TRUE(caretaker.answer(with_task("run-2"), now)->empty());
+}
+
+// Whoever's task is cancelled elsewhere after the last look must see it gone within cancel_s: the lease that the last
+// answer renewed has to run out by then.
+TEST_F(Watching, it_falls_silent_while_the_lease_still_ends_in_time) {
+    const auto looked = now;
+    TimePoint last{};
+    for (; now < looked + wire::to_clock(settings.cancel); now += 500ms)
+        if (caretaker.answer(with_task("run-1"), now)) last = now;
+    ASSERT_GT(last, looked);
+    EXPECT_LT(last + wire::to_clock(settings.lease), looked + wire::to_clock(settings.cancel));
+}
+
+TEST_F(Watching, what_was_cancelled_before_it_watched_may_still_run_so_it_waits) {
+    caretaker.lost_track(now);
+    watch(settings.cancel - Seconds(1));
+    EXPECT_FALSE(asked_twice(with_task("run-1")));
+    watch(Seconds(1));
+    EXPECT_TRUE(caretaker.answer(with_task("run-1"), now));
+}
+
+TEST_F(Watching, who_was_here_long_ago_is_sent_to_the_leader_again) {
+    ASSERT_TRUE(asked_twice(with_task("run-1")));
+    watch(Seconds(30));
+    EXPECT_FALSE(caretaker.answer(with_task("run-1"), now));
+}
+
+// A cut zone's machines were returned one by one before a third of their kind was overdue, images and all.
+TEST_F(Zones, a_zone_that_falls_silent_as_a_whole_is_waited_for) {
+    elect();
+    live(12, 0);
+    live(25, 20);
+    EXPECT_EQ(returned("n-0002"), 0u) << "its leases may have run out, but what it holds is worth a wait";
+    EXPECT_EQ(returned("n-0001"), 0u);
+    live(70, 20);
+    EXPECT_GT(returned("n-0002"), 0u) << "not for ever";
+}
+
+TEST_F(Zones, many_dead_machines_are_no_cut_and_are_replaced_at_once) {
+    elect();
+    live(12, 0);
+    live(12, 5);
+    EXPECT_EQ(returned("n-0002"), 5u);
+}
+
+TEST_F(Zones, nothing_is_rented_where_it_could_not_be_heard) {
+    elect();
+    live(12, 0);
+    live(6, 20);
+    accept(job("run-1", Shape::array, 400));
+    live(6, 20);
+    place();
+    const auto orders = leader->rent(now);
+    ASSERT_FALSE(orders.empty());
+    for (const auto& o : orders) EXPECT_EQ(o.pool.zone, "a");
+}
+
+}  // namespace flintdale::test
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -90,6 +90,21 @@
     EXPECT_EQ(place_all(p, spec(1, 10), 5, job), (std::vector<Id>{1, 1, 1, 1, 2}));
 }
 
+// Replicas of one service on one machine go with it, and so do most machines that hold its image.
+TEST(Placement, a_services_replicas_spread_unless_its_image_is_sooner_where_one_is) {
+    auto service = spec(1, 10);
+    service.shape = wire::Shape::service;
+    service.tasks = 4;
+    Planner spread({host(1, 4, 100, 0), host(2, 4, 100, 0)}, 0.1);
+    JobHosts job;
+    EXPECT_EQ(place_all(spread, service, 4, job), (std::vector<Id>{1, 2, 1, 2}));
+    auto busy = host(2, 4, 100, 0);
+    busy.fetching.push_back({directory().image("another"), 30});
+    Planner packed({host(1, 4, 100, 0), busy}, 0.1);
+    JobHosts other;
+    EXPECT_EQ(place_all(packed, service, 2, other), (std::vector<Id>{1, 1}));
+}
+
 TEST(Placement, a_machine_with_the_image_is_preferred_to_a_less_loaded_one) {
     auto with = host(2, 4, 90, 2);
     with.images.push_back(directory().image("image"));
