Jobs keep their wait over a hand-over

Cause: a new leader took every job on record for one that had just arrived, so that age, what is due after half of an aim's time and the deadline began anew with each hand-over. The record has the time of day at which it was accepted.

--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -48,8 +48,9 @@
              std::uint64_t term, std::uint64_t term_stamp, TimePoint now);
 
     // --- What others tell it ---
-    // All records of open work, read after the term was won. May come again; jobs already known are left alone.
-    void load(const std::vector<state::Item>& work, TimePoint now);
+    // All records of open work, read after the term was won. May come again; jobs already known are left alone. `at` is
+    // the time of day, for how long jobs have waited under leaders before.
+    void load(const std::vector<state::Item>& work, TimePoint now, std::int64_t at = 0);
     // A job was accepted, or is over: one of its keys. False if that is no news.
     bool job_changed(const state::Item& item, TimePoint now);
     // The job, read as open work, has an outcome. Done or cancelled, it is the same now: what may be left of it must
@@ -123,7 +124,7 @@
     Job& create(JobSpec spec, TimePoint now, bool known_before);
     std::int64_t window_at(std::int64_t ms) const;
     struct Found;
-    void recover(const std::string& uid, Found& found, TimePoint now);
+    void recover(const std::string& uid, Found& found, TimePoint now, std::int64_t at);
     Job* assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering);
     // Zones of which hardly a machine has reported in the last moments, though many should have.
     std::vector<bool> quiet_zones(TimePoint now) const;
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -11,6 +11,7 @@
 namespace {
 constexpr std::size_t max_txn_bytes = 44 * 1024;
 constexpr std::size_t max_cut = 1000;          // submissions of which pieces are awaited
+constexpr std::chrono::milliseconds longest_wait = std::chrono::hours(24);  // that a clock is believed
 constexpr std::chrono::seconds try_again{10};  // after which a rejected record is tried again
 }  // namespace
 
@@ -20,14 +21,14 @@
 
 // --- what is on record ---
 
-void Overseer::load(const std::vector<state::Item>& work, TimePoint now) {
+void Overseer::load(const std::vector<state::Item>& work, TimePoint now, std::int64_t at) {
     std::map<std::string, Found> found;
     for (const auto& item : work)
         if (auto key = parse_work_key(item.key)) found[key->uid].records.emplace_back(std::move(*key), &item);
     for (auto& [uid, records] : found) {
         if (jobs_.contains(uid)) continue;
         try {
-            recover(uid, records, now);
+            recover(uid, records, now, at);
         } catch (const std::exception& e) {
             spdlog::error("event=record_unreadable job={} why=\"{}\"", uid, e.what());
             // Where its tasks are cannot be told, so none of them may be started.
@@ -36,7 +37,7 @@
     }
 }
 
-void Overseer::recover(const std::string& uid, Found& found, TimePoint now) {
+void Overseer::recover(const std::string& uid, Found& found, TimePoint now, std::int64_t at) {
     auto& records = found.records;
     const auto is_first = [](const auto& r) { return r.first.first(); };
     if (std::none_of(records.begin(), records.end(), is_first)) {
@@ -52,6 +53,10 @@
     for (const auto& [key, item] : records) assembled(key, *item, now, true);
     auto* job = find(uid);
     if (!job) return;
+    // Its wait did not begin with this leader: age, deadline and what is due after half of an aim's time go by it. One
+    // that waited for others counts from when they were done, and is not older than this leader knows.
+    if (const auto accepted = job->spec.accepted_ms; at > accepted && accepted > 0 && job->spec.prerequisites.empty())
+        job->arrived = now - std::min(std::chrono::milliseconds(at - accepted), longest_wait);
     // Of two records with the same task the one with fewer tasks holds; it was written later.
     std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) { return a.first.page > b.first.page; });
     std::vector<wire::TaskRange> last(job->spec.tasks);
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -148,7 +148,7 @@
         if (!page.more || page.items.empty()) break;
         after = work.back().key;
     }
-    overseer_.load(work, Clock::now());
+    overseer_.load(work, Clock::now(), links_.time_of_day_ms());
     if (!co_await check_open_jobs()) co_return false;
     followed_ = revision;
     fresh_ = began;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -201,6 +201,24 @@
     EXPECT_EQ(ledger.find("n-000001"), nullptr);
 }
 
+// Jobs that had waited for minutes were the youngest after each hand-over.
+TEST(Waiting, goes_on_under_a_new_leader) {
+    World w;
+    auto spec = job("run-1", Shape::array, 1);
+    spec.accepted_ms = w.wall_ms;
+    w.accept(spec);
+    w.elect();
+    EXPECT_EQ(w.leader->job("run-1")->arrived, w.now) << "where the time of day is not told";
+    for (const std::int64_t at : {w.wall_ms + 90'000, w.wall_ms - 5'000}) {
+        Overseer next(w.settings, w.tunables, w.form, 99, 1, w.now);
+        next.catalog(types());
+        next.load(w.keys.range(agent::work_prefix), w.now, at);
+        const auto waited = w.now - next.job("run-1")->arrived;
+        EXPECT_EQ(waited, at > w.wall_ms ? wire::Clock::duration(90s) : wire::Clock::duration(0))
+            << "a clock that runs behind makes nobody older";
+    }
+}
+
 // Riga's loss: the member whose report let the gang regroup was answered with the new run alone, refused it (in_use),
 // and the gang failed and fetched again on other machines.
 TEST(Gangs, a_member_that_waits_under_the_old_attempt_makes_way_in_the_answer_that_was_held) {
