--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -231,6 +231,7 @@
     std::set<std::string> counts_changed_;
     std::vector<Move> moves_;
     std::uint64_t passes_ = 0;  // of placing, so far
+    unsigned holds_ = 0;        // gangs that room was held for in this one
     bool gangs_wait_ = false;   // that may not use spot machines and found no room in the last one
     bool waiting_ = false;      // something found no room in the last one
     TimePoint short_at_{};      // when something last waited
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -19,6 +19,7 @@
 namespace {
 constexpr auto preempt_gap = 10s;  // enough for what was stopped to go and for its room to be taken
 constexpr auto room_again = 30s;   // until room for a job's replicas may be made once more
+constexpr unsigned max_holds = 50;  // gangs that room is held for in one pass
 constexpr std::int64_t merged_window = -1;
 constexpr double nearly_all = 0.95;  // of the machines with work, that a new leader wants to have heard
 }  // namespace
@@ -128,7 +129,8 @@
     const auto places = plan.place_together(ask, hosts, job.spec.tasks);
     if (places.empty()) {
         // Room for a whole gang seldom comes about by itself while smaller tasks take all that frees.
-        if (!job.doubtful()) plan.hold_for(ask, job.spec.tasks);
+        // Each looks at every machine, so a long queue of gangs has it done for those whose turn may come.
+        if (!job.doubtful() && holds_++ < max_holds) plan.hold_for(ask, job.spec.tasks);
         return;
     }
     ++job.gang_attempt;
@@ -350,6 +352,7 @@
     if (!round_heard(now)) return false;
     bool any = false;
     ++passes_;
+    holds_ = 0;
     waiting_ = false;
     auto plan = planner(now);
     finish_moves(plan, now, any);
