One reader of all keys with a prefix, one look-up of a cache's size, one gang in two stories

Found on reading the change again: the loop that reads the work of a new term stood a second time for the notes, the size of a machine's cache was looked up in two places, two stories set the same gang up.

--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -130,29 +130,34 @@
     plan_.notify();
 }
 
-awaitable<bool> Reign::load() {
-    std::vector<state::Item> work;
+awaitable<std::optional<Reign::Everything>> Reign::read_all(std::string prefix) {
+    Everything out;
     std::string after;
-    std::uint64_t revision = 0;
-    const auto began = Clock::now();
     for (;;) {
-        auto page = co_await store_.range(agent::work_prefix, after, Urgency::leadership);
-        if (stopped_) co_return false;
+        auto page = co_await store_.range(prefix, after, Urgency::leadership);
+        if (stopped_) co_return std::nullopt;
         if (page.outcome != Outcome::ok) {
             co_await net::sleep_for(150ms);
-            if (stopped_) co_return false;
+            if (stopped_) co_return std::nullopt;
             continue;
         }
-        if (!revision) revision = page.revision;
-        for (auto& item : page.items) work.push_back(std::move(item));
+        if (!out.revision) out.revision = page.revision;
+        for (auto& item : page.items) out.items.push_back(std::move(item));
         if (!page.more || page.items.empty()) break;
-        after = work.back().key;
+        after = out.items.back().key;
     }
-    overseer_.load(work, Clock::now(), links_.time_of_day_ms());
+    co_return std::optional<Everything>(std::move(out));
+}
+
+awaitable<bool> Reign::load() {
+    const auto began = Clock::now();
+    const auto work = co_await read_all(agent::work_prefix);
+    if (!work) co_return false;
+    overseer_.load(work->items, Clock::now(), links_.time_of_day_ms());
     if (!co_await check_open_jobs()) co_return false;
-    followed_ = revision;
+    followed_ = work->revision;
     fresh_ = began;
-    if (!loaded_) spdlog::info("event=loaded term={} records={}", term_, work.size());
+    if (!loaded_) spdlog::info("event=loaded term={} records={}", term_, work->items.size());
     loaded_ = true;
     stir_ = true;
     commit_.notify();
@@ -307,19 +312,9 @@
 
 // Reads what the leader before has noted of the machines, beside the hand-over, and then keeps notes for the next one.
 awaitable<void> Reign::notes_loop() {
-    std::vector<state::Item> items;
-    for (std::string after;;) {
-        auto page = co_await store_.range(agent::notes_prefix, after, Urgency::leadership);
-        if (stopped_) co_return;
-        if (page.outcome != Outcome::ok) {
-            co_await net::sleep_for(150ms);
-            continue;
-        }
-        for (auto& item : page.items) items.push_back(std::move(item));
-        if (!page.more || page.items.empty()) break;
-        after = items.back().key;
-    }
-    overseer_.ledger().recall(notebook_.read(items));
+    const auto former = co_await read_all(agent::notes_prefix);
+    if (!former) co_return;
+    overseer_.ledger().recall(notebook_.read(former->items));
     while (!stopped_) {
         co_await net::sleep_for(notes_gap);
         if (stopped_ || !loaded_) continue;
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -41,6 +41,13 @@
     };
     awaitable<void> learn_loop();
     awaitable<bool> load();
+    // All keys with that prefix, asked for until the state service has answered, and the revision of the first answer;
+    // nothing if the term has ended meanwhile.
+    struct Everything {
+        std::vector<state::Item> items;
+        std::uint64_t revision = 0;
+    };
+    awaitable<std::optional<Everything>> read_all(std::string prefix);
     awaitable<bool> check_open_jobs();
     awaitable<void> commit_loop();
     awaitable<void> tick_loop();
--- a/src/fleet/ledger.cpp
+++ b/src/fleet/ledger.cpp
@@ -116,8 +116,12 @@
 }
 
 void Ledger::used_image(Machine& m, const wire::JobSpec& spec) {
+    m.used_image({directory_.image(spec.image), spec.image_gb}, cache_gb(m));
+}
+
+double Ledger::cache_gb(const Machine& m) const {
     const auto* t = type(m.type);
-    m.used_image({directory_.image(spec.image), spec.image_gb}, t ? t->cache_gb : 0);
+    return t ? t->cache_gb : 0;
 }
 
 void Ledger::unassign(Machine& m, const TaskKey& task, const wire::JobSpec& spec, TimePoint now) {
@@ -157,9 +161,8 @@
 // What this leader has seen itself is newer than what was noted.
 void Ledger::apply(const wire::MachineNote& note, Machine& m) {
     const auto seen = std::exchange(m.images, {});
-    const auto* t = type(m.type);
-    for (const auto& image : note.images) m.used_image({directory_.image(image.name), image.gb}, t ? t->cache_gb : 0);
-    for (const auto& image : seen) m.used_image(image, t ? t->cache_gb : 0);
+    for (const auto& image : note.images) m.used_image({directory_.image(image.name), image.gb}, cache_gb(m));
+    for (const auto& image : seen) m.used_image(image, cache_gb(m));
     m.suspect = m.suspect || note.suspect;
 }
 
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -114,6 +114,7 @@
   private:
     void used_image(Machine& m, const wire::JobSpec& spec);
     void apply(const wire::MachineNote& note, Machine& m);
+    double cache_gb(const Machine& m) const;
     struct BackOff {
         TimePoint until{};
         int times = 0;
--- a/src/wire/notes.cpp
+++ b/src/wire/notes.cpp
@@ -8,7 +8,6 @@
 #include <zstd.h>
 
 #include <map>
-#include <memory>
 
 #include "wire/json.hpp"
 #include "wire/notes.capnp.h"
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -49,6 +49,18 @@
     return r;
 }
 
+// A gang of two, a whole machine each, placed by a first leader.
+bool place_gang(World& w, Worker& m1, Worker& m2) {
+    w.elect();
+    auto gang = job("run-1", Shape::gang, 2);
+    gang.need = {8, 2, 40};
+    w.accept(gang);
+    w.settle();
+    for (auto* m : {&m1, &m2})
+        for (int i = 0; i < 2; ++i) w.beat(*m);
+    return w.place();
+}
+
 // A caretaker that has watched for as long as it must, at `now`.
 struct Watching : ::testing::Test {
     config::Settings settings = test::settings();  // lease 18 s, cancellations 48 s
@@ -224,14 +236,7 @@
 TEST(Gangs, a_member_that_waits_under_the_old_attempt_makes_way_in_the_answer_that_was_held) {
     World w;
     Worker m1 = machine("n-000001", "a"), m2 = machine("n-000002", "a");
-    w.elect();
-    auto gang = job("run-1", Shape::gang, 2);
-    gang.need = {8, 2, 40};
-    w.accept(gang);
-    w.settle();
-    for (auto* m : {&m1, &m2})
-        for (int i = 0; i < 2; ++i) w.beat(*m);
-    ASSERT_TRUE(w.place());
+    ASSERT_TRUE(place_gang(w, m1, m2));
     w.beat(m1);
     w.beat(m2);
     const auto late = m2.tasks.at(0).id.index;
@@ -256,14 +261,7 @@
 TEST(Gangs, a_member_that_gave_up_waiting_has_its_image_for_a_new_leader_too) {
     World w;
     Worker m1 = machine("n-000001", "a"), m2 = machine("n-000002", "a");
-    w.elect();
-    auto gang = job("run-1", Shape::gang, 2);
-    gang.need = {8, 2, 40};
-    w.accept(gang);
-    w.settle();
-    for (auto* m : {&m1, &m2})
-        for (int i = 0; i < 2; ++i) w.beat(*m);
-    ASSERT_TRUE(w.place());
+    ASSERT_TRUE(place_gang(w, m1, m2));
     w.beat(m1);
     m1.finish("run-1", m1.tasks.at(0).id.index, Cause::alone);
     w.elect();
