--- a/src/agent/caretaker.cpp
+++ b/src/agent/caretaker.cpp
@@ -40,7 +40,11 @@
     const auto [it, first] = sent_on_.try_emplace(report.machine, now);
     const bool back = !first && now - it->second < back_within;
     it->second = now;
-    if (!back || !knows_enough(now)) return std::nullopt;
+    return back ? keep(report, now) : std::nullopt;
+}
+
+std::optional<std::vector<wire::Order>> Caretaker::keep(const wire::WorkerReport& report, wire::TimePoint now) const {
+    if (!knows_enough(now)) return std::nullopt;
     std::vector<wire::Order> orders;
     for (const auto& t : report.tasks)
         if (t.status != wire::TaskStatus::exited && cancelled_.contains(t.id.uid) && orders.size() < max_orders)
--- a/src/agent/caretaker.hpp
+++ b/src/agent/caretaker.hpp
@@ -25,11 +25,16 @@
     void watched(const std::vector<state::Item>& outcomes, wire::TimePoint began);
     // Changes before then may have been missed.
     void lost_track(wire::TimePoint now) { since_ = now; }
+    // All outcomes there are were among those that have been told.
+    void knows_all(wire::TimePoint now) { since_ = now - wire::to_clock(settings_.cancel); }
 
     // Orders for a worker that no leader answers, or nothing if it must be sent on: the first time to the leader, for
     // it may reach that one; always, while what is known is not enough.
     std::optional<std::vector<wire::Order>> answer(const wire::WorkerReport& report, wire::TimePoint now);
 
+    // The same from a leader that rebuilds the records and has nobody to send the worker to.
+    std::optional<std::vector<wire::Order>> keep(const wire::WorkerReport& report, wire::TimePoint now) const;
+
   private:
     bool knows_enough(wire::TimePoint now) const;
 
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -325,6 +325,47 @@
     orders.push_back({Verb::run, {job.spec.uid, task}, job.tasks[task].attempt, Seconds(0)});
 }
 
+// An attempt above the one on record: no `run` leaves before its placement is on record, so the record was lost. While
+// the records are known to lack something, what a worker shows under this term is where the task is; a later attempt
+// cannot exist, for it would have needed the evidence that this one is gone.
+bool Overseer::adopt(Job& job, Machine& m, const wire::TaskReport& r, TimePoint now) {
+    if (!unsettled_) {
+        loss_seen_ = loss_seen_ || !job.cancelled;
+        return false;
+    }
+    const auto i = r.id.index;
+    auto& task = job.tasks[i];
+    const bool ended = r.status == TaskStatus::exited;
+    if (!m.current || task.state == State::done || job.finished) return false;
+    if (ended && r.cause != Cause::done) {
+        // It is over, but no attempt may have that number again.
+        task.attempt = std::max(task.attempt, r.attempt);
+        job.gang_attempt = std::max(job.gang_attempt, r.attempt);
+        touch(job, i, Write::at_once, now);
+        return false;
+    }
+    if (task.state == State::placed) leave(job, i, State::waiting, now);
+    std::erase(job.again, i);
+    for (; job.fresh <= i; ++job.fresh)
+        if (job.fresh != i) job.again.push_back(job.fresh);
+    spdlog::info("event=adopted task={}/{} attempt={} machine={}", job.spec.uid, i, r.attempt, m.name);
+    set_placed(job, i, m, r.attempt, now);
+    job.tasks[i].sent = true;
+    job.gang_attempt = std::max(job.gang_attempt, r.attempt);
+    touch(job, i, Write::at_once, now);
+    return true;
+}
+
+// With the last placements lost, any task that waits may be on any machine that was not heard. A list names all
+// machines that are older than it lags; younger ones are named by a later one.
+bool Overseer::all_heard(TimePoint now) const {
+    const auto lag = wire::to_clock(settings_.list_lag * 2 + Seconds(2));
+    if (listed_at_ - since_ < lag || !with_strays_.empty() || now - since_ < lag) return false;
+    for (const auto& [name, m] : ledger_.all())
+        if (!m->current) return false;
+    return true;
+}
+
 std::optional<std::vector<Order>> Overseer::report(const wire::WorkerReport& r, TimePoint now) {
     if (ledger_.gone(r.machine)) return std::nullopt;
     auto& m = ledger_.add(r.machine, r.type, r.zone, r.spot, now);
@@ -350,16 +391,19 @@
 
     std::vector<Order> orders;
     std::set<TaskKey> reported;
+    bool strays = false;
     for (const auto& t : r.tasks) {
         auto* job = find(t.id.uid);
         const bool ended = t.status == TaskStatus::exited;
         if (!job || t.id.index >= job->spec.tasks) {
+            strays = strays || !ended;
             // Records go only when a job is over, so nothing of it is wanted any more.
             if (orders.size() < max_orders)
                 orders.push_back({ended ? Verb::clear : Verb::kill, t.id, t.attempt, Seconds(0)});
             continue;
         }
         auto& task = job->tasks[t.id.index];
+        if (t.attempt > task.attempt && !adopt(*job, m, t, now)) strays = strays || !ended;
         const bool ours = task.state == State::placed && task.machine == &m && task.attempt == t.attempt;
         if (ours) {
             reported.insert({t.id.uid, t.id.index});
@@ -378,6 +422,10 @@
         else if (job->durable(t.id.index))
             orders.push_back({Verb::clear, t.id, t.attempt, Seconds(0)});
     }
+    if (unsettled_ && strays)
+        with_strays_.insert(m.name);
+    else if (unsettled_)
+        with_strays_.erase(m.name);
     if (m.taken_at) {
         // Tasks that cannot end before the machine goes are stopped, so that they save what they can and start
         // elsewhere; the others may as well finish.
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -83,7 +83,14 @@
     void releasing(const std::vector<Release>& machines);
     Hearing hearing(TimePoint now) const;
     // This process stood still for so long: what it did not hear meanwhile says nothing about the machines.
-    void stood_still(std::chrono::steady_clock::duration gap);
+    void stood_still(wire::Clock::duration gap);
+
+    // The records are rebuilt and may lack the last placements. Until every machine has been heard under this term, or
+    // is gone by the cloud's word, nothing is placed, and what workers show beyond the records is taken for true.
+    void distrust_records() { unsettled_ = true; }
+    bool unsettled() const { return unsettled_; }
+    // Whether a worker has shown what cannot be, unless records were lost, since this was last asked.
+    bool loss_seen() { return std::exchange(loss_seen_, false); }
 
     // Keys to be read and told to job_changed: outcomes of jobs that others wait for, and pieces of submissions.
     std::vector<std::string> missing() const;
@@ -163,6 +170,8 @@
     placement::Planner planner(TimePoint now) const;
     std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
     bool round_heard(TimePoint now) const;
+    bool all_heard(TimePoint now) const;
+    bool adopt(Job& job, Machine& m, const wire::TaskReport& r, TimePoint now);
     void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     struct Move {
         std::string uid;
@@ -210,6 +219,9 @@
     std::uint64_t term_, term_stamp_;
     TimePoint since_;
     bool inherited_ = false;  // work was placed when this term began
+    bool unsettled_ = false, loss_seen_ = false;
+    TimePoint listed_at_{};              // when the cloud's list last came
+    std::set<std::string> with_strays_;  // machines that last showed tasks of jobs that nobody knows
     fleet::Ledger ledger_;
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     Prerequisites prerequisites_;
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -217,6 +217,7 @@
 void Overseer::catalog(std::vector<wire::MachineType> types) { ledger_.set_types(std::move(types)); }
 
 void Overseer::listed(const std::vector<wire::ListedMachine>& machines, TimePoint now) {
+    listed_at_ = now;
     for (const auto& l : machines) {
         // The list lags: what it still shows may be gone already, and then it must not come back.
         if (ledger_.gone(l.name)) continue;
@@ -336,7 +337,7 @@
     }
 }
 
-void Overseer::stood_still(std::chrono::steady_clock::duration gap) {
+void Overseer::stood_still(wire::Clock::duration gap) {
     since_ += gap;
     for (auto& [name, m] : ledger_.all()) m->last_report += gap;
 }
--- a/src/agent/overseer_moves.cpp
+++ b/src/agent/overseer_moves.cpp
@@ -139,6 +139,7 @@
 }
 
 void Overseer::improve(TimePoint now) {
+    if (unsettled_) return;
     if (!round_heard(now)) return;
     auto plan = planner(now);
     bool placed = false;
@@ -154,6 +155,7 @@
 // there is to do. Where more room has been spare for a while than the ups and downs of the load need (which in a fleet
 // of n go by the root of n), the dearest of what is spare gets no new work and goes when it is empty.
 void Overseer::shrink(TimePoint now) {
+    if (unsettled_) return;
     if (now < after(no_room_at_, calm)) {
         spare_since_ = now;
         return;
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -17,8 +17,8 @@
 using State = Task::State;
 
 namespace {
-constexpr auto preempt_gap = 10s;  // enough for what was stopped to go and for its room to be taken
-constexpr auto room_again = 30s;   // until room for a job's replicas may be made once more
+constexpr auto preempt_gap = 10s;   // enough for what was stopped to go and for its room to be taken
+constexpr auto room_again = 30s;    // until room for a job's replicas may be made once more
 constexpr unsigned max_holds = 50;  // gangs that room is held for in one pass
 constexpr std::int64_t merged_window = -1;
 constexpr double nearly_all = 0.95;  // of the machines with work, that a new leader wants to have heard
@@ -199,6 +199,7 @@
 // A new leader hears one round of reports first: until then it does not know the load. If no work was on record
 // when it began, there is no load to hear of.
 bool Overseer::round_heard(TimePoint now) const {
+    if (unsettled_) return false;
     if (!inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms)) return true;
     // Workers hurry to a higher term. Some are gone for good, and the rest need not wait for those.
     double working = 0, heard = 0;
@@ -349,6 +350,10 @@
 
 bool Overseer::place(TimePoint now) {
     mark_due(now);
+    if (unsettled_ && all_heard(now)) {
+        spdlog::info("event=settled term={} seconds={:.1f}", term_, Seconds(now - since_).count());
+        unsettled_ = false;
+    }
     if (!round_heard(now)) return false;
     bool any = false;
     ++passes_;
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 constexpr std::size_t max_txn_bytes = 44 * 1024;
-constexpr std::size_t max_cut = 1000;          // submissions of which pieces are awaited
+constexpr std::size_t max_cut = 1000;                                       // submissions of which pieces are awaited
 constexpr std::chrono::milliseconds longest_wait = std::chrono::hours(24);  // that a clock is believed
 constexpr std::chrono::seconds try_again{10};  // after which a rejected record is tried again
 }  // namespace
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -71,10 +71,27 @@
     return true;
 }
 
+// Outcomes come back last after a loss. That there never was such a job, or that it may be taken as a new one, must not
+// be said of one that is remembered here: then the records are not what they were.
+Desk::Absent Desk::recall(const std::string& uid) {
+    const auto remembered = links_.remembered(uid);
+    if (!remembered) return Absent::none;
+    if (remembered->state == JobState::open) {
+        links_.missed(uid);
+        return Absent::missed;
+    }
+    known_[uid] = {remembered->state, remembered->size, {}};
+    return Absent::over;
+}
+
+void Desk::forget_open() {
+    std::erase_if(known_, [](const auto& entry) { return entry.second.state == JobState::open; });
+}
+
 awaitable<std::optional<bool>> Desk::look_up(const std::string& uid) {
     const auto found = co_await find(uid);
     if (found.outcome != Outcome::ok) co_return std::nullopt;
-    co_return found.item.stamp > 0;
+    co_return found.item.stamp > 0 || known_.contains(uid);
 }
 
 // The job's outcome, or else the record of its open work, or an absent item if there is no such job.
@@ -94,6 +111,7 @@
         auto txn = absent(uid);
         const auto neither = co_await store_.commit(std::move(txn), Urgency::user);
         got.outcome = neither.outcome;
+        if (neither.outcome == Outcome::ok && recall(uid) == Absent::missed) got.outcome = Outcome::unknown;
         if (neither.outcome != Outcome::conflict) co_return got;
     }
     got.outcome = Outcome::unknown;
@@ -152,7 +170,7 @@
             status = 422;
         }
     if (!complaint.empty()) co_return co_await refuse(std::move(uid), status, std::move(complaint));
-    if (known_.contains(uid)) co_return co_await current(uid, true);
+    if (known_.contains(uid) || links_.remembered(uid)) co_return co_await current(uid, true);
     const bool early = !form_.newest() && !agent::readable_by_all(spec, form_);
     if (early || !links_.types()) {
         const auto exists = co_await look_up(uid);
@@ -240,7 +258,7 @@
 awaitable<bool> Desk::check_fresh(const std::string& uid) {
     auto waiter = std::make_shared<Waiter>(ex_);
     waiter->uid = uid;
-    waiter->done.expires_at(std::chrono::steady_clock::time_point::max());
+    waiter->done.expires_at(wire::TimePoint::max());
     waiting_.push_back(waiter);
     if (!checking_) {
         checking_ = true;
@@ -256,7 +274,7 @@
 awaitable<void> Desk::check_waiting() {
     while (!waiting_.empty()) {
         std::vector<std::shared_ptr<Waiter>> batch;
-        const std::size_t most = form_.limits().txn_ops * 2;
+        const std::size_t most = form_.conditions() / 2;
         while (!waiting_.empty() && batch.size() < most) {
             batch.push_back(std::move(waiting_.front()));
             waiting_.pop_front();
@@ -293,7 +311,7 @@
 // need no check, so all that are known are believed to be open.
 awaitable<std::set<std::string>> Desk::check(std::vector<std::string> uids) {
     std::set<std::string> sure;
-    const std::size_t most = form_.limits().txn_ops * 4;
+    const std::size_t most = form_.conditions();
     for (std::size_t next = 0; next < uids.size();) {
         state::Txn txn;
         const auto first = next;
@@ -313,6 +331,8 @@
                 const auto got = co_await store_.get(std::move(key), Urgency::user);
                 if (got.outcome != Outcome::ok || !learn(uids[i], got.item)) continue;
                 links_.job_changed(got.item);
+            } else if (!known_.contains(uids[i]) && recall(uids[i]) == Absent::missed) {
+                continue;
             }
             sure.insert(uids[i]);
         }
@@ -350,7 +370,7 @@
     for (int round = 0; round < 3; ++round) {
         const auto got = co_await find(uid);
         if (got.outcome != Outcome::ok) break;
-        if (!got.item.stamp) co_return reply(404, wire::error_body("no such job"));
+        if (!got.item.stamp && !known_.contains(uid)) co_return reply(404, wire::error_body("no such job"));
         if (known_[uid].state != JobState::open) co_return status_of(uid, true);
         state::Item item;
         item.key = agent::outcome_key(uid);
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -20,6 +20,12 @@
     std::uint32_t done = 0, running = 0;
 };
 
+// What this controller remembers of a job, whether or not it is on record in its place.
+struct Remembered {
+    wire::JobState state = wire::JobState::open;
+    wire::JobSize size;
+};
+
 class Desk {
   public:
     struct Links {
@@ -27,6 +33,8 @@
         std::function<const std::vector<wire::MachineType>*()> types;  // null while they are not known
         std::function<DisplayCount(const std::string&)> count;
         std::function<void(const state::Item&)> job_changed;  // a hint for a leader in this process
+        std::function<std::optional<Remembered>(const std::string&)> remembered;
+        std::function<void(const std::string&)> missed;  // a job that is remembered to be open is not on record
     };
 
     Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links);
@@ -34,6 +42,8 @@
     awaitable<Reply> submit(std::string body);
     awaitable<Reply> poll(std::string uid);
     awaitable<Reply> cancel(std::string uid);
+    // The records were rebuilt: what they say of jobs that are not over has to be read again.
+    void forget_open();
 
   private:
     struct Known {
@@ -43,13 +53,16 @@
     };
     struct Waiter {
         explicit Waiter(net::Executor ex) : done(ex) {}
-        net::asio::steady_timer done;
+        net::Timer done;
         std::string uid;
         bool answered = false, fresh = false;
     };
 
     std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
     bool learn(const std::string& uid, const state::Item& item);
+    // What to make of a job that is not on record: over, by an outcome that is owed; missed; or no job at all.
+    enum class Absent : std::uint8_t { over, missed, none };
+    Absent recall(const std::string& uid);
     awaitable<state::GetResult> find(const std::string& uid);
     static state::Txn absent(const std::string& uid);
     awaitable<std::optional<bool>> look_up(const std::string& uid);  // whether it exists; nothing: unknown
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t max_counts = 20'000;
-constexpr std::chrono::milliseconds watch_gap{1000};
+constexpr auto begin_wait = 2500ms;
 constexpr double knocks_kept = 0.8;  // from one message of a peer to the next, a second later
 const std::string catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
@@ -30,11 +30,6 @@
     return r;
 }
 
-std::int64_t time_of_day_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 std::vector<wire::MachineType> kept_types(const std::vector<state::Item>& items) {
     std::vector<wire::MachineType> out;
     for (const auto& item : items) try {
@@ -50,29 +45,31 @@
 
 }  // namespace
 
-Controller::Controller(net::asio::io_context& io, config::Settings settings, config::Tunables tunables)
-    : ex_(io.get_executor()),
-      settings_(std::move(settings)),
-      tunables_(std::move(tunables)),
-      form_(settings_),
-      store_(ex_, settings_, form_),
-      cloud_(ex_, settings_),
+Controller::Controller(net::Executor ex, const config::Settings& settings, const config::Tunables& tunables,
+                       state::Form& form, Ports ports)
+    : ex_(ex),
+      settings_(settings),
+      tunables_(tunables),
+      form_(form),
+      ports_(std::move(ports)),
+      store_(ports_.state, agent::jobs_prefix,
+             {[this](const char* why) { keeper_.doubt(why); },
+              [this](const state::Change& change, std::uint64_t revision) { keeper_.written(change, revision); }}),
+      cloud_(ports_.cloud),
       elector_(ex_, store_, settings_.member, tunables_.election_lease,
                {[this](election::Term term) {
-                    store_.set_leading(true);
-                    reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term,
-                                                     Reign::Links{[this] { elector_.doubt(); }, time_of_day_ms});
-                    reign_->start(types_);
+                    ports_.state.set_leading(true);
+                    term_ = term;
+                    if (term.gap) keeper_.doubt("a term that was seen is not on record");
+                    keeper_.leads(term);
                 },
-                [this] {
-                    store_.set_leading(false);
-                    if (reign_) reign_->stop();
-                    reign_.reset();
-                }}),
+                [this] { end_reign(); }},
+               ports_.time_of_day_ms),
       members_(store_, settings_, form_),
       caretaker_(settings_),
+      keeper_(ex_, ports_.state, store_, settings_, form_, recovery::Shelf(tunables_.snapshots), keeper_links()),
       desk_(ex_, store_, settings_, form_,
-            {time_of_day_ms, [this] { return types_.empty() ? nullptr : &types_; },
+            {ports_.time_of_day_ms, [this] { return types_.empty() ? nullptr : &types_; },
              [this](const std::string& uid) {
                  if (reign_)
                      if (auto c = reign_->overseer().count(uid)) return api::DisplayCount{c->done, c->running};
@@ -81,21 +78,55 @@
              },
              [this](const state::Item& item) {
                  if (reign_) reign_->job_changed(item);
-             }}),
-      peers_(ex_, settings_, [this](const peer::Beat& b) { received(b); }),
-      // Some sockets are needed for our own connections.
-      server_(ex_, settings_.listen.host, settings_.listen.port,
-              settings_.max_sockets - std::min<std::size_t>(settings_.max_sockets / 4, 64),
-              [this](net::Request request) { return handle(std::move(request)); }) {}
+             },
+             [this](const std::string& uid) -> std::optional<api::Remembered> {
+                 const auto outcome = keeper_.outcome_of(uid);
+                 if (!outcome) return std::nullopt;
+                 return api::Remembered{outcome->state, outcome->size};
+             },
+             [this](const std::string& uid) { keeper_.doubt("nothing on record of " + uid); }}) {}
+
+recovery::Keeper::Links Controller::keeper_links() {
+    recovery::Keeper::Links links;
+    links.time_of_day_ms = ports_.time_of_day_ms;
+    links.begin = [this](election::Term term, bool unsettled) { begin_reign(term, unsettled); };
+    links.new_term = [this](const char* why) { elector_.again(why); };
+    using Look = recovery::Keeper::Links::Look;
+    links.outcomes = [this](const std::vector<state::Item>& items, wire::TimePoint began, Look look) {
+        if (look == Look::after_a_gap) caretaker_.lost_track(Clock::now());
+        caretaker_.watched(items, began);
+        if (look == Look::all) caretaker_.knows_all(began);
+    };
+    links.rebuilt = [this] {
+        // Jobs that were believed to be open are looked up again; keys that are not rebuilt are put in place anew.
+        desk_.forget_open();
+        kept_catalog_ = false;
+        net::asio::co_spawn(ex_, members_.enroll_again(), net::asio::detached);
+    };
+    links.seen_term = [this] { return elector_.term(); };
+    return links;
+}
+
+void Controller::begin_reign(election::Term term, bool unsettled) {
+    reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled,
+                                     Reign::Links{[this] { elector_.doubt(); }, ports_.time_of_day_ms,
+                                                  [this](const char* why) { keeper_.doubt(why); }});
+    reign_->start(types_);
+}
+
+void Controller::end_reign() {
+    ports_.state.set_leading(false);
+    keeper_.deposed();
+    if (reign_) reign_->stop();
+    reign_.reset();
+}
 
 void Controller::start() {
-    server_.start();
-    peers_.start();
     net::asio::co_spawn(ex_, elector_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, members_.run(), net::asio::detached);
+    net::asio::co_spawn(ex_, keeper_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, catalog_loop(), net::asio::detached);
     net::asio::co_spawn(ex_, peer_loop(), net::asio::detached);
-    net::asio::co_spawn(ex_, outcomes_loop(), net::asio::detached);
 }
 
 awaitable<void> Controller::catalog_loop() {
@@ -106,7 +137,7 @@
             const bool news = types_.size() != types->size();
             types_ = std::move(*types);
             if (reign_) reign_->catalog(types_);
-            if (news) co_await keep_catalog();
+            if (news || !kept_catalog_) co_await keep_catalog();
         } else if (types_.empty()) {
             co_await recall_catalog();
         }
@@ -119,7 +150,9 @@
 // kept in the state service too.
 awaitable<void> Controller::keep_catalog() {
     auto kept = co_await store_.range(catalog_key, std::string(), state::Urgency::bookkeeping);
-    if (kept.outcome != state::Outcome::ok || kept_types(kept.items).size() == types_.size()) co_return;
+    if (kept.outcome != state::Outcome::ok) co_return;
+    kept_catalog_ = true;
+    if (kept_types(kept.items).size() == types_.size()) co_return;
     // In as many values as it takes.
     std::size_t n = 0;
     for (std::size_t at = 0; at < types_.size(); ++n) {
@@ -148,35 +181,10 @@
     if (reign_ && !types_.empty()) reign_->catalog(types_);
 }
 
-// Follows which jobs are cancelled, for the day on which workers reach this controller and no leader.
-awaitable<void> Controller::outcomes_loop() {
-    const std::string prefix = agent::over_prefix;
-    std::optional<std::uint64_t> revision;
-    for (;;) {
-        const auto began = Clock::now();
-        if (!revision) {
-            // No key comes after this one: the answer only tells where the service stands.
-            auto here = co_await store_.range(prefix, prefix + "~", state::Urgency::bookkeeping);
-            if (here.outcome == state::Outcome::ok) {
-                revision = here.revision;
-                caretaker_.lost_track(Clock::now());
-            }
-        } else {
-            auto seen = co_await store_.follow(prefix, *revision, 0ms);
-            if (seen.outcome == state::Outcome::too_old) revision.reset();
-            if (seen.outcome == state::Outcome::ok) {
-                revision = std::max(*revision, seen.revision);
-                caretaker_.watched(seen.events, began);
-            }
-        }
-        if (const auto next = began + watch_gap; next > Clock::now()) co_await net::sleep_for(next - Clock::now());
-    }
-}
-
 // No leader is heard, and none could be elected from here.
 bool Controller::leaderless() const {
     const auto now = Clock::now();
-    if (store_.healthy(now)) return false;
+    if (ports_.state.healthy(now)) return false;
     for (const auto& [member, peer] : peer_state_)
         if (peer.leading && now - peer.heard < 3s) return false;
     return true;
@@ -188,17 +196,23 @@
         b.member = settings_.member;
         b.leader = elector_.leader();
         b.term = elector_.term();
-        b.state_ok = store_.healthy(Clock::now());
+        b.state_ok = ports_.state.healthy(Clock::now());
         b.leading = elector_.leading();
-        b.writes = store_.take_write_demand();
+        b.writes = ports_.state.take_write_demand();
         b.knocks = std::exchange(knocks_, 0);
         b.format = static_cast<std::uint32_t>(form_.format());
         share_writes(b.writes);
         if (reign_)
             for (auto& [uid, c] : reign_->overseer().take_counts()) b.counts.push_back({uid, c.done, c.running});
-        peers_.tell(b);
+        const auto word = keeper_.own_word();
+        b.generation = word.generation;
+        b.history = word.id;
+        b.remembers = word.remembers;
+        b.rebuilding = word.rebuilding;
+        ports_.tell_peers(b);
         resign_if_deaf();
-        co_await net::sleep_for(1s);
+        // Until it is known whether anybody knows of a witness, nobody can be served.
+        co_await net::sleep_for(keeper_.ready() ? 1000ms : 100ms);
     }
 }
 
@@ -234,12 +248,13 @@
         const bool heard = it != peer_state_.end() && now - it->second.heard < 3s;
         all += heard ? it->second.writes : std::max(own, it == peer_state_.end() ? 0.0 : it->second.writes);
     }
-    store_.set_write_demand(own, all);
+    ports_.state.set_write_demand(own, all);
 }
 
 void Controller::received(const peer::Beat& beat) {
     elector_.heard(beat.term, beat.leader);
     form_.all_read(beat.format);
+    keeper_.heard(beat.member, {beat.generation, beat.remembers, beat.history, beat.rebuilding, {}});
     auto& peer = peer_state_[beat.member];
     peer = {Clock::now(), beat.state_ok, beat.leading, beat.writes, peer.knocks * knocks_kept + beat.knocks};
     if (counts_.size() > max_counts) counts_.clear();
@@ -250,12 +265,13 @@
 // share there is nobody better, and the load balancer takes back slowly what it has once removed.
 net::Reply Controller::ready() const {
     const auto now = Clock::now();
-    if (!store_.healthy(now))
+    if (!ports_.state.healthy(now))
         for (const auto& [member, heard] : peer_state_)
             if (heard.state_ok && now - heard.heard < 3s)
                 return reply(503, wire::error_body("the state service cannot be reached from here"));
     // Whoever takes turns with others in an upgrade is counted before it serves; in an outage nobody can be.
-    if (!members_.enrolled() && store_.healthy(now)) return reply(503, wire::error_body("not enrolled yet"));
+    if ((!members_.enrolled() || !keeper_.ready()) && ports_.state.healthy(now))
+        return reply(503, wire::error_body("not enrolled yet"));
     if (types_.empty()) return reply(503, wire::error_body("the machine types are not known yet"));
     return reply(200, "{\"ready\":true}");
 }
@@ -268,6 +284,23 @@
         co_return reply(400, wire::error_body(e.what()));
     }
     if (r.token > elector_.term()) elector_.heard(r.token, std::string());
+    // Between this leader's term and the one on record before it there was none, unless the records of one were lost.
+    if (elector_.leading() && r.token > term_.previous && r.token < term_.number)
+        keeper_.doubt("a worker has seen a term that is not on record");
+    if (elector_.leading() && !reign_) {
+        // A term that was just won begins in a moment.
+        for (auto waited = 0ms; waited < begin_wait && elector_.leading() && !reign_ && !keeper_.rebuilding();
+             waited += 50ms)
+            co_await net::sleep_for(50ms);
+        if (!reign_ && elector_.leading()) {
+            // The leases of workers are kept for as long as what is known of cancellations allows; what they show is
+            // missed if nobody remembers it.
+            keeper_.shown(r);
+            if (const auto orders = caretaker_.keep(r, Clock::now()))
+                co_return reply(200, wire::report_answer(term_.number, *orders));
+            co_return reply(503, wire::error_body("not entitled to answer now"));
+        }
+    }
     auto reign = reign_;
     if (!reign) {
         if (leaderless())
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -1,4 +1,5 @@
-// Wires the packages into one controller.
+// Wires the packages into one controller. What it is connected to comes from outside: the network (Node), or an
+// emulated world.
 #pragma once
 #include "agent/caretaker.hpp"
 #include "api/desk.hpp"
@@ -6,40 +7,58 @@
 #include "cloud/client.hpp"
 #include "election/members.hpp"
 #include "peer/link.hpp"
-#include "state/http_store.hpp"
+#include "recovery/keeper.hpp"
 
 namespace flintdale::app {
 
+struct Ports {
+    state::Service& state;
+    cloud::Cloud& cloud;
+    std::function<void(const peer::Beat&)> tell_peers;
+    std::function<std::int64_t()> time_of_day_ms;
+};
+
 class Controller {
   public:
-    Controller(net::asio::io_context& io, config::Settings settings, config::Tunables tunables);
+    Controller(net::Executor ex, const config::Settings& settings, const config::Tunables& tunables, state::Form& form,
+               Ports ports);
     void start();
 
-  private:
     awaitable<net::Reply> handle(net::Request request);
+    void received(const peer::Beat& beat);
+
+    bool leading() const { return elector_.leading(); }
+    const recovery::Keeper& keeper() const { return keeper_; }
+
+  private:
     awaitable<net::Reply> beat(std::string body);
     awaitable<void> catalog_loop();
     awaitable<void> peer_loop();
-    awaitable<void> outcomes_loop();
+    recovery::Keeper::Links keeper_links();
+    void begin_reign(election::Term term, bool unsettled);
+    void end_reign();
     bool leaderless() const;
     awaitable<void> keep_catalog();
     awaitable<void> recall_catalog();
     void share_writes(double own);
     void resign_if_deaf();
     net::Reply ready() const;
-    void received(const peer::Beat& beat);
 
     net::Executor ex_;
-    config::Settings settings_;
-    config::Tunables tunables_;
-    state::Form form_;
-    state::HttpStore store_;
-    cloud::HttpCloud cloud_;
+    const config::Settings& settings_;
+    const config::Tunables& tunables_;
+    state::Form& form_;
+    Ports ports_;
+    state::GuardedStore store_;
+    cloud::Cloud& cloud_;
     election::Elector elector_;
     election::Members members_;
     agent::Caretaker caretaker_;
+    recovery::Keeper keeper_;
     std::shared_ptr<Reign> reign_;
+    election::Term term_;  // the last that was won
     std::vector<wire::MachineType> types_;
+    bool kept_catalog_ = false;  // the machine types are on record, as far as is known
     std::unordered_map<std::string, api::DisplayCount> counts_;
     struct PeerState {
         wire::TimePoint heard{};
@@ -50,8 +69,6 @@
     std::unordered_map<std::string, PeerState> peer_state_;
     std::uint32_t knocks_ = 0;  // reports turned away to the leader since the last beat
     api::Desk desk_;
-    peer::Links peers_;
-    net::HttpServer server_;
 };
 
 }  // namespace flintdale::app
--- a/src/app/main/main.cpp
+++ b/src/app/main/main.cpp
@@ -5,7 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "app/controller.hpp"
+#include "app/node.hpp"
 
 namespace {
 
@@ -60,8 +60,8 @@
     set_up_log(settings.member);
     try {
         net::asio::io_context io(1);
-        app::Controller controller(io, std::move(settings), std::move(tunables));
-        controller.start();
+        app::Node node(io, std::move(settings), std::move(tunables));
+        node.start();
         spdlog::info("event=started");
         io.run();
     } catch (const std::exception& e) {
--- /dev/null
+++ b/src/app/node.cpp
@@ -0,0 +1,33 @@
+#include "app/node.hpp"
+
+namespace flintdale::app {
+
+namespace {
+std::int64_t time_of_day_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+}  // namespace
+
+Node::Node(net::asio::io_context& io, config::Settings settings, config::Tunables tunables)
+    : ex_(io.get_executor()),
+      settings_(std::move(settings)),
+      tunables_(std::move(tunables)),
+      form_(settings_),
+      store_(ex_, settings_, form_),
+      cloud_(ex_, settings_),
+      peers_(ex_, settings_, [this](const peer::Beat& b) { controller_.received(b); }),
+      controller_(ex_, settings_, tunables_, form_,
+                  {store_, cloud_, [this](const peer::Beat& b) { peers_.tell(b); }, time_of_day_ms}),
+      // Some sockets are needed for our own connections.
+      server_(ex_, settings_.listen.host, settings_.listen.port,
+              settings_.max_sockets - std::min<std::size_t>(settings_.max_sockets / 4, 64),
+              [this](net::Request request) { return controller_.handle(std::move(request)); }) {}
+
+void Node::start() {
+    server_.start();
+    peers_.start();
+    controller_.start();
+}
+
+}  // namespace flintdale::app
--- /dev/null
+++ b/src/app/node.hpp
@@ -0,0 +1,28 @@
+// One controller on the network: its connections to the state service, the cloud, the other controllers, and its
+// server.
+#pragma once
+#include "app/controller.hpp"
+#include "net/http_server.hpp"
+#include "peer/link.hpp"
+#include "state/http_store.hpp"
+
+namespace flintdale::app {
+
+class Node {
+  public:
+    Node(net::asio::io_context& io, config::Settings settings, config::Tunables tunables);
+    void start();
+
+  private:
+    net::Executor ex_;
+    config::Settings settings_;
+    config::Tunables tunables_;
+    state::Form form_;
+    state::HttpStore store_;
+    cloud::HttpCloud cloud_;
+    peer::Links peers_;
+    Controller controller_;
+    net::HttpServer server_;
+};
+
+}  // namespace flintdale::app
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "agent/lease_rule.hpp"
+#include "recovery/keeper.hpp"
 
 namespace flintdale::app {
 
@@ -26,7 +27,8 @@
 }  // namespace
 
 Reign::Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
-             const config::Tunables& tunables, const state::Form& form, election::Term term, Links links)
+             const config::Tunables& tunables, const state::Form& form, election::Term term, bool unsettled,
+             Links links)
     : ex_(ex),
       store_(store),
       cloud_(cloud),
@@ -38,7 +40,9 @@
       notebook_(form),
       commit_(ex),
       plan_(ex),
-      last_awake_(Clock::now()) {}
+      last_awake_(Clock::now()) {
+    if (unsettled) overseer_.distrust_records();
+}
 
 namespace {
 // Keeps the reign alive for as long as one of its loops runs.
@@ -64,6 +68,7 @@
     net::asio::co_spawn(ex_, run_loop(self, tidy_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, missing_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, notes_loop()), net::asio::detached);
+    if (overseer_.unsettled()) net::asio::co_spawn(ex_, run_loop(self, settle_loop()), net::asio::detached);
 }
 
 void Reign::stop() {
@@ -97,6 +102,7 @@
     if (!entitled(now)) co_return std::nullopt;
     const bool was_dirty = overseer_.dirty();
     auto orders = overseer_.report(r, now);
+    if (overseer_.loss_seen()) links_.loss("a worker holds an attempt that is not on record");
     if (!orders) co_return std::nullopt;
     if (overseer_.dirty()) {
         if (!was_dirty) commit_.notify();
@@ -171,7 +177,7 @@
     for (std::size_t at = 0; at < open.size(); at += most) {
         state::TxnResult result;
         do {
-            most = form_.limits().txn_ops * 4;  // which may fall from one try to the next
+            most = form_.conditions();  // which may fall from one try to the next
             state::Txn txn;
             for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
                 txn.conditions.push_back({agent::outcome_key(open[i]), 0});
@@ -331,6 +337,19 @@
     }
 }
 
+// Once all that may be on machines is known again, the leaders after this one need not ask.
+awaitable<void> Reign::settle_loop() {
+    while (!stopped_ && overseer_.unsettled()) co_await net::sleep_for(1s);
+    while (!stopped_) {
+        state::Txn txn;
+        txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
+        txn.changes.push_back({recovery::unsettled_key, std::nullopt, 0});
+        const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
+        if (result.outcome == Outcome::ok || result.outcome == Outcome::conflict) co_return;
+        co_await net::sleep_for(300ms);
+    }
+}
+
 // A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
 // remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
 awaitable<bool> Reign::still_leading() {
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -18,10 +18,11 @@
     struct Links {
         std::function<void()> doubt;  // the term's stamp may no longer hold
         std::function<std::int64_t()> time_of_day_ms;
+        std::function<void(const char* why)> loss;  // something shows that records were lost
     };
 
     Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
-          const config::Tunables& tunables, const state::Form& form, election::Term term, Links links);
+          const config::Tunables& tunables, const state::Form& form, election::Term term, bool unsettled, Links links);
 
     void start(const std::vector<wire::MachineType>& types);
     void stop();
@@ -56,6 +57,7 @@
     awaitable<void> tidy_loop();
     awaitable<void> missing_loop();
     awaitable<void> notes_loop();
+    awaitable<void> settle_loop();
     awaitable<void> return_machines();
     awaitable<bool> rent_machines();
     awaitable<void> reread(const std::vector<std::string>& keys);
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -4,7 +4,7 @@
 
 namespace flintdale::cloud {
 
-using std::chrono::steady_clock;
+using wire::Clock;
 
 namespace {
 constexpr std::chrono::milliseconds too_late{1500};
@@ -15,12 +15,12 @@
 
 awaitable<net::HttpAnswer> HttpCloud::call(net::http::verb verb, std::string target, std::string body) {
     // Evenly spaced, which keeps any window within the limit without counting on the burst.
-    const auto now = steady_clock::now();
+    const auto now = Clock::now();
     const auto at = std::max(now, next_);
     next_ = at + gap_;
     if (at > now) co_await net::sleep_for(at - now);
     // This process stood still meanwhile, and what the caller made sure of before may no longer hold.
-    if (steady_clock::now() - at > too_late) co_return net::HttpAnswer{};
+    if (Clock::now() - at > too_late) co_return net::HttpAnswer{};
     co_return co_await http_.request(verb, std::move(target), std::move(body), std::chrono::seconds(5));
 }
 
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -37,8 +37,8 @@
     awaitable<net::HttpAnswer> call(net::http::verb verb, std::string target, std::string body);
 
     net::HttpClient http_;
-    std::chrono::steady_clock::duration gap_;
-    std::chrono::steady_clock::time_point next_{};
+    wire::Clock::duration gap_;
+    wire::Clock::time_point next_{};
 };
 
 }  // namespace flintdale::cloud
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -229,6 +229,12 @@
         {"fleet.dear", amount_into(t.dear, 1, 1000)},
         {"fleet.sparse", amount_into(t.sparse, 1, 1000)},
         {"election.lease_s", seconds_into(t.election_lease, 0.5, 60)},
+        {"recovery.directory",
+         [&](const std::string& k, const std::string& v) {
+             if (!v.starts_with('/'))
+                 throw BadSetting(name + ": " + k + ": expected an absolute path, found \"" + v + '"');
+             t.snapshots = v;
+         }},
     };
     for (const auto& [section, entries] : tree) {
         if (entries.empty()) throw BadSetting(name + ": " + section + ": expected inside a [section]");
--- a/src/election/elector.cpp
+++ b/src/election/elector.cpp
@@ -34,12 +34,14 @@
 
 }  // namespace
 
-Elector::Elector(net::Executor ex, state::Store& store, std::string member, wire::Seconds lease, Events events)
+Elector::Elector(net::Executor ex, state::Store& store, std::string member, wire::Seconds lease, Events events,
+                 std::function<std::int64_t()> time_of_day_ms)
     : ex_(ex),
       store_(store),
       member_(std::move(member)),
       life_(std::chrono::duration_cast<std::chrono::milliseconds>(lease)),
       events_(std::move(events)),
+      time_of_day_ms_(std::move(time_of_day_ms)),
       wake_(ex) {}
 
 void Elector::depose(const char* why) {
@@ -116,6 +118,8 @@
     }
     lease_ = granted.lease;
     own_term_ = std::max(term_number(term), seen_term_) + 1;
+    if (time_of_day_ms_) own_term_ = std::max(own_term_, static_cast<std::uint64_t>(time_of_day_ms_()));
+    const bool gap = seen_term_ > term_number(term);
     state::Txn txn;
     txn.conditions.push_back({holder_key, holder.stamp});
     txn.conditions.push_back({term_key, term.stamp});
@@ -142,6 +146,8 @@
     Term won;
     won.number = own_term_;
     won.stamp = stamp;
+    won.previous = term_number(term);
+    won.gap = gap;
     events_.elected(won);
     co_return true;
 }
@@ -188,7 +194,9 @@
             co_await net::sleep_for(400ms);
             co_return std::nullopt;
         }
-        from = std::max(from, seen.revision);
+        // A service that was set back would never tell of a vacancy after that revision.
+        if (seen.revision < from) co_return std::nullopt;
+        from = seen.revision;
         for (std::size_t i = 0; i < seen.events.size(); ++i) {
             const auto& e = seen.events[i];
             if (e.key == term_key && !seen.deleted[i]) {
--- a/src/election/elector.hpp
+++ b/src/election/elector.hpp
@@ -15,6 +15,8 @@
 
 struct Term {
     std::uint64_t number = 0, stamp = 0;  // stamp of term_key: what every write of the leader is conditioned on
+    std::uint64_t previous = 0;           // the term that was on record before
+    bool gap = false;                     // a term was seen that is not on record: it was lost
 };
 
 class Elector {
@@ -24,7 +26,10 @@
         std::function<void()> deposed;
     };
 
-    Elector(net::Executor ex, state::Store& store, std::string member, wire::Seconds lease, Events events);
+    // `time_of_day_ms`, if given, keeps terms above every one that came before it, even if all records of terms are
+    // lost and nobody remembers them: each number is at least the time of day when it was claimed.
+    Elector(net::Executor ex, state::Store& store, std::string member, wire::Seconds lease, Events events,
+            std::function<std::int64_t()> time_of_day_ms = {});
 
     awaitable<void> run();
 
@@ -36,6 +41,8 @@
     // Gives the term up, so that another controller can win the next one: this one can renew its claim but not do the
     // work. It does not stand again for a while, unless nobody else does.
     void resign(const char* why);
+    // Ends the term, and claims the next one at once if nobody else does.
+    void again(const char* why) { depose(why); }
 
     bool leading() const { return leading_; }
     std::uint64_t term() const { return seen_term_; }
@@ -55,6 +62,7 @@
     std::string member_;
     std::chrono::milliseconds life_;
     Events events_;
+    std::function<std::int64_t()> time_of_day_ms_;
     net::Wakeup wake_;
     bool leading_ = false, doubted_ = false, resigned_ = false;
     wire::TimePoint abstains_until_{};
--- a/src/election/members.cpp
+++ b/src/election/members.cpp
@@ -40,6 +40,14 @@
     co_return result.outcome == Outcome::ok;
 }
 
+awaitable<void> Members::enroll_again() {
+    for (;;) {
+        const bool there = co_await enroll();
+        if (there) co_return;
+        co_await net::sleep_for(300ms);
+    }
+}
+
 awaitable<bool> Members::all_there() {
     const auto page = co_await store_.range(members_prefix, std::string(), Urgency::leadership);
     if (page.outcome != Outcome::ok) co_return false;
--- a/src/election/members.hpp
+++ b/src/election/members.hpp
@@ -16,6 +16,8 @@
     Members(state::Store& store, const config::Settings& settings, state::Form& form);
 
     awaitable<void> run();
+    // Puts this controller's key in place again, where it may have been lost.
+    awaitable<void> enroll_again();
     // Whether this controller's own key is there.
     bool enrolled() const { return enrolled_; }
 
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <string>
 
+#include "wire/types.hpp"
+
 namespace flintdale::net {
 
 namespace asio = boost::asio;
@@ -16,12 +18,24 @@
 using asio::awaitable;
 using Executor = asio::any_io_executor;
 
+// Timers by the same clock as everything else. Under an emulated time the reactor must not sleep: it looks at its timers
+// whenever it is polled.
+struct WaitTraits {
+    static wire::Clock::duration to_wait_duration(const wire::Clock::duration& d) {
+        return wire::Clock::emulated ? wire::Clock::duration(0) : d;
+    }
+    static wire::Clock::duration to_wait_duration(const wire::Clock::time_point& t) {
+        return to_wait_duration(t - wire::Clock::now());
+    }
+};
+using Timer = asio::basic_waitable_timer<wire::Clock, WaitTraits>;
+
 inline constexpr auto quietly = asio::experimental::as_tuple(asio::use_awaitable);
 
 // Waits; false if the wait was cancelled.
-inline awaitable<bool> sleep_for(std::chrono::steady_clock::duration d) {
+inline awaitable<bool> sleep_for(wire::Clock::duration d) {
     auto ex = co_await asio::this_coro::executor;
-    asio::steady_timer timer(ex);
+    Timer timer(ex);
     timer.expires_after(d);
     auto [ec] = co_await timer.async_wait(quietly);
     co_return !ec;
@@ -35,7 +49,7 @@
         pending_ = true;
         timer_.cancel();
     }
-    awaitable<void> wait(std::chrono::steady_clock::duration most) {
+    awaitable<void> wait(wire::Clock::duration most) {
         if (!pending_) {
             timer_.expires_after(most);
             auto [ec] = co_await timer_.async_wait(quietly);
@@ -45,7 +59,7 @@
     }
 
   private:
-    asio::steady_timer timer_;
+    Timer timer_;
     bool pending_ = false;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,7 +10,7 @@
 HttpClient::HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep)
     : ex_(ex), endpoint_(asio::ip::make_address(host), port), host_(host + ":" + std::to_string(port)), keep_(keep) {}
 
-awaitable<std::unique_ptr<HttpClient::Stream>> HttpClient::connect(std::chrono::steady_clock::duration limit) {
+awaitable<std::unique_ptr<HttpClient::Stream>> HttpClient::connect(wire::Clock::duration limit) {
     auto stream = std::make_unique<Stream>(ex_);
     stream->expires_after(limit);
     auto [ec] = co_await stream->async_connect(endpoint_, quietly);
@@ -21,11 +21,11 @@
 }
 
 awaitable<HttpAnswer> HttpClient::request(http::verb verb, std::string target, std::string body,
-                                          std::chrono::steady_clock::duration limit) {
-    const auto until = std::chrono::steady_clock::now() + limit;
+                                          wire::Clock::duration limit) {
+    const auto until = wire::Clock::now() + limit;
     HttpAnswer answer;
     std::unique_ptr<Stream> stream;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = wire::Clock::now();
     while (!idle_.empty() && !stream) {
         if (now - idle_.back().second < stale_after) stream = std::move(idle_.back().first);
         idle_.pop_back();
@@ -33,7 +33,7 @@
     bool reused = stream != nullptr;
     for (;;) {
         if (!stream) {
-            stream = co_await connect(until - std::chrono::steady_clock::now());
+            stream = co_await connect(until - wire::Clock::now());
             reused = false;
         }
         if (!stream) {
@@ -59,7 +59,7 @@
                 answer.body = std::move(parser.get().body());
                 if (parser.get().keep_alive() && idle_.size() < keep_) {
                     stream->expires_never();
-                    idle_.emplace_back(std::move(stream), std::chrono::steady_clock::now());
+                    idle_.emplace_back(std::move(stream), wire::Clock::now());
                 }
                 co_return answer;
             }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -18,18 +18,18 @@
     HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep = 8);
 
     awaitable<HttpAnswer> request(http::verb verb, std::string target, std::string body,
-                                  std::chrono::steady_clock::duration limit);
+                                  wire::Clock::duration limit);
 
   private:
     using Stream = beast::tcp_stream;
 
-    awaitable<std::unique_ptr<Stream>> connect(std::chrono::steady_clock::duration limit);
+    awaitable<std::unique_ptr<Stream>> connect(wire::Clock::duration limit);
 
     Executor ex_;
     tcp::endpoint endpoint_;
     std::string host_;
     std::size_t keep_;
-    std::vector<std::pair<std::unique_ptr<Stream>, std::chrono::steady_clock::time_point>> idle_;
+    std::vector<std::pair<std::unique_ptr<Stream>, wire::Clock::time_point>> idle_;
 };
 
 }  // namespace flintdale::net
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -31,6 +31,10 @@
     b.setWrites(beat.writes);
     b.setKnocks(beat.knocks);
     b.setFormat(beat.format);
+    b.setGeneration(beat.generation);
+    b.setHistory(beat.history);
+    b.setRemembers(beat.remembers);
+    b.setRebuilding(beat.rebuilding);
     const auto n = std::min(beat.counts.size(), max_counts);
     auto counts = b.initCounts(static_cast<unsigned>(n));
     for (unsigned i = 0; i < n; ++i) {
@@ -58,6 +62,10 @@
         beat.writes = b.getWrites();
         beat.knocks = b.getKnocks();
         beat.format = b.getFormat();
+        beat.generation = b.getGeneration();
+        beat.history = b.getHistory().cStr();
+        beat.remembers = b.getRemembers();
+        beat.rebuilding = b.getRebuilding();
         for (const auto c : b.getCounts()) beat.counts.push_back({c.getUid().cStr(), c.getDone(), c.getRunning()});
         return beat;
     } catch (const kj::Exception& e) {
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -22,6 +22,9 @@
     double writes = 0;         // to the state service, that it lately asked for
     std::uint32_t knocks = 0;  // reports that it turned away to the leader since its last message
     std::uint32_t format = 0;  // that it knows every controller to read
+    // What it remembers of the records of jobs: see recovery::Keeper.
+    std::uint64_t generation = 0, remembers = 0, rebuilding = 0;
+    std::string history;
     std::vector<Count> counts;
 };
 
--- /dev/null
+++ b/src/recovery/keeper.cpp
@@ -0,0 +1,819 @@
+#include "recovery/keeper.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "agent/job.hpp"
+#include "wire/archive.hpp"
+
+namespace flintdale::recovery {
+
+using namespace std::chrono_literals;
+using state::Outcome;
+using state::Urgency;
+using wire::Clock;
+using Look = Keeper::Links::Look;
+
+namespace {
+
+constexpr auto look_gap = 1000ms;     // between two looks at what changed
+constexpr auto check_gap = 5s;        // between two looks at the witness while nothing points to a loss
+constexpr auto try_again = 300ms;     // after a request that was refused or had no answer
+constexpr auto stand_gap = 250ms;     // while somebody else rebuilds
+constexpr auto first_wait = 6s;       // for the peers' word that they know of no witness either
+constexpr auto peer_fresh = 3s;       // a peer that was heard so lately is waited for
+constexpr auto offers_at_least = 3s;  // that all others are waited for, heard or not
+constexpr auto offers_at_most = 20s;
+constexpr auto shelve_gap = 30s;
+constexpr auto owed_gap = 2s;
+constexpr std::size_t max_shown = 20'000;
+constexpr std::uint64_t owed_stamp = 1;  // older than anything that has its place
+constexpr std::size_t first_page = 256;  // records; fewer where a value cannot hold them
+
+bool is_outcome(const std::string& key) { return key.starts_with(agent::over_prefix); }
+
+std::uint64_t number(const boost::json::object& o, std::string_view field) {
+    const auto* v = o.if_contains(field);
+    return v && v->is_number() ? v->to_number<std::uint64_t>() : 0;
+}
+
+// What comes back first: cancellations, then work in the order of its rank, then the outcomes of what is done.
+int order_of(const std::string& key, const boost::json::value& value) {
+    const auto* o = value.if_object();
+    if (is_outcome(key)) {
+        const auto* state = o ? o->if_contains("state") : nullptr;
+        return state && *state == boost::json::string(wire::job_state_name(wire::JobState::cancelled)) ? 0 : 9;
+    }
+    const auto* spec = o ? o->if_contains("spec") : nullptr;
+    if (!spec) return 5;
+    try {
+        return 4 - static_cast<int>(wire::spec_from_record(spec->as_object()).rank);
+    } catch (const std::exception&) {
+        return 5;
+    }
+}
+
+}  // namespace
+
+Keeper::Keeper(net::Executor ex, state::Store& raw, state::GuardedStore& guarded, const config::Settings& settings,
+               const state::Form& form, Shelf shelf, Links links)
+    : raw_(raw),
+      guarded_(guarded),
+      settings_(settings),
+      form_(form),
+      shelf_(std::move(shelf)),
+      links_(std::move(links)),
+      wake_(ex),
+      began_(Clock::now()) {}
+
+void Keeper::leads(election::Term term) {
+    term_ = term;
+    begun_ = false;
+    wake_.notify();
+}
+
+void Keeper::deposed() {
+    term_.reset();
+    begun_ = false;
+    wake_.notify();
+}
+
+void Keeper::doubt(std::string why) {
+    if (rebuilding_) return;
+    guarded_.close();
+    if (!doubt_) {
+        spdlog::error("event=loss_suspected why=\"{}\"", why);
+        doubt_ = std::move(why);
+    }
+    wake_.notify();
+}
+
+void Keeper::heard(const std::string& member, PeerWord word) {
+    word.heard = Clock::now();
+    if (word.rebuilding > (known_ ? known_->generation : 0) && !rebuilding_) {
+        recheck_ = true;
+        wake_.notify();
+    }
+    peers_[member] = std::move(word);
+}
+
+Keeper::PeerWord Keeper::own_word() const {
+    PeerWord w;
+    w.generation = memory_.generation();
+    w.id = memory_.id();
+    w.remembers = memory_.revision();
+    w.rebuilding = rebuilding_ ? newest_generation() : 0;
+    return w;
+}
+
+void Keeper::shown(const wire::WorkerReport& report) {
+    if (shown_.size() > max_shown) return;
+    for (const auto& t : report.tasks) shown_.insert(t.id.uid);
+}
+
+// --- the witness ---
+
+awaitable<void> Keeper::run() {
+    if (const auto kept = shelf_.newest()) {
+        memory_.recall(*kept);
+        spdlog::info("event=snapshot_read records={} generation={} revision={}", kept->records.size(), kept->generation,
+                     kept->revision);
+    }
+    for (;;) {
+        const auto got = co_await raw_.get(state::witness_key, Urgency::leadership);
+        if (got.outcome != Outcome::ok) {
+            co_await wake_.wait(try_again);
+            continue;
+        }
+        checked_at_ = Clock::now();
+        recheck_ = false;
+        const auto witness = state::parse_witness(got.item);
+        // What was doubted is settled once somebody rebuilds, or has.
+        if (witness && (!witness->whole() || (known_ && witness->generation > known_->generation))) doubt_.reset();
+        if (!witness) {
+            guarded_.close();
+            if (got.item.stamp)
+                co_await declare(got.item.stamp, 0);
+            else
+                co_await without_witness();
+        } else if (!witness->whole()) {
+            co_await stand_by(*witness);
+        } else if (outdated(*witness)) {
+            co_await declare(witness->stamp, witness->generation);
+        } else {
+            co_await attend(*witness);
+        }
+    }
+}
+
+std::uint64_t Keeper::newest_generation() const {
+    auto newest = std::max(known_ ? known_->generation : 0, memory_.generation());
+    if (former_) newest = std::max(newest, former_->generation());
+    for (const auto& [member, word] : peers_) newest = std::max(newest, word.generation);
+    return newest;
+}
+
+// Whether somebody remembers a history that this witness, read just now, cannot be of. What was heard may be older than
+// the witness: then it is of an older generation. And whatever is concluded is written on the condition that the
+// witness still stands.
+bool Keeper::outdated(const Witness& w) const {
+    const auto newer = [&](std::uint64_t generation, const std::string& id) {
+        return generation > w.generation || (generation == w.generation && !id.empty() && id != w.id);
+    };
+    if (known_ && newer(known_->generation, known_->id)) return true;
+    if (newer(memory_.generation(), memory_.id())) return true;
+    for (const auto& [member, word] : peers_)
+        if (newer(word.generation, word.id)) return true;
+    return doubt_.has_value();
+}
+
+// On a service that never had a witness one may be made: at the first start of all, or when the first controller of a
+// version comes that knows of it. A service that lost its witness looks the same, so nobody makes one before the others
+// have said that they know of none either, or long enough have said nothing.
+bool Keeper::may_create() const {
+    if (Clock::now() - began_ > first_wait) return true;
+    return std::all_of(settings_.peers.begin(), settings_.peers.end(),
+                       [&](const auto& peer) { return peers_.contains(peer.member); });
+}
+
+awaitable<void> Keeper::without_witness() {
+    if (newest_generation() > 0 || doubt_) {
+        if (!doubt_) doubt_ = "the witness is gone";
+        co_await declare(0, 0);
+        co_return;
+    }
+    if (!may_create()) {
+        co_await wake_.wait(50ms);
+        co_return;
+    }
+    Witness w;
+    w.generation = 1;
+    w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
+    const auto stamp = co_await put(w, {});
+    if (stamp)
+        spdlog::info("event=witness_made id={}", w.id);
+    else
+        co_await wake_.wait(try_again);
+}
+
+// Puts the witness in place of the one with its stamp. The new stamp, or 0: then it has to be read again.
+awaitable<std::uint64_t> Keeper::put(const Witness& w, std::vector<state::Change> with) {
+    state::Txn txn;
+    if (w.term)
+        txn.conditions = leading_conditions(w);
+    else
+        txn.conditions.push_back({state::witness_key, w.stamp});
+    txn.changes = std::move(with);
+    txn.changes.push_back({state::witness_key, state::witness_record(w), 0});
+    const auto r = co_await raw_.commit(std::move(txn), Urgency::leadership);
+    co_return r.outcome == Outcome::ok ? r.revision : 0;
+}
+
+std::vector<state::Condition> Keeper::leading_conditions(const Witness& w) const {
+    std::vector<state::Condition> out;
+    out.push_back({state::witness_key, w.stamp});
+    // Without a term of its own nobody rebuilds; the condition that cannot hold says so.
+    out.push_back({election::term_key, term_ ? term_->stamp : 0});
+    return out;
+}
+
+// From now on nobody relies on the records, on this controller or any other, until one has rebuilt them.
+awaitable<void> Keeper::declare(std::uint64_t over, std::uint64_t generation) {
+    guarded_.close();
+    rebuilding_ = true;
+    Witness w;
+    w.generation = std::max(newest_generation(), generation) + 1;
+    w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
+    w.phase = Witness::Phase::merging;
+    w.stamp = over;
+    const auto stamp = co_await put(w, {});
+    if (stamp) doubt_.reset();
+    if (stamp)
+        spdlog::error("event=loss_declared generation={}", w.generation);
+    else
+        co_await wake_.wait(try_again);
+}
+
+// --- while the records are whole ---
+
+awaitable<void> Keeper::attend(Witness w) {
+    const bool news = !known_ || known_->generation != w.generation || known_->id != w.id;
+    if (news) {
+        // What is owed counts as on record, so it must be known before anybody is answered.
+        Memory next;
+        next.begin(w.generation, w.id, 0);
+        const bool read = co_await read_owed(next);
+        if (!read) {
+            co_await wake_.wait(try_again);
+            co_return;
+        }
+        std::swap(next, memory_);
+        if (next.size() && next.id() != w.id) former_ = std::move(next);
+        if (known_ || rebuilding_) {
+            spdlog::info("event=records_whole generation={} seconds={:.1f}", w.generation,
+                         wire::Seconds(Clock::now() - rebuild_began_).count());
+            links_.rebuilt();
+        }
+        following_ = false;
+        fill_at_.reset();
+        led_ = saw_ = 0;
+        shown_.clear();
+        rebuild_began_ = {};
+    }
+    known_ = w;
+    rebuilding_ = false;
+    if (doubt_) co_return;
+    guarded_.open(w.stamp);
+    auto next_look = Clock::now();
+    auto next_owed = next_look + owed_gap;
+    while (!doubt_ && !recheck_ && Clock::now() - checked_at_ < check_gap) {
+        if (term_ && !begun_) {
+            const bool confirmed = co_await confirm(w);
+            if (!confirmed) co_return;
+        }
+        if (Clock::now() >= next_look) {
+            next_look = Clock::now() + look_gap;
+            co_await look();
+            if (doubt_) break;
+            co_await fill();
+            if (shelf_.in_use()) shelve();
+        }
+        if (begun_ && !owed_.empty() && Clock::now() >= next_owed) {
+            next_owed = Clock::now() + owed_gap;
+            co_await pay_back();
+        }
+        if (begun_ && std::exchange(clear_offers_, false)) co_await remove_all(offers_prefix, leading_conditions(w));
+        if (term_ && !begun_) continue;
+        const auto rest = std::min(next_look - Clock::now(), Clock::duration(look_gap));
+        if (rest > 0ms) co_await wake_.wait(rest);
+    }
+}
+
+// A term may go by the records once the witness was seen after it was won: whatever is lost later takes the term's own
+// stamp with it, or shows in a revision that went back.
+awaitable<bool> Keeper::confirm(const Witness& w) {
+    const auto term = *term_;
+    const auto got = co_await raw_.range(state::witness_key, std::string(), Urgency::leadership);
+    if (got.outcome != Outcome::ok) {
+        co_await wake_.wait(100ms);
+        co_return !doubt_;
+    }
+    bool same = false, unsettled = false;
+    for (const auto& item : got.items) {
+        same = same || (item.key == state::witness_key && item.stamp == w.stamp);
+        unsettled = unsettled || item.key == unsettled_key;
+    }
+    if (!same) co_return false;
+    if (!term_ || term_->number != term.number || doubt_) co_return true;
+    begun_ = true;
+    led_ = term.number;
+    saw_ = std::max(saw_, led_);
+    links_.begin(term, unsettled);
+    co_return true;
+}
+
+// Follows the records: for the memory, and for whoever must know of cancellations.
+awaitable<void> Keeper::look() {
+    const auto began = Clock::now();
+    if (!following_) {
+        // No key comes after this one: the answer only tells where the service stands.
+        const auto here =
+            co_await raw_.range(agent::jobs_prefix, std::string(agent::jobs_prefix) + "~", Urgency::bookkeeping);
+        if (here.outcome != Outcome::ok) co_return;
+        const auto so_far = memory_.source("so far");
+        memory_.begin(known_->generation, known_->id, here.revision);
+        // What is owed, and what this controller has written meanwhile.
+        for (const auto& [key, record] : so_far.records)
+            memory_.written({key, boost::json::parse(record.text), 0}, record.stamp);
+        following_ = true;
+        fill_at_ = std::string();
+        links_.outcomes({}, began, Look::after_a_gap);
+        co_return;
+    }
+    std::uint64_t remembered = memory_.revision();
+    for (const auto& [member, word] : peers_)
+        if (word.generation == memory_.generation() && word.id == memory_.id())
+            remembered = std::max(remembered, word.remembers);
+    auto seen = co_await raw_.follow(agent::jobs_prefix, memory_.revision(), 0ms);
+    if (seen.outcome == Outcome::too_old) {
+        following_ = false;
+        co_return;
+    }
+    if (seen.outcome != Outcome::ok) co_return;
+    if (seen.revision < remembered) {
+        doubt("its revisions went back");
+        co_return;
+    }
+    if (const auto oddity = memory_.told(seen)) {
+        doubt("removed by nobody: " + *oddity);
+        co_return;
+    }
+    // The highest term that may have placed anything by these records.
+    saw_ = std::max(saw_, links_.seen_term());
+    std::vector<Item> outcomes;
+    for (std::size_t i = 0; i < seen.events.size(); ++i)
+        if (!seen.deleted[i] && is_outcome(seen.events[i].key)) outcomes.push_back(std::move(seen.events[i]));
+    links_.outcomes(outcomes, began, Look::changes);
+}
+
+// What was on record before, a page each time: it is not needed at once.
+awaitable<void> Keeper::fill() {
+    if (!fill_at_) co_return;
+    const auto page = co_await raw_.range(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
+    if (page.outcome != Outcome::ok || !fill_at_) co_return;
+    memory_.page(page.items);
+    if (page.more && !page.items.empty()) {
+        fill_at_ = page.items.back().key;
+        co_return;
+    }
+    fill_at_.reset();
+    memory_.filled();
+    spdlog::info("event=remembers records={} generation={} revision={}", memory_.size(), memory_.generation(),
+                 memory_.revision());
+    if (former_) co_await add_late();
+}
+
+// This controller may have been out of reach while another rebuilt. What it alone had accepted or cancelled is put on
+// record now; nobody else can have answered otherwise, for nobody else knew of it.
+awaitable<void> Keeper::add_late() {
+    const auto former = former_->source("former");
+    former_.reset();
+    std::size_t added = 0, lost = 0;
+    for (const auto& [key, record] : former.records) {
+        const auto work = agent::parse_work_key(key);
+        const auto uid = work ? work->uid : key.substr(std::string_view(agent::over_prefix).size());
+        const auto present = memory_.outcome_of(uid);
+        const bool cancelled = is_outcome(key) && present && present->state == wire::JobState::open;
+        if (present && !cancelled) continue;
+        auto value = boost::json::parse(record.text);
+        if (work) {
+            // A job that was placed since is on machines that only its last leader knew of.
+            const auto* tasks = value.as_object().if_contains("tasks");
+            if (!work->first() || !tasks || !tasks->as_array().empty() || value.as_object().contains("cut")) {
+                lost += work->first();
+                continue;
+            }
+        }
+        state::Txn txn;
+        txn.conditions.push_back({agent::outcome_key(uid), 0});
+        if (!cancelled) txn.conditions.push_back({agent::work_key(uid, 0), 0});
+        txn.changes.push_back({key, std::move(value), 0});
+        const auto r = co_await guarded_.commit(std::move(txn), Urgency::user);
+        added += r.outcome == Outcome::ok;
+        if (doubt_) co_return;
+    }
+    if (added || lost) spdlog::info("event=remembered_late added={} lost={}", added, lost);
+}
+
+awaitable<bool> Keeper::read_owed(Memory& memory) {
+    owed_.clear();
+    const auto items = co_await read_all(owed_prefix);
+    if (!items) co_return false;
+    for (const auto& item : *items) try {
+            auto& uids = owed_[item.key];
+            for (const auto& r : wire::decode_archive_text(std::string_view(item.value.as_string()))) {
+                memory.written({r.key, boost::json::parse(r.text), 0}, owed_stamp);
+                uids.push_back(r.key.substr(std::string_view(agent::over_prefix).size()));
+            }
+        } catch (const std::exception& e) {
+            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+        }
+    co_return true;
+}
+
+// Outcomes go back to their places when nobody else has anything to write, and then their page may go.
+awaitable<void> Keeper::pay_back() {
+    auto page = owed_.begin();
+    const auto witness = *known_;
+    auto& uids = page->second;
+    while (!uids.empty() && !doubt_ && term_ && begun_) {
+        state::Txn txn;
+        const auto most = std::min(raw_.write_portion(), form_.limits().txn_ops);
+        std::size_t taken = 0;
+        for (; taken < uids.size() && txn.changes.size() < most; ++taken) {
+            const auto key = agent::outcome_key(uids[uids.size() - 1 - taken]);
+            const auto record = memory_.record(key);
+            if (!record || record->stamp > owed_stamp) continue;  // it has its place already
+            txn.conditions.push_back({key, 0});
+            txn.changes.push_back({key, boost::json::parse(record->text), 0});
+        }
+        if (!txn.changes.empty()) {
+            for (const auto& c : leading_conditions(witness))
+                if (c.key == election::term_key) txn.conditions.push_back(c);
+            const auto r = co_await guarded_.commit(std::move(txn), Urgency::leftover);
+            if (r.outcome == Outcome::conflict) {
+                recheck_ = true;  // somebody else's are there: they are told by the next look
+                co_return;
+            }
+            if (r.outcome != Outcome::ok) co_return;
+        }
+        uids.resize(uids.size() - taken);
+        if (Clock::now() - checked_at_ > look_gap) break;
+    }
+    if (!uids.empty() || !term_ || !begun_ || doubt_) co_return;
+    state::Txn txn;
+    txn.conditions = leading_conditions(witness);
+    txn.changes.push_back({page->first, std::nullopt, 0});
+    const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
+    if (r.outcome == Outcome::ok) owed_.erase(owed_.begin());
+    if (owed_.empty()) spdlog::info("event=outcomes_back generation={}", witness.generation);
+}
+
+void Keeper::shelve() {
+    const auto now = Clock::now();
+    if (!memory_.whole() || now - shelved_at_ < shelve_gap) return;
+    shelved_at_ = now;
+    shelf_.put(memory_.source("memory"));
+}
+
+// --- while they are not ---
+
+awaitable<void> Keeper::stand_by(Witness w) {
+    guarded_.close();
+    if (!rebuilding_ || rebuild_began_ == wire::TimePoint{}) {
+        rebuild_began_ = Clock::now();
+        spdlog::error("event=records_lost generation={} remembers={} revision={}", w.generation, memory_.size(),
+                      memory_.revision());
+    }
+    rebuilding_ = true;
+    if (term_) {
+        const bool its_own = w.by == settings_.member && w.term == term_->number;
+        if (!begun_ && (its_own || term_->stamp > w.stamp)) {
+            co_await rebuild(w);
+            co_return;
+        }
+        links_.new_term("the state service lost data");
+    } else if (w.phase == Witness::Phase::merging && !w.by.empty() && offered_to_ != w.stamp) {
+        const bool offered = co_await offer(w);
+        if (offered) offered_to_ = w.stamp;
+    }
+    co_await wake_.wait(stand_gap);
+}
+
+std::vector<Source> Keeper::own_sources(const std::string& of, std::uint64_t remembers) const {
+    std::vector<Source> out;
+    for (const auto* memory : {&memory_, former_ ? &*former_ : nullptr}) {
+        if (!memory || !memory->generation()) continue;
+        const bool partly = !of.empty() && memory->id() == of;
+        out.push_back(memory->source(settings_.member, partly ? remembers : 0));
+    }
+    return out;
+}
+
+// Pages of text that a value can hold, as keys and values.
+std::vector<std::pair<std::string, std::string>> Keeper::pages(const std::string& prefix, const Source& source) const {
+    std::vector<wire::ArchivedRecord> records;
+    for (const auto& [key, record] : source.records) records.push_back({key, record.stamp, record.text});
+    std::vector<std::pair<std::string, std::string>> out;
+    std::size_t per_page = first_page;
+    for (std::size_t at = 0; at < records.size();) {
+        auto count = std::min(per_page, records.size() - at);
+        auto text = wire::encode_archive_text({records.data() + at, count});
+        while (count > 1 && !form_.fits(boost::json::string(text))) {
+            count = per_page = (count + 1) / 2;
+            text = wire::encode_archive_text({records.data() + at, count});
+        }
+        at += count;
+        out.emplace_back(prefix + std::to_string(out.size()), std::move(text));
+    }
+    return out;
+}
+
+// What this controller remembers and the rebuilder may not, page by page, and then a key that says so.
+awaitable<bool> Keeper::offer(const Witness& w) {
+    const std::string mine = offers_prefix + settings_.member;
+    boost::json::array sources;
+    for (const auto& source : own_sources(w.of, w.remembers)) {
+        const auto prefix = mine + "/" + std::to_string(sources.size()) + ".";
+        const auto all = pages(prefix, source);
+        for (const auto& [key, text] : all) {
+            state::Txn txn;
+            txn.conditions.push_back({state::witness_key, w.stamp});
+            txn.changes.push_back({key, boost::json::string(text), 0});
+            const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
+            if (r.outcome != Outcome::ok) co_return false;
+        }
+        sources.push_back(boost::json::object{{"generation", source.generation},
+                                              {"id", source.id},
+                                              {"revision", source.revision},
+                                              {"whole", source.whole},
+                                              {"pages", all.size()}});
+        spdlog::info("event=offered records={} pages={} revision={}", source.records.size(), all.size(),
+                     source.revision);
+    }
+    state::Txn txn;
+    txn.conditions.push_back({state::witness_key, w.stamp});
+    boost::json::object header{{"for", w.stamp}, {"led", led_}, {"saw", saw_}, {"sources", std::move(sources)}};
+    txn.changes.push_back({mine, std::move(header), 0});
+    const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
+    co_return r.outcome == Outcome::ok;
+}
+
+// The offers that were made for this witness; nothing while one is still to be waited for.
+std::optional<Keeper::Gathered> Keeper::read_offers(const Witness& w, const std::vector<Item>& items,
+                                                    bool last_call) const {
+    Gathered out;
+    out.sources = own_sources({}, 0);
+    std::map<std::string, const Item*> by_key;
+    for (const auto& item : items) by_key[item.key] = &item;
+    auto saw = saw_;
+    std::set<std::uint64_t> led{led_};
+    for (const auto& peer : settings_.peers) {
+        const auto it = by_key.find(offers_prefix + peer.member);
+        const auto* header = it == by_key.end() ? nullptr : it->second->value.if_object();
+        if (!header || number(*header, "for") != w.stamp) {
+            const auto word = peers_.find(peer.member);
+            const bool there = word != peers_.end() && Clock::now() - word->second.heard < peer_fresh;
+            if (!last_call && (there || Clock::now() - rebuild_began_ < offers_at_least)) return std::nullopt;
+            spdlog::error("event=offer_missing member={} heard={}", peer.member, there);
+            out.all_there = false;
+            continue;
+        }
+        saw = std::max(saw, number(*header, "saw"));
+        led.insert(number(*header, "led"));
+        std::size_t k = 0;
+        for (const auto& entry : header->at("sources").as_array()) {
+            const auto& o = entry.as_object();
+            Source s;
+            s.from = peer.member;
+            s.generation = number(o, "generation");
+            s.id = std::string(o.at("id").as_string());
+            s.revision = number(o, "revision");
+            s.whole = o.at("whole").as_bool();
+            for (std::uint64_t n = 0; n < number(o, "pages"); ++n) {
+                const auto page = by_key.find(it->first + "/" + std::to_string(k) + "." + std::to_string(n));
+                try {
+                    if (page == by_key.end()) throw wire::BadBody("missing");
+                    for (auto& r : wire::decode_archive_text(std::string_view(page->second->value.as_string())))
+                        s.records.emplace(std::move(r.key), Record{r.stamp, std::move(r.text)});
+                } catch (const std::exception& e) {
+                    spdlog::error("event=offer_unreadable member={} page={} why=\"{}\"", peer.member, n, e.what());
+                    s.whole = false;
+                }
+            }
+            out.sources.push_back(std::move(s));
+            ++k;
+        }
+    }
+    out.placements_known = saw > 0 && led.contains(saw);
+    return out;
+}
+
+awaitable<std::optional<Keeper::Gathered>> Keeper::gather(const Witness& w) {
+    const auto until = Clock::now() + offers_at_most;
+    for (;;) {
+        const bool last_call = Clock::now() >= until;
+        const auto items = co_await read_all(offers_prefix);
+        if (!term_) co_return std::nullopt;
+        if (items)
+            if (auto all = read_offers(w, *items, last_call)) co_return all;
+        co_await wake_.wait(stand_gap);
+    }
+}
+
+awaitable<std::optional<std::vector<state::Item>>> Keeper::read_all(std::string prefix) {
+    std::vector<Item> out;
+    std::string after;
+    for (int tries = 0; tries < 40;) {
+        auto page = co_await raw_.range(prefix, after, Urgency::leadership);
+        if (page.outcome != Outcome::ok) {
+            ++tries;
+            co_await net::sleep_for(try_again);
+            continue;
+        }
+        for (auto& item : page.items) out.push_back(std::move(item));
+        if (!page.more || page.items.empty()) co_return std::optional(std::move(out));
+        after = out.back().key;
+    }
+    co_return std::nullopt;
+}
+
+awaitable<std::optional<Keeper::Present>> Keeper::present() {
+    auto items = co_await read_all(agent::jobs_prefix);
+    if (!items) co_return std::nullopt;
+    Present out;
+    out.source.from = "state service";
+    for (const auto& item : *items) {
+        out.stamps[item.key] = item.stamp;
+        out.source.records.emplace(item.key, Record{item.stamp, boost::json::serialize(item.value)});
+    }
+    co_return std::optional(std::move(out));
+}
+
+awaitable<void> Keeper::rebuild(Witness w) {
+    const auto term = term_->number;
+    const auto still = [&] { return term_ && term_->number == term; };
+    if (rebuild_began_ == wire::TimePoint{}) rebuild_began_ = Clock::now();
+    // 1. Say who rebuilds, and up to where this controller itself remembers.
+    w.phase = Witness::Phase::merging;
+    w.by = settings_.member;
+    w.term = term;
+    w.of = memory_.whole() ? memory_.id() : std::string();
+    w.remembers = memory_.revision();
+    const auto first = co_await put(w, {});
+    if (!first) {
+        co_await wake_.wait(try_again);
+        co_return;
+    }
+    w.stamp = first;
+    spdlog::info("event=rebuilding generation={} term={} remembers={} revision={}", w.generation, term, memory_.size(),
+                 memory_.revision());
+    // 2. What everybody remembers, and what the service still has.
+    const auto gathered = co_await gather(w);
+    if (!gathered || !still()) co_return;
+    auto there = co_await present();
+    if (!there || !still()) co_return;
+    const auto merged = merge(gathered->sources, there->source);
+    for (const auto& doubt : merged.doubts) spdlog::error("event=record_lost what=\"{}\"", doubt);
+    // Nobody can cancel anything before the records are whole again, so if all have told, all cancellations are known.
+    std::vector<Item> outcomes;
+    for (const auto& [key, text] : merged.records)
+        if (is_outcome(key)) {
+            Item item;
+            item.key = key;
+            item.value = boost::json::parse(text);
+            item.stamp = 1;
+            outcomes.push_back(std::move(item));
+        }
+    links_.outcomes(outcomes, Clock::now(), gathered->all_there ? Look::all : Look::changes);
+    // 3. Write it back.
+    w.phase = Witness::Phase::restoring;
+    const auto second = co_await put(w, {});
+    if (!second || !still()) co_return;
+    w.stamp = second;
+    const bool restored = co_await restore(w, merged, std::move(*there));
+    if (!restored || !still()) co_return;
+    // 4. Open again.
+    std::size_t missed = 0;
+    for (const auto& uid : shown_)
+        if (!merged.records.contains(agent::outcome_key(uid)) && !merged.records.contains(agent::work_key(uid, 0))) {
+            ++missed;
+            spdlog::error("event=job_lost job={} why=\"a worker shows it, and nobody remembers it\"", uid);
+        }
+    w.phase = Witness::Phase::whole;
+    std::vector<state::Change> with;
+    if (!gathered->placements_known)
+        with.push_back({unsettled_key, boost::json::object{{"generation", w.generation}}, 0});
+    const auto last = co_await put(w, std::move(with));
+    if (!last) co_return;
+    spdlog::info("event=rebuilt generation={} records={} sources={} lost={} placements_known={}", w.generation,
+                 merged.records.size(), gathered->sources.size(), missed + merged.doubts.size(),
+                 gathered->placements_known);
+    clear_offers_ = true;
+}
+
+awaitable<bool> Keeper::restore(const Witness& w, const Merged& merged, Present there) {
+    std::vector<std::pair<int, state::Change>> missing;
+    Source owed;
+    for (const auto& [key, text] : merged.records) {
+        const auto kept = there.source.records.find(key);
+        auto value = boost::json::parse(text);
+        if (kept != there.source.records.end()) {
+            boost::system::error_code ec;
+            if (const auto now = boost::json::parse(kept->second.text, ec); !ec && now == value) continue;
+        }
+        const auto order = order_of(key, value);
+        // An outcome that says done is needed by those who ask for it only: it comes back in pages, and later in its
+        // place. One that is there and differs is put right at once, and so is one whose job looks open: a service that
+        // was set back shows work that had been removed.
+        const auto uid = key.substr(key.rfind('/') + 1);
+        if (order == 9 && kept == there.source.records.end() && !there.source.records.contains(agent::work_key(uid, 0)))
+            owed.records.emplace(key, Record{1, text});
+        else
+            missing.emplace_back(order, state::Change{key, std::move(value), 0});
+    }
+    std::stable_sort(missing.begin(), missing.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    spdlog::info("event=restoring records={} owed={}", missing.size(), owed.records.size());
+    std::vector<state::Change> changes;
+    const auto flush = [&] { return std::exchange(changes, {}); };
+    for (std::size_t i = 0; i < missing.size(); ++i) {
+        changes.push_back(std::move(missing[i].second));
+        const auto most = std::min<std::size_t>({raw_.write_portion(), form_.limits().txn_ops, 24});
+        std::size_t bytes = 0;
+        for (const auto& c : changes) bytes += state::Form::size_of(*c.value);
+        if (i + 1 < missing.size() && changes.size() < most && bytes < 30'000) continue;
+        auto batch = flush();
+        const bool put = co_await put_back(w, std::move(batch), there.stamps);
+        if (!put) co_return false;
+    }
+    std::map<std::string, std::uint64_t> stamps;
+    const auto former = co_await read_all(owed_prefix);
+    if (!former) co_return false;
+    // Pages of a rebuilding that was interrupted are in the memory of nobody yet, so what they owe is owed again.
+    std::size_t number = 0;
+    for (const auto& item : *former) {
+        stamps[item.key] = item.stamp;
+        const auto tail = item.key.substr(std::string_view(owed_prefix).size());
+        number = std::max(number, static_cast<std::size_t>(std::strtoull(tail.c_str(), nullptr, 10)) + 1);
+    }
+    for (const auto& [key, text] : pages("", owed)) {
+        std::vector<state::Change> page;
+        page.push_back({owed_prefix + std::to_string(number + std::strtoull(key.c_str(), nullptr, 10)),
+                        boost::json::string(text), 0});
+        const bool put = co_await put_back(w, std::move(page), stamps);
+        if (!put) co_return false;
+    }
+    co_return true;
+}
+
+// Until they are on record, or somebody else rebuilds.
+awaitable<bool> Keeper::put_back(const Witness& w, std::vector<state::Change> changes,
+                                 std::map<std::string, std::uint64_t>& stamps) {
+    for (;;) {
+        state::Txn txn;
+        txn.conditions = leading_conditions(w);
+        for (const auto& c : changes) {
+            const auto it = stamps.find(c.key);
+            txn.conditions.push_back({c.key, it == stamps.end() ? 0 : it->second});
+        }
+        txn.changes = changes;
+        const auto began = Clock::now();
+        const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
+        if (!term_) co_return false;
+        if (r.outcome == Outcome::ok) {
+            links_.outcomes({}, began, Look::changes);
+            co_return true;
+        }
+        const auto failed = [&](const char* key) {
+            return std::find(r.failed.begin(), r.failed.end(), key) != r.failed.end();
+        };
+        if (failed(state::witness_key) || failed(election::term_key)) co_return false;
+        if (r.outcome == Outcome::too_large) {
+            // One record that is never taken must not keep all others away.
+            if (changes.size() == 1) {
+                spdlog::error("event=record_rejected key={}", changes[0].key);
+                co_return true;
+            }
+            for (auto& c : changes) {
+                std::vector<state::Change> one;
+                one.push_back(std::move(c));
+                const bool put = co_await put_back(w, std::move(one), stamps);
+                if (!put) co_return false;
+            }
+            co_return true;
+        }
+        co_await net::sleep_for(r.outcome == Outcome::refused ? 150ms : 50ms);
+        if (r.outcome == Outcome::refused) continue;
+        // A lost or late write of this rebuilding may stand.
+        for (const auto& c : changes) {
+            const auto got = co_await raw_.get(c.key, Urgency::user);
+            if (got.outcome == Outcome::ok) stamps[c.key] = got.item.stamp;
+        }
+    }
+}
+
+awaitable<void> Keeper::remove_all(std::string prefix, std::vector<state::Condition> conditions) {
+    const auto items = co_await read_all(std::move(prefix));
+    if (!items) co_return;
+    for (std::size_t at = 0; at < items->size();) {
+        state::Txn txn;
+        txn.conditions = conditions;
+        for (; at < items->size() && txn.changes.size() < std::min(raw_.write_portion(), form_.limits().txn_ops); ++at)
+            txn.changes.push_back({(*items)[at].key, std::nullopt, 0});
+        const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
+        if (r.outcome != Outcome::ok) co_return;  // the next rebuilding overwrites them
+    }
+}
+
+}  // namespace flintdale::recovery
--- /dev/null
+++ b/src/recovery/keeper.hpp
@@ -0,0 +1,149 @@
+// Keeps watch over what the state service holds, and rebuilds it after a loss. One runs in every controller. It knows
+// the witness, remembers the records of jobs, and opens or closes them for everybody else in the process; while the
+// records are lost, the one that leads gathers what all remember, merges it and writes it back. docs/rebuilding.md.
+#pragma once
+#include <functional>
+#include <set>
+#include <unordered_map>
+
+#include "config/settings.hpp"
+#include "election/elector.hpp"
+#include "recovery/memory.hpp"
+#include "recovery/shelf.hpp"
+#include "state/form.hpp"
+#include "state/guarded_store.hpp"
+#include "state/witness.hpp"
+
+namespace flintdale::recovery {
+
+using net::awaitable;
+
+inline constexpr const char* offers_prefix = "recovery/offer/";
+// There while tasks may be on machines that no record names; removed by the leader that has heard all machines.
+// Outcomes that are not back in their places yet, in pages: as good as on record.
+inline constexpr const char* owed_prefix = "recovery/owed/";
+inline constexpr const char* unsettled_key = "recovery/witness/unsettled";
+
+class Keeper {
+  public:
+    struct Links {
+        std::function<std::int64_t()> time_of_day_ms;
+        // The records are whole, and this term may go by them. `unsettled`: tasks may be on machines without a record.
+        std::function<void(election::Term, bool unsettled)> begin;
+        std::function<void(const char* why)> new_term;  // a term that began before the loss must end
+        // A look at the outcomes that began then showed these.
+        enum class Look : std::uint8_t { after_a_gap, changes, all };
+        std::function<void(const std::vector<state::Item>&, wire::TimePoint began, Look look)> outcomes;
+        std::function<void()> rebuilt;  // the records are whole again, and may be others
+        std::function<std::uint64_t()> seen_term;
+    };
+
+    // `raw` is the service itself, `guarded` what the rest of the process uses.
+    Keeper(net::Executor ex, state::Store& raw, state::GuardedStore& guarded, const config::Settings& settings,
+           const state::Form& form, Shelf shelf, Links links);
+
+    awaitable<void> run();
+
+    // This controller has won a term, or lost it.
+    void leads(election::Term term);
+    void deposed();
+    // Something showed that data were lost, or may have been.
+    void doubt(std::string why);
+    void written(const state::Change& change, std::uint64_t revision) { memory_.written(change, revision); }
+    // What a peer said of itself: the generation it knows, 0 if none, and up to where it remembers that.
+    struct PeerWord {
+        std::uint64_t generation = 0, remembers = 0;
+        std::string id;
+        std::uint64_t rebuilding = 0;  // the generation that it sees being rebuilt, 0 if none
+        wire::TimePoint heard{};
+    };
+    void heard(const std::string& member, PeerWord word);
+    PeerWord own_word() const;
+    // Jobs that a worker shows while the records are not whole, to be missed if nobody remembers them.
+    void shown(const wire::WorkerReport& report);
+
+    // The outcome of a job that is remembered, and whether it is remembered at all. What is not on record and yet
+    // remembered is either owed, or was lost.
+    std::optional<Memory::Outcome> outcome_of(const std::string& uid) const { return memory_.outcome_of(uid); }
+
+    // The witness is known: it was whole since this controller began.
+    bool ready() const { return known_.has_value(); }
+    bool rebuilding() const { return rebuilding_; }
+    const Memory& memory() const { return memory_; }
+
+  private:
+    using Witness = state::Witness;
+    using Item = state::Item;
+    struct Present {
+        Source source;
+        std::map<std::string, std::uint64_t> stamps;
+    };
+    // Everything that was offered, and whether the last leader's own memory is among it.
+    struct Gathered {
+        std::vector<Source> sources;
+        bool placements_known = false, all_there = true;
+    };
+
+    // The witness: made, doubted, replaced.
+    awaitable<void> without_witness();
+    bool may_create() const;
+    std::uint64_t newest_generation() const;
+    bool outdated(const Witness& witness) const;
+    awaitable<void> declare(std::uint64_t over, std::uint64_t generation);
+    awaitable<std::uint64_t> put(const Witness& witness, std::vector<state::Change> with);
+
+    // While the records are whole.
+    awaitable<void> attend(Witness witness);
+    awaitable<bool> read_owed(Memory& memory);
+    awaitable<bool> confirm(const Witness& witness);
+    awaitable<void> look();
+    awaitable<void> fill();
+    awaitable<void> add_late();
+    awaitable<void> pay_back();
+    void shelve();
+
+    // While they are not.
+    awaitable<void> stand_by(Witness witness);
+    awaitable<bool> offer(const Witness& witness);
+    std::vector<Source> own_sources(const std::string& of, std::uint64_t remembers) const;
+    awaitable<void> rebuild(Witness witness);
+    awaitable<std::optional<Gathered>> gather(const Witness& witness);
+    std::optional<Gathered> read_offers(const Witness& witness, const std::vector<Item>& items, bool last_call) const;
+    awaitable<std::optional<Present>> present();
+    awaitable<bool> restore(const Witness& witness, const Merged& merged, Present present);
+    awaitable<bool> put_back(const Witness& witness, std::vector<state::Change> changes,
+                             std::map<std::string, std::uint64_t>& stamps);
+    awaitable<std::optional<std::vector<Item>>> read_all(std::string prefix);
+    awaitable<void> remove_all(std::string prefix, std::vector<state::Condition> conditions);
+    std::vector<std::pair<std::string, std::string>> pages(const std::string& prefix, const Source& source) const;
+    std::vector<state::Condition> leading_conditions(const Witness& witness) const;
+
+    state::Store& raw_;
+    state::GuardedStore& guarded_;
+    const config::Settings& settings_;
+    const state::Form& form_;
+    Shelf shelf_;
+    Links links_;
+    net::Wakeup wake_;
+
+    std::optional<Witness> known_;      // the newest that was whole
+    std::optional<std::string> doubt_;  // why it may be so no more
+    bool recheck_ = false;              // the witness should be read again
+    wire::TimePoint began_{}, checked_at_{}, shelved_at_{}, rebuild_began_{};
+    std::unordered_map<std::string, PeerWord> peers_;
+
+    Memory memory_;
+    std::optional<Memory> former_;  // of the history before, until what only it holds is on record
+    bool following_ = false;
+    std::optional<std::string> fill_at_;  // the last key of the pages read so far; nothing once all are
+    std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
+
+    std::optional<election::Term> term_;
+    bool begun_ = false;               // the reign of that term
+    std::uint64_t led_ = 0, saw_ = 0;  // terms in the history of memory_: the last it reigned in, the highest
+    bool rebuilding_ = false, clear_offers_ = false;
+    std::uint64_t offered_to_ = 0;  // stamp of the witness
+    std::set<std::string> shown_;
+};
+
+}  // namespace flintdale::recovery
--- /dev/null
+++ b/src/recovery/memory.cpp
@@ -0,0 +1,155 @@
+#include "recovery/memory.hpp"
+
+#include <algorithm>
+
+#include "agent/job.hpp"
+#include "wire/json.hpp"
+
+namespace flintdale::recovery {
+
+namespace {
+
+namespace json = boost::json;
+
+bool is_final(const std::string& key) { return key.starts_with(agent::over_prefix); }
+std::string uid_of_final(const std::string& key) { return key.substr(std::string_view(agent::over_prefix).size()); }
+
+// Where an outcome says by itself how many tasks of which shape there were, nothing else in it is ever read again.
+bool has_size(const json::object& o) { return o.if_contains("shape") && o.if_contains("shards"); }
+
+}  // namespace
+
+void Memory::begin(std::uint64_t generation, std::string id, std::uint64_t revision) {
+    *this = Memory();
+    generation_ = generation;
+    id_ = std::move(id);
+    revision_ = revision;
+}
+
+void Memory::recall(const Source& snapshot) {
+    begin(snapshot.generation, snapshot.id, snapshot.revision);
+    for (const auto& [key, record] : snapshot.records) {
+        json::error_code ec;
+        const auto value = json::parse(record.text, ec);
+        if (!ec) hold(key, value, record.stamp);
+    }
+}
+
+std::uint64_t Memory::stamp_of(const std::string& key) const {
+    if (is_final(key))
+        if (const auto it = finals_.find(uid_of_final(key)); it != finals_.end()) return it->second.stamp;
+    const auto it = work_.find(key);
+    return it == work_.end() ? 0 : it->second.stamp;
+}
+
+void Memory::hold(const std::string& key, const json::value& value, std::uint64_t stamp) {
+    if (stamp_of(key) >= stamp) return;
+    if (is_final(key) && value.is_object() && has_size(value.get_object())) try {
+            const auto& o = value.get_object();
+            Final f;
+            f.stamp = stamp;
+            f.state = wire::job_state_from(std::string_view(o.at("state").as_string()));
+            if (const auto* at = o.if_contains("at")) f.at = at->to_number<std::int64_t>();
+            const auto size = wire::size_from_record(o);
+            f.shape = size.shape;
+            f.tasks = size.tasks;
+            finals_[uid_of_final(key)] = f;
+            work_.erase(key);
+            return;
+        } catch (const std::exception&) {
+            // Kept as it is: whoever rebuilds finds out that it cannot be read, and may have a better one.
+        }
+    work_[key] = {stamp, json::serialize(value)};
+}
+
+void Memory::drop(const std::string& key, std::uint64_t stamp) {
+    if (!whole_) removed_[key] = stamp;
+    if (const auto it = work_.find(key); it != work_.end() && it->second.stamp < stamp) work_.erase(it);
+}
+
+void Memory::page(const std::vector<state::Item>& items) {
+    for (const auto& item : items) {
+        const auto gone = removed_.find(item.key);
+        if (gone == removed_.end() || gone->second < item.stamp) hold(item.key, item.value, item.stamp);
+    }
+}
+
+void Memory::filled() {
+    whole_ = true;
+    removed_.clear();
+}
+
+std::optional<std::string> Memory::told(const state::FollowResult& changes) {
+    std::optional<std::string> oddity;
+    for (std::size_t i = 0; i < changes.events.size(); ++i) {
+        const auto& e = changes.events[i];
+        if (!changes.deleted[i]) {
+            hold(e.key, e.value, e.stamp);
+            continue;
+        }
+        // Work is removed when a job is over, and outcomes never are. While not everything has been read, an outcome
+        // may merely not be known yet.
+        const auto work = agent::parse_work_key(e.key);
+        const bool ordered = work && (!whole_ || over(work->uid) || work_.contains(agent::outcome_key(work->uid)));
+        // Without its first record a piece is nobody's, and leaders clear such away.
+        const bool nobodys = work && !work->first() && !work_.contains(agent::work_key(work->uid, 0));
+        if (!ordered && !nobodys) {
+            if (!oddity) oddity = e.key;
+            continue;  // it is remembered all the more
+        }
+        drop(e.key, e.stamp);
+    }
+    revision_ = std::max(revision_, changes.revision);
+    return oddity;
+}
+
+void Memory::written(const state::Change& change, std::uint64_t revision) {
+    if (change.value)
+        hold(change.key, *change.value, revision);
+    else
+        drop(change.key, revision);
+}
+
+bool Memory::knows(const std::string& uid) const {
+    return finals_.contains(uid) || work_.contains(agent::work_key(uid, 0)) || work_.contains(agent::outcome_key(uid));
+}
+
+std::optional<Memory::Outcome> Memory::outcome_of(const std::string& uid) const {
+    if (const auto it = finals_.find(uid); it != finals_.end())
+        return Outcome{it->second.state, {it->second.shape, it->second.tasks}};
+    if (!knows(uid)) return std::nullopt;
+    return Outcome{};
+}
+
+std::string Memory::text_of(const Final& f) {
+    json::object o{{"state", wire::job_state_name(f.state)}};
+    if (f.at) o["at"] = f.at;
+    wire::size_to_record({f.shape, f.tasks}, o);
+    return json::serialize(o);
+}
+
+std::optional<Record> Memory::record(const std::string& key) const {
+    if (is_final(key))
+        if (const auto it = finals_.find(uid_of_final(key)); it != finals_.end())
+            return Record{it->second.stamp, text_of(it->second)};
+    const auto it = work_.find(key);
+    return it == work_.end() ? std::nullopt : std::optional(it->second);
+}
+
+Source Memory::source(std::string from, std::uint64_t after) const {
+    Source out;
+    out.from = std::move(from);
+    out.generation = generation_;
+    out.id = id_;
+    out.revision = revision_;
+    out.whole = whole_ && after == 0;
+    for (const auto& [key, record] : work_)
+        if (record.stamp > after) out.records.emplace(key, record);
+    for (const auto& [uid, f] : finals_) {
+        if (f.stamp <= after) continue;
+        out.records.emplace(agent::outcome_key(uid), Record{f.stamp, text_of(f)});
+    }
+    return out;
+}
+
+}  // namespace flintdale::recovery
--- /dev/null
+++ b/src/recovery/memory.hpp
@@ -0,0 +1,70 @@
+// What a controller remembers of the records of jobs, by following them: a source for rebuilding as good as a snapshot,
+// and as young as its last look. Outcomes, of which there are ever more, are kept in a few words each.
+#pragma once
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <optional>
+
+#include "recovery/merge.hpp"
+#include "state/store.hpp"
+#include "wire/types.hpp"
+
+namespace flintdale::recovery {
+
+class Memory {
+  public:
+    // Begins anew with a history, of which everything after that revision will be told. What was on record before comes
+    // in pages.
+    void begin(std::uint64_t generation, std::string id, std::uint64_t revision);
+    // Takes over what a snapshot held, of a history that is no more.
+    void recall(const Source& snapshot);
+
+    // Part of what is on record, read after begin(); filled() once all has been.
+    void page(const std::vector<state::Item>& items);
+    void filled();
+    // The changes up to that revision, in their order. What cannot have happened if nothing was lost is told: an
+    // outcome that was removed, or work of a job without one.
+    std::optional<std::string> told(const state::FollowResult& changes);
+    // A change that this controller itself has had acknowledged, which it may be told of later.
+    void written(const state::Change& change, std::uint64_t revision);
+
+    bool knows(const std::string& uid) const;
+    // Whether it is over, as far as is known.
+    bool over(const std::string& uid) const { return finals_.contains(uid); }
+    struct Outcome {
+        wire::JobState state = wire::JobState::open;
+        wire::JobSize size;
+    };
+    // Of a job that is remembered; `open` if it has none.
+    std::optional<Outcome> outcome_of(const std::string& uid) const;
+    std::optional<Record> record(const std::string& key) const;
+    bool whole() const { return whole_; }
+    std::uint64_t generation() const { return generation_; }
+    const std::string& id() const { return id_; }
+    std::uint64_t revision() const { return revision_; }
+    std::size_t size() const { return work_.size() + finals_.size(); }
+
+    // All that is remembered, or what changed after that revision.
+    Source source(std::string from, std::uint64_t after = 0) const;
+
+  private:
+    struct Final {
+        std::uint64_t stamp = 0;
+        std::int64_t at = 0;
+        std::uint32_t tasks = 0;
+        wire::Shape shape = wire::Shape::array;
+        wire::JobState state = wire::JobState::open;
+    };
+    void hold(const std::string& key, const boost::json::value& value, std::uint64_t stamp);
+    void drop(const std::string& key, std::uint64_t stamp);
+    std::uint64_t stamp_of(const std::string& key) const;
+    static std::string text_of(const Final& final);
+
+    std::uint64_t generation_ = 0, revision_ = 0;
+    std::string id_;
+    bool whole_ = false;
+    std::map<std::string, Record> work_;  // and outcomes that a few words cannot hold
+    boost::unordered_flat_map<std::string, Final> finals_;
+    std::map<std::string, std::uint64_t> removed_;  // while pages are still read: keys, and when
+};
+
+}  // namespace flintdale::recovery
--- /dev/null
+++ b/src/recovery/merge.cpp
@@ -0,0 +1,170 @@
+#include "recovery/merge.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+#include <tuple>
+
+#include "agent/job.hpp"
+
+namespace flintdale::recovery {
+
+namespace {
+
+namespace json = boost::json;
+
+bool is_final(const std::string& key) { return key.starts_with(agent::over_prefix); }
+
+std::optional<json::object> object_of(const std::string& text) {
+    json::error_code ec;
+    auto v = json::parse(text, ec);
+    if (ec || !v.is_object()) return std::nullopt;
+    return std::move(v.get_object());
+}
+
+wire::JobState state_of(const std::string& text) {
+    const auto o = object_of(text);
+    const auto* state = o ? o->if_contains("state") : nullptr;
+    if (!state || !state->is_string()) return wire::JobState::open;
+    for (const auto known : {wire::JobState::done, wire::JobState::cancelled})
+        if (state->get_string() == wire::job_state_name(known)) return known;
+    return wire::JobState::open;
+}
+
+// Two sources of one history cannot hold different values of one revision of a key, but for damage or a history that
+// forked. Then done is worth more than cancelled, and a higher attempt than a lower one.
+auto worth(const std::string& key, const std::string& text) {
+    std::uint64_t rank = 0;
+    if (is_final(key)) {
+        rank = state_of(text) == wire::JobState::done ? 2 : state_of(text) == wire::JobState::cancelled ? 1 : 0;
+    } else if (const auto o = object_of(text)) {
+        const auto* tasks = o->if_contains("tasks");
+        if (tasks && tasks->is_array()) try {
+                for (const auto& r : wire::ranges_from_record(tasks->get_array())) rank = std::max(rank, r.attempt);
+            } catch (const std::exception&) {
+                rank = 0;
+            }
+    }
+    return std::tuple(rank, text);
+}
+
+bool readable(const std::string& key, const std::string& text) {
+    const auto o = object_of(text);
+    return o && (!is_final(key) || state_of(text) != wire::JobState::open);
+}
+
+class Merger {
+  public:
+    explicit Merger(const std::vector<Source>& sources) {
+        for (const auto& s : sources)
+            if (s.whole) newest_whole_ = std::max(newest_whole_, s.generation);
+        for (const auto& s : sources)
+            if (s.generation >= newest_whole_) used_.push_back(&s);
+    }
+
+    Merged run(const Source& store) {
+        take_newest();
+        drop_removed();
+        for (auto& [key, held] : held_) out_.records.emplace(key, held.record->text);
+        add(store);
+        settle_work();
+        return std::move(out_);
+    }
+
+  private:
+    struct Held {
+        std::uint64_t generation = 0;
+        const Record* record = nullptr;
+    };
+
+    void doubt(std::string what) { doubts_.insert(std::move(what)); }
+
+    void take_newest() {
+        for (const auto* s : used_)
+            for (const auto& [key, record] : s->records) {
+                if (!readable(key, record.text)) {
+                    doubt("unreadable " + key);
+                    continue;
+                }
+                auto& held = held_[key];
+                const auto mine = std::tuple(s->generation, record.stamp);
+                const auto theirs =
+                    held.record ? std::tuple(held.generation, held.record->stamp) : std::tuple(0ul, 0ul);
+                if (held.record && mine == theirs && record.text != held.record->text) doubt("two values of " + key);
+                if (!held.record || mine > theirs ||
+                    (mine == theirs && worth(key, record.text) > worth(key, held.record->text)))
+                    held = {s->generation, &record};
+            }
+    }
+
+    // Only work of jobs that are over is ever removed, and only whoever knows the outcome can have seen that: what a
+    // source lacks beside that it may have lost, or never had, for it began with a service that was set back.
+    void drop_removed() {
+        for (const auto* s : used_) {
+            if (!s->whole) continue;
+            std::erase_if(held_, [&](const auto& entry) {
+                const auto& [key, held] = entry;
+                if (is_final(key) || held.generation != s->generation || held.record->stamp > s->revision ||
+                    s->records.contains(key))
+                    return false;
+                const auto work = agent::parse_work_key(key);
+                return work && s->records.contains(agent::outcome_key(work->uid));
+            });
+        }
+    }
+
+    // Whether somebody who knows everything up to its end knew the job.
+    bool known_to_whole(const std::string& uid) const {
+        return std::any_of(used_.begin(), used_.end(), [&](const Source* s) {
+            return s->whole &&
+                   (s->records.contains(agent::outcome_key(uid)) || s->records.contains(agent::work_key(uid, 0)));
+        });
+    }
+
+    void add(const Source& store) {
+        for (const auto& [key, record] : store.records) {
+            if (!readable(key, record.text)) {
+                if (!out_.records.contains(key)) doubt("unreadable " + key);
+                continue;
+            }
+            if (out_.records.contains(key)) continue;
+            if (!is_final(key)) {
+                const auto work = agent::parse_work_key(key);
+                // Set back, the service may show what had long been removed.
+                if (!work || known_to_whole(work->uid)) continue;
+            }
+            out_.records.emplace(key, record.text);
+        }
+    }
+
+    void settle_work() {
+        std::set<std::string> lost;
+        std::erase_if(out_.records, [&](const auto& entry) {
+            const auto& key = entry.first;
+            if (is_final(key)) return false;
+            const auto work = agent::parse_work_key(key);
+            if (!work) return true;
+            const auto outcome = out_.records.find(agent::outcome_key(work->uid));
+            if (outcome != out_.records.end()) return state_of(outcome->second) == wire::JobState::done;
+            if (work->first() || held_.contains(agent::work_key(work->uid, 0)) ||
+                out_.records.contains(agent::work_key(work->uid, 0)))
+                return false;
+            lost.insert(work->uid);
+            return true;
+        });
+        for (const auto& uid : lost) doubt("submission lost " + uid);
+        out_.doubts.assign(doubts_.begin(), doubts_.end());
+    }
+
+    std::uint64_t newest_whole_ = 0;
+    std::vector<const Source*> used_;
+    std::map<std::string, Held> held_;
+    std::set<std::string> doubts_;
+    Merged out_;
+};
+
+}  // namespace
+
+Merged merge(const std::vector<Source>& sources, const Source& store) { return Merger(sources).run(store); }
+
+}  // namespace flintdale::recovery
--- /dev/null
+++ b/src/recovery/shelf.cpp
@@ -0,0 +1,150 @@
+#include "recovery/shelf.hpp"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+
+#include "wire/archive.hpp"
+#include "wire/json.hpp"
+
+namespace flintdale::recovery {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view magic = "flintdale-records-1\n";
+constexpr std::string_view ending = ".records";
+constexpr std::size_t page_records = 4096;
+constexpr std::size_t kept = 2;  // snapshots
+const std::string header_key = "snapshot";
+
+struct Descriptor {
+    int fd = -1;
+    ~Descriptor() {
+        if (fd >= 0) ::close(fd);
+    }
+};
+
+[[noreturn]] void fail(const char* what) { throw std::runtime_error(std::string(what) + ": " + std::strerror(errno)); }
+
+void write_all(int fd, std::string_view bytes) {
+    while (!bytes.empty()) {
+        const auto n = ::write(fd, bytes.data(), bytes.size());
+        if (n < 0 && errno == EINTR) continue;
+        if (n <= 0) fail("write");
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+}
+
+std::string framed(const std::string& page) {
+    std::string out(4, '\0');
+    for (int i = 0; i < 4; ++i) out[static_cast<std::size_t>(i)] = static_cast<char>(page.size() >> (8 * i));
+    return out + page;
+}
+
+// Sorts as the snapshots were made: by generation, then by revision.
+std::string name_of(const Source& s) { return fmt::format("{:020}-{:020}{}", s.generation, s.revision, ending); }
+
+std::vector<fs::path> snapshots(const fs::path& directory) {
+    std::vector<fs::path> out;
+    std::error_code ec;
+    for (const auto& entry : fs::directory_iterator(directory, ec))
+        if (entry.path().extension() == ending) out.push_back(entry.path());
+    std::sort(out.rbegin(), out.rend());
+    return out;
+}
+
+// Throws unless the file is whole to its last byte.
+Source read(const fs::path& path) {
+    std::ifstream in(path, std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    std::string_view rest(bytes);
+    if (!rest.starts_with(magic)) throw wire::BadBody("no snapshot of ours");
+    rest.remove_prefix(magic.size());
+    std::vector<std::vector<wire::ArchivedRecord>> pages;
+    while (!rest.empty()) {
+        if (rest.size() < 4) throw wire::BadBody("torn");
+        std::size_t size = 0;
+        for (int i = 3; i >= 0; --i) size = size << 8 | static_cast<unsigned char>(rest[static_cast<std::size_t>(i)]);
+        rest.remove_prefix(4);
+        if (rest.size() < size) throw wire::BadBody("torn");
+        pages.push_back(wire::decode_archive(rest.substr(0, size)));
+        rest.remove_prefix(size);
+    }
+    if (pages.empty() || pages[0].size() != 1 || pages[0][0].key != header_key) throw wire::BadBody("no header");
+    const auto header = wire::parse_object(pages[0][0].text);
+    if (header.at("pages").to_number<std::size_t>() + 1 != pages.size()) throw wire::BadBody("torn");
+    Source out;
+    out.from = "snapshot " + path.filename().string();
+    out.generation = header.at("generation").to_number<std::uint64_t>();
+    out.revision = header.at("revision").to_number<std::uint64_t>();
+    out.id = std::string(header.at("id").as_string());
+    for (std::size_t i = 1; i < pages.size(); ++i)
+        for (auto& r : pages[i]) out.records.emplace(std::move(r.key), Record{r.stamp, std::move(r.text)});
+    return out;
+}
+
+void write(const fs::path& path, const Source& source) {
+    std::vector<std::string> pages;
+    std::vector<wire::ArchivedRecord> page;
+    const auto flush = [&] {
+        if (!page.empty()) pages.push_back(wire::encode_archive(page));
+        page.clear();
+    };
+    for (const auto& [key, record] : source.records) {
+        page.push_back({key, record.stamp, record.text});
+        if (page.size() == page_records) flush();
+    }
+    flush();
+    const boost::json::object header{
+        {"generation", source.generation}, {"revision", source.revision}, {"id", source.id}, {"pages", pages.size()}};
+    const std::array first{wire::ArchivedRecord{header_key, 0, boost::json::serialize(header)}};
+    Descriptor file{::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644)};
+    if (file.fd < 0) fail("open");
+    write_all(file.fd, magic);
+    write_all(file.fd, framed(wire::encode_archive(first)));
+    for (const auto& p : pages) write_all(file.fd, framed(p));
+    if (::fsync(file.fd) != 0) fail("fsync");
+}
+
+}  // namespace
+
+bool Shelf::put(const Source& source) {
+    const auto target = directory_ / name_of(source);
+    const auto temporary = directory_ / (name_of(source) + ".part");
+    try {
+        fs::create_directories(directory_);
+        write(temporary, source);
+        fs::rename(temporary, target);
+        const Descriptor dir{::open(directory_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)};
+        if (dir.fd < 0 || ::fsync(dir.fd) != 0) fail("fsync of the directory");
+        const auto all = snapshots(directory_);
+        for (std::size_t i = kept; i < all.size(); ++i) fs::remove(all[i]);
+        return true;
+    } catch (const std::exception& e) {
+        spdlog::error("event=snapshot_failed directory={} why=\"{}\"", directory_.string(), e.what());
+        std::error_code ec;
+        fs::remove(temporary, ec);
+        return false;
+    }
+}
+
+std::optional<Source> Shelf::newest() const {
+    if (!in_use()) return std::nullopt;
+    for (const auto& path : snapshots(directory_)) try {
+            return read(path);
+        } catch (const std::exception& e) {
+            spdlog::error("event=snapshot_unreadable file={} why=\"{}\"", path.string(), e.what());
+        }
+    return std::nullopt;
+}
+
+}  // namespace flintdale::recovery
--- /dev/null
+++ b/src/recovery/shelf.hpp
@@ -0,0 +1,26 @@
+// Snapshots of what a controller remembers, in a directory of its machine. Off unless the operator names one.
+#pragma once
+#include <filesystem>
+#include <optional>
+
+#include "recovery/merge.hpp"
+
+namespace flintdale::recovery {
+
+class Shelf {
+  public:
+    // An empty path: no snapshots are kept.
+    explicit Shelf(std::filesystem::path directory = {}) : directory_(std::move(directory)) {}
+
+    bool in_use() const { return !directory_.empty(); }
+    // Writes it beside the former one, which is removed only when this one is whole on the disk: a crash at any moment,
+    // or a disk that is full, leaves the former. False, with a line in the log, if it could not be written.
+    bool put(const Source& source);
+    // The newest that is whole; nothing if there is none.
+    std::optional<Source> newest() const;
+
+  private:
+    std::filesystem::path directory_;
+};
+
+}  // namespace flintdale::recovery
--- a/src/state/budget.hpp
+++ b/src/state/budget.hpp
@@ -9,7 +9,7 @@
 // Two token buckets of one second's worth. Less urgent callers leave a reserve for the more urgent ones.
 class Budget {
   public:
-    using TimePoint = std::chrono::steady_clock::time_point;
+    using TimePoint = wire::Clock::time_point;
 
     Budget(double requests_per_s, double writes_per_s, TimePoint now) : last_(now) {
         set_rates(requests_per_s, writes_per_s);
--- a/src/state/form.hpp
+++ b/src/state/form.hpp
@@ -45,6 +45,9 @@
         return true;
     }
 
+    // That a transaction on jobs may hold beside the one on the witness.
+    std::size_t conditions() const { return limits_.txn_ops * 4 - 1; }
+
     // Whether such a value is taken. The service may print what it keeps with spaces and longer numbers.
     bool fits(const boost::json::value& value) const { return size_of(value) <= room(); }
     std::size_t room() const { return limits_.value_bytes * 17 / 20; }
--- a/src/state/gate.cpp
+++ b/src/state/gate.cpp
@@ -2,7 +2,7 @@
 
 namespace flintdale::state {
 
-using std::chrono::steady_clock;
+using wire::Clock;
 
 namespace {
 // What is less urgent still has its turn after so long: placements must not starve while jobs pour in. Leftovers may:
@@ -14,7 +14,7 @@
 Gate::Gate(net::Executor ex, Budget budget) : ex_(ex), budget_(budget), reads_(ex), writes_(ex) {}
 
 awaitable<void> Gate::enter(double writes, Urgency urgency) {
-    const auto now = steady_clock::now();
+    const auto now = Clock::now();
     auto& lane = writes > 0 ? writes_ : reads_;
     bool behind = false;
     for (auto u = 0; u <= static_cast<int>(urgency); ++u) behind = behind || !lane.queues[u].empty();
@@ -24,7 +24,7 @@
     }
     auto waiter = std::make_shared<Waiter>(ex_, writes, urgency);
     waiter->since = now;
-    waiter->admitted.expires_at(steady_clock::time_point::max());
+    waiter->admitted.expires_at(Clock::time_point::max());
     lane.queues[static_cast<int>(urgency)].push_back(waiter);
     waiting_writes_ += writes;
     if (lane.pumping) {
@@ -39,7 +39,7 @@
     }
 }
 
-Gate::Queue* Gate::next(Lane& lane, steady_clock::time_point now) {
+Gate::Queue* Gate::next(Lane& lane, Clock::time_point now) {
     Queue* first = nullptr;
     for (auto& queue : lane.queues) {
         if (queue.empty()) continue;
@@ -57,7 +57,7 @@
 
 awaitable<void> Gate::pump(Lane& lane) {
     for (;;) {
-        const auto now = steady_clock::now();
+        const auto now = Clock::now();
         auto* queue = next(lane, now);
         if (!queue) break;
         auto waiter = queue->front();
@@ -66,8 +66,8 @@
         const auto as = due ? Urgency::leadership : waiter->urgency;
         const auto wait = budget_.take(waiter->writes, as, now);
         if (wait.count() > 0) {
-            const auto most = std::chrono::duration_cast<steady_clock::duration>(wait);
-            co_await lane.changed.wait(std::min<steady_clock::duration>(most, patience));
+            const auto most = std::chrono::duration_cast<Clock::duration>(wait);
+            co_await lane.changed.wait(std::min<Clock::duration>(most, patience));
             continue;
         }
         queue->pop_front();
--- a/src/state/gate.hpp
+++ b/src/state/gate.hpp
@@ -29,11 +29,11 @@
   private:
     struct Waiter {
         Waiter(net::Executor ex, double w, Urgency u) : admitted(ex), writes(w), urgency(u) {}
-        net::asio::steady_timer admitted;
+        net::Timer admitted;
         double writes;
         Urgency urgency;
         bool in = false;
-        std::chrono::steady_clock::time_point since{};
+        wire::Clock::time_point since{};
     };
     using Queue = std::deque<std::shared_ptr<Waiter>>;
     // Reads and writes wait apart: the limit on writes is the scarcer, and must not hold up a read.
@@ -44,7 +44,7 @@
         bool pumping = false;
     };
     awaitable<void> pump(Lane& lane);
-    static Queue* next(Lane& lane, std::chrono::steady_clock::time_point now);
+    static Queue* next(Lane& lane, wire::Clock::time_point now);
 
     net::Executor ex_;
     Budget budget_;
--- /dev/null
+++ b/src/state/guarded_store.cpp
@@ -0,0 +1,104 @@
+#include "state/guarded_store.hpp"
+
+#include <algorithm>
+
+#include "state/witness.hpp"
+
+namespace flintdale::state {
+
+GuardedStore::GuardedStore(Store& inner, std::string guarded_prefix, Events events)
+    : inner_(inner), prefix_(std::move(guarded_prefix)), events_(std::move(events)) {}
+
+void GuardedStore::open(std::uint64_t witness_stamp) {
+    if (witness_stamp == witness_stamp_) return;
+    witness_stamp_ = witness_stamp;
+    newest_ = witness_stamp;
+    ++opening_;
+}
+
+void GuardedStore::close() {
+    if (!witness_stamp_) return;
+    witness_stamp_ = 0;
+    ++opening_;
+}
+
+void GuardedStore::doubt(const char* why) {
+    close();
+    events_.doubted(why);
+}
+
+bool GuardedStore::is_guarded(const Txn& txn) const {
+    const auto ours = [&](const auto& c) { return c.key.starts_with(prefix_); };
+    return std::any_of(txn.conditions.begin(), txn.conditions.end(), ours) ||
+           std::any_of(txn.changes.begin(), txn.changes.end(), ours);
+}
+
+// Requests overtake one another, so an answer is held only against what had been seen when its request was sent: from
+// then on the service stood there or later. Before the opening, and across one, nothing can be concluded.
+bool GuardedStore::sound(const Sent& sent, std::uint64_t revision) {
+    if (sent.opening != opening_) return false;
+    if (!is_open()) return true;
+    if (revision < sent.revision) {
+        doubt("its revisions went back");
+        return false;
+    }
+    newest_ = std::max(newest_, revision);
+    return true;
+}
+
+awaitable<GetResult> GuardedStore::get(std::string key, Urgency urgency) { return inner_.get(std::move(key), urgency); }
+
+awaitable<RangeResult> GuardedStore::range(std::string prefix, std::string after, Urgency urgency) {
+    const bool guarded = prefix.starts_with(prefix_);
+    const auto sent = now();
+    auto r = co_await inner_.range(std::move(prefix), std::move(after), urgency);
+    if (r.outcome == Outcome::ok && !sound(sent, r.revision) && guarded) r.outcome = Outcome::unknown;
+    co_return r;
+}
+
+awaitable<FollowResult> GuardedStore::follow(std::string prefix, std::uint64_t from, std::chrono::milliseconds hold) {
+    const bool guarded = prefix.starts_with(prefix_);
+    const auto sent = now();
+    auto r = co_await inner_.follow(std::move(prefix), from, hold);
+    if (r.outcome == Outcome::ok && !sound(sent, r.revision) && guarded) r.outcome = Outcome::unknown;
+    co_return r;
+}
+
+awaitable<TxnResult> GuardedStore::commit(Txn txn, Urgency urgency) {
+    TxnResult r;
+    const bool guarded = is_guarded(txn);
+    if (guarded && !is_open()) {
+        r.outcome = Outcome::refused;
+        co_return r;
+    }
+    const auto sent = now();
+    std::vector<Change> changes;
+    if (guarded) {
+        Condition witness;
+        witness.key = witness_key;
+        witness.stamp = witness_stamp_;
+        txn.conditions.push_back(std::move(witness));
+        changes = txn.changes;
+    }
+    r = co_await inner_.commit(std::move(txn), urgency);
+    if (r.outcome != Outcome::ok && r.outcome != Outcome::conflict) co_return r;
+    const bool other =
+        r.outcome == Outcome::conflict && std::find(r.failed.begin(), r.failed.end(), witness_key) != r.failed.end();
+    if (!guarded) {
+        sound(sent, r.revision);
+        co_return r;
+    }
+    if (other) {
+        if (sent.opening == opening_) doubt("its witness is another");
+        r.outcome = Outcome::refused;
+    } else if (!sound(sent, r.revision)) {
+        // It was carried out, but by a service that is not what it was: whoever asked must not take it for an answer.
+        r.outcome = r.outcome == Outcome::ok && !changes.empty() ? Outcome::unknown : Outcome::refused;
+    } else if (r.outcome == Outcome::ok) {
+        for (const auto& c : changes)
+            if (c.key.starts_with(prefix_)) events_.written(c, r.revision);
+    }
+    co_return r;
+}
+
+}  // namespace flintdale::state
--- a/src/state/http_store.cpp
+++ b/src/state/http_store.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-using std::chrono::steady_clock;
+using wire::Clock;
 constexpr std::chrono::milliseconds request_limit{1500};
 constexpr double safety = 0.9;  // of the published limits: the clocks and the buckets do not agree exactly
 constexpr double leader_share = 0.6;
@@ -63,7 +63,7 @@
       http_(ex, s.state.host, s.state.port, 8),
       watches_(ex, s.state.host, s.state.port, 4),
       gate_(ex, Budget(s.limits.rps * safety / static_cast<double>(nodes_),
-                       s.limits.write_rps * safety / static_cast<double>(nodes_), steady_clock::now())),
+                       s.limits.write_rps * safety / static_cast<double>(nodes_), Clock::now())),
       demand_share_(1.0 / static_cast<double>(nodes_)) {
     set_rates();
 }
@@ -88,19 +88,19 @@
     gate_.budget().set_rates(limits.rps * safety * share, limits.write_rps * safety * writes);
 }
 
-bool HttpStore::healthy(steady_clock::time_point now) const {
+bool HttpStore::healthy(Clock::time_point now) const {
     return last_good_ >= last_bad_ || now - last_good_ < std::chrono::seconds(2);
 }
 
 awaitable<net::HttpAnswer> HttpStore::call(net::http::verb verb, std::string target, std::string body, double writes,
-                                           Urgency urgency, steady_clock::duration limit) {
+                                           Urgency urgency, Clock::duration limit) {
     co_await gate_.enter(writes, urgency);
     auto answer = co_await http_.request(verb, std::move(target), std::move(body), limit);
     if (answer.never_sent) answer.status = 503;  // without a connection nothing can have been carried out
     if (answer.status == 0 || answer.status == 503)
-        last_bad_ = steady_clock::now();
+        last_bad_ = Clock::now();
     else
-        last_good_ = steady_clock::now();
+        last_good_ = Clock::now();
     co_return answer;
 }
 
--- a/src/state/http_store.hpp
+++ b/src/state/http_store.hpp
@@ -7,7 +7,7 @@
 
 namespace flintdale::state {
 
-class HttpStore : public Store {
+class HttpStore : public Service {
   public:
     // `form` is told when the service shows that its limits have changed.
     HttpStore(net::Executor ex, const config::Settings& settings, Form& form);
@@ -15,12 +15,12 @@
     // The shares of all controllers together stay within the limits. The leader does most of the work; of the writes
     // a part follows what each has lately asked for, so that a crowd of submissions at one of them need not wait for
     // what the others leave unused.
-    void set_leading(bool leading);
-    double take_write_demand() { return gate_.take_demand(); }
-    void set_write_demand(double own, double all);
+    void set_leading(bool leading) override;
+    double take_write_demand() override { return gate_.take_demand(); }
+    void set_write_demand(double own, double all) override;
 
     // Whether the service answered this controller lately; for /ready and for the peers.
-    bool healthy(std::chrono::steady_clock::time_point now) const;
+    bool healthy(wire::TimePoint now) const override;
 
     awaitable<GetResult> get(std::string key, Urgency urgency) override;
     awaitable<RangeResult> range(std::string prefix, std::string after, Urgency urgency) override;
@@ -35,7 +35,7 @@
   private:
     void set_rates();
     awaitable<net::HttpAnswer> call(net::http::verb verb, std::string target, std::string body, double writes,
-                                    Urgency urgency, std::chrono::steady_clock::duration limit);
+                                    Urgency urgency, wire::Clock::duration limit);
 
     Form& form_;
     std::size_t nodes_;
@@ -43,7 +43,7 @@
     Gate gate_;
     bool leading_ = false;
     double demand_share_ = 0;  // of the writes that are shared by demand
-    std::chrono::steady_clock::time_point last_good_, last_bad_;
+    wire::Clock::time_point last_good_, last_bad_;
 };
 
 }  // namespace flintdale::state
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -93,4 +93,15 @@
     virtual std::chrono::duration<double> write_wait() const { return std::chrono::duration<double>(0); }
 };
 
+// The same with what a controller settles with the others: its share of the limits, and whether it is served.
+class Service : public Store {
+  public:
+    virtual void set_leading(bool leading) = 0;
+    // Writes that were asked for since the last call.
+    virtual double take_write_demand() = 0;
+    virtual void set_write_demand(double own, double all) = 0;
+    // Whether the service answered this controller lately.
+    virtual bool healthy(wire::TimePoint now) const = 0;
+};
+
 }  // namespace flintdale::state
--- /dev/null
+++ b/src/state/witness.hpp
@@ -0,0 +1,36 @@
+// The witness: one key that stands for the history of what the state service keeps. Whoever answers users or writes
+// records of jobs does so on the condition that the witness is still the one it knows, so that after a loss nobody goes
+// on as if what is missing had never been. docs/rebuilding.md has the argument.
+#pragma once
+#include <optional>
+#include <string>
+
+#include "state/store.hpp"
+
+namespace flintdale::state {
+
+inline constexpr const char* witness_key = "recovery/witness";
+
+struct Witness {
+    enum class Phase : std::uint8_t {
+        whole,      // the records are what they should be
+        merging,    // data were lost: what everybody remembers is gathered, and nobody answers or writes
+        restoring,  // what was gathered is being written back, still by one controller alone
+    };
+    std::uint64_t generation = 0;  // rises with every loss
+    std::string id;                // tells two histories of the same generation apart
+    Phase phase = Phase::whole;
+    std::string by;               // who rebuilds; empty while nobody does
+    std::uint64_t term = 0;       // of the one who rebuilds
+    std::string of;               // merging: the history that the rebuilder itself remembers,
+    std::uint64_t remembers = 0;  // and up to which of its revisions; others offer what is newer
+    std::uint64_t stamp = 0;      // of the key, once it is on record
+
+    bool whole() const { return phase == Phase::whole; }
+};
+
+boost::json::object witness_record(const Witness& witness);
+// Nothing if the key is absent or is no witness.
+std::optional<Witness> parse_witness(const Item& item);
+
+}  // namespace flintdale::state
--- a/src/wire/notes.cpp
+++ b/src/wire/notes.cpp
@@ -1,16 +1,9 @@
 #include "wire/notes.hpp"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/encoding.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-#include <zstd.h>
-
 #include <map>
 
-#include "wire/json.hpp"
 #include "wire/notes.capnp.h"
+#include "wire/packed.hpp"
 
 namespace flintdale::wire {
 
@@ -40,23 +33,11 @@
         auto held = machines[i].initImages(static_cast<unsigned>(notes[i].images.size()));
         for (unsigned k = 0; k < notes[i].images.size(); ++k) held.set(k, places.at(notes[i].images[k].name));
     }
-    kj::VectorOutputStream packed;
-    capnp::writePackedMessage(packed, message);
-    const auto bytes = packed.getArray();
-    std::vector<kj::byte> small(ZSTD_compressBound(bytes.size()));
-    const auto size = ZSTD_compress(small.data(), small.size(), bytes.begin(), bytes.size(), level);
-    const auto text = kj::encodeBase64(kj::arrayPtr(small.data(), size));
-    return {text.cStr(), text.size()};
+    return to_text(shrink(message, level));
 }
 
 std::vector<MachineNote> decode_notes(std::string_view text) {
-    const auto small = kj::decodeBase64(kj::arrayPtr(text.data(), text.size()));
-    const auto size = ZSTD_getFrameContentSize(small.begin(), small.size());
-    if (small.hadErrors || size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR || size > max_page)
-        throw BadBody("no page of notes");
-    std::vector<kj::byte> bytes(size);
-    if (ZSTD_decompress(bytes.data(), bytes.size(), small.begin(), small.size()) != size)
-        throw BadBody("a page of notes is damaged");
+    const auto bytes = grow(from_text(text), max_page);
     std::vector<MachineNote> out;
     try {
         kj::ArrayInputStream stream(kj::arrayPtr(bytes.data(), bytes.size()));
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -18,5 +18,9 @@
     leading @5 :Bool;
     writes @6 :Float64;       # to the state service, that the sender lately asked for
     knocks @7 :UInt32;        # reports that the sender turned away to the leader since its last message
+    generation @9 :UInt64;    # of the records' history that the sender knows; 0: none, or a version that does not tell
+    history @10 :Text;
+    remembers @11 :UInt64;    # the revision up to which it does
+    rebuilding @12 :UInt64;   # the generation that it sees being rebuilt; 0: none
     format @8 :UInt32;        # that the sender knows every controller to read; 0 from versions that do not tell
 }
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -9,7 +9,17 @@
 namespace flintdale::wire {
 
 using Seconds = std::chrono::duration<double>;
-using Clock = std::chrono::steady_clock;
+
+// The steady clock that everything here goes by. The emulator puts a time of its own in its place.
+struct Clock {
+    using duration = std::chrono::steady_clock::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::steady_clock::time_point;
+    static constexpr bool is_steady = true;
+    static time_point now() { return emulated ? *emulated : std::chrono::steady_clock::now(); }
+    static inline const time_point* emulated = nullptr;
+};
 using TimePoint = Clock::time_point;
 
 inline Clock::duration to_clock(Seconds s) { return std::chrono::duration_cast<Clock::duration>(s); }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -107,7 +107,7 @@
 TEST(Gate, writes_wait_their_turn_and_neither_reads_nor_leadership_wait_behind_them) {
     using state::Urgency;
     net::asio::io_context io;
-    state::Gate gate(io.get_executor(), state::Budget(1e6, 1e-3, std::chrono::steady_clock::now()));
+    state::Gate gate(io.get_executor(), state::Budget(1e6, 1e-3, wire::Clock::now()));
     std::string order;
     const auto enter = [&](double writes, Urgency urgency, char mark) {
         net::asio::co_spawn(io, gate.enter(writes, urgency), [&order, mark](std::exception_ptr) { order += mark; });
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -13,13 +13,20 @@
     config::Settings cluster = settings();
     std::vector<wire::MachineType> known = types();
     bool types_known = true;
+    std::map<std::string, api::Remembered> remembered;
+    std::vector<std::string> missed;
     state::Form form{cluster};
     api::Desk one{io.get_executor(), store, cluster, form, links()},
         two{io.get_executor(), store, cluster, form, links()};
 
     api::Desk::Links links() {
         return {[] { return std::int64_t{1000}; }, [this] { return types_known ? &known : nullptr; },
-                [](const std::string&) { return api::DisplayCount{}; }, [](const state::Item&) {}};
+                [](const std::string&) { return api::DisplayCount{}; }, [](const state::Item&) {},
+                [this](const std::string& uid) {
+                    const auto it = remembered.find(uid);
+                    return it == remembered.end() ? std::nullopt : std::optional(it->second);
+                },
+                [this](const std::string& uid) { missed.push_back(uid); }};
     }
     net::Reply run(net::awaitable<net::Reply> call) {
         net::Reply out;
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -55,6 +55,7 @@
     ended.outcome = state::Outcome::ok;
     ended.events.push_back({election::holder_key, {}, 2});
     ended.deleted.push_back(true);
+    ended.revision = 2;
     store.tell = ended;
     Node two(io, store, "two");
     store.gets = 0;
