--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,79 @@
+// Plays scenarios in an emulated world, one line of JSON a seed.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "emulator/world.hpp"
+
+namespace {
+// Seconds of the emulated time, for the log.
+class EmulatedTime : public spdlog::custom_flag_formatter {
+  public:
+    void format(const spdlog::details::log_msg&, const std::tm&, spdlog::memory_buf_t& out) override {
+        const std::chrono::duration<double> t = flintdale::wire::Clock::now().time_since_epoch();
+        fmt::format_to(std::back_inserter(out), "{:9.3f}", t.count() - 1000);
+    }
+    std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<EmulatedTime>(); }
+};
+}  // namespace
+
+int main(int argc, char** argv) {
+    using namespace flintdale;
+    CLI::App cli{
+        "flintdale_lab: plays a scenario with three whole controllers in an emulated world.\n"
+        "Prints a line of JSON a seed; exits with 1 if a rule was broken, with 2 if the scenario is unsound."};
+    std::string path, log = "off";
+    std::uint64_t seed = 1, seeds = 1;
+    unsigned jobs = std::max(1u, std::thread::hardware_concurrency());
+    bool only_broken = false;
+    cli.add_option("scenario", path, "a TOML file; docs/emulator.md")->required();
+    cli.add_option("--seed", seed, "the first seed");
+    cli.add_option("--seeds", seeds, "how many, one after the other")->check(CLI::PositiveNumber);
+    cli.add_option("--jobs", jobs, "how many at once")->check(CLI::PositiveNumber);
+    cli.add_option("--log", log,
+                   "the controllers' log on standard error: off, error, info or debug; plays one at a time");
+    cli.add_flag("--only-broken", only_broken, "print the lines of seeds that broke a rule, and a count at the end");
+    CLI11_PARSE(cli, argc, argv);
+    spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
+    spdlog::set_level(spdlog::level::from_str(log));
+    auto pattern = std::make_unique<spdlog::pattern_formatter>();
+    pattern->add_flag<EmulatedTime>('*').set_pattern("%* %l %v");
+    spdlog::set_formatter(std::move(pattern));
+    if (log != "off") jobs = 1;
+    emulator::Scenario scenario;
+    try {
+        scenario = emulator::load_scenario(path);
+        emulator::World probe(scenario, seed);  // finds what is wrong with the cluster's settings
+    } catch (const config::BadSetting& e) {
+        std::cerr << "flintdale_lab: " << e.what() << '\n';
+        return 2;
+    }
+    std::atomic<std::uint64_t> next{0};
+    std::uint64_t broken = 0, printed = 0;
+    std::map<std::uint64_t, std::string> lines;  // that wait for those of seeds before them
+    std::mutex mutex;
+    const auto work = [&] {
+        for (auto n = next++; n < seeds; n = next++) {
+            emulator::World world(scenario, seed + n);
+            const auto outcome = world.play();
+            const auto line = emulator::to_line(outcome);
+            const std::lock_guard lock(mutex);
+            broken += !outcome.broken.empty();
+            lines[n] = only_broken && outcome.broken.empty() ? std::string() : line + "\n";
+            for (; !lines.empty() && lines.begin()->first == printed; ++printed) {
+                std::cout << lines.begin()->second << std::flush;
+                lines.erase(lines.begin());
+            }
+        }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < std::min<std::uint64_t>(jobs, seeds); ++i) threads.emplace_back(work);
+    for (auto& t : threads) t.join();
+    if (only_broken) std::cerr << seeds << " seeds, " << broken << " broke a rule\n";
+    return broken ? 1 : 0;
+}
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -144,6 +144,9 @@
 }
 
 awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
+    // What was over once stays over, whatever has become of its record.
+    if (const auto it = known_.find(uid); it == known_.end() || it->second.state == JobState::open)
+        if (const auto r = links_.remembered(uid); r && r->state != JobState::open) known_[uid] = {r->state, r->size, {}};
     const auto it = known_.find(uid);
     const bool final = it != known_.end() && it->second.state != JobState::open;  // such states never change
     const bool fresh = final || co_await check_fresh(uid);
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -110,7 +110,8 @@
 void Controller::begin_reign(election::Term term, bool unsettled) {
     reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled,
                                      Reign::Links{[this] { elector_.doubt(); }, ports_.time_of_day_ms,
-                                                  [this](const char* why) { keeper_.doubt(why); }});
+                                                  [this](const char* why) { keeper_.doubt(why); },
+                     [this](const std::string& uid) { return keeper_.memory().over(uid); }});
     reign_->start(types_);
 }
 
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -173,6 +173,16 @@
 // What looks open may be of jobs that are over: their outcomes tell.
 awaitable<bool> Reign::check_open_jobs() {
     const auto open = overseer_.open_jobs();
+    for (const auto& uid : open)
+        if (links_.over(uid)) {
+            // Its outcome is looked for below; if it is not there, the job must not be run again.
+            const auto got = co_await store_.get(agent::outcome_key(uid), Urgency::leadership);
+            if (stopped_) co_return false;
+            if (got.outcome == Outcome::ok && !got.item.stamp) {
+                links_.loss("the outcome of a job is gone");
+                co_return false;
+            }
+        }
     std::size_t most = 0;
     for (std::size_t at = 0; at < open.size(); at += most) {
         state::TxnResult result;
--- /dev/null
+++ b/src/emulator/checker.cpp
@@ -0,0 +1,95 @@
+#include "emulator/checker.hpp"
+
+#include <algorithm>
+
+namespace flintdale::emulator {
+
+void Checker::breaks(const std::string& rule, const std::string& what) {
+    if (++broken_[rule] == 1) first_[rule] = std::to_string(events_.since_start().count()) + " s: " + what;
+}
+
+bool Checker::all_done(const std::string& uid) const {
+    const auto it = jobs_.find(uid);
+    return it != jobs_.end() && it->second.done.size() == it->second.spec.tasks;
+}
+
+bool Checker::completed_task(const TaskName& task) const {
+    const auto it = jobs_.find(task.first);
+    return it != jobs_.end() && it->second.done.contains(task.second);
+}
+
+std::size_t Checker::ever(const std::string& uid) const {
+    const auto it = jobs_.find(uid);
+    return it == jobs_.end() ? 0 : it->second.ever.size();
+}
+
+void Checker::arrives(const TaskName& task, const Place& place) {
+    auto& job = jobs_[task.first];
+    const auto name = task.first + "/" + std::to_string(task.second) + " on " + place.machine;
+    if (const auto it = job.on.find(task.second); it != job.on.end()) {
+        breaks("ran_twice", name + " and on " + it->second.machine);
+        return;
+    }
+    const auto& spec = job.spec;
+    if (job.final_word == "aborted" && events_.now() > job.told_at + wire::to_clock(settings_.cancel))
+        breaks("ran_cancelled", name);
+    const bool type = !spec.types || std::count(spec.types->begin(), spec.types->end(), place.type) > 0;
+    std::size_t there = 1, elsewhere = 0;
+    for (const auto& [i, other] : job.on) ++(other.zone == place.zone ? there : elsewhere);
+    if (!type || (spec.zone && *spec.zone != place.zone) || (place.spot && !spec.spot) ||
+        (spec.one_zone && elsewhere > 0) || (spec.spread && there > (spec.tasks + 1) / 2))
+        breaks("wrong_place", name);
+    job.on.emplace(task.second, place);
+    job.ever.insert(task.second);
+    auto& use = use_[spec.team];
+    placement::give(use, spec.need);
+    if (const auto* team = settings_.team(spec.team))
+        if ((team->cpus_limit > 0 && use.cpus > team->cpus_limit + 1e-6) ||
+            (team->gpus_limit > 0 && use.gpus > team->gpus_limit + 1e-6))
+        {
+            std::string held;
+            for (const auto& [uid, other] : jobs_)
+                if (other.spec.team == spec.team)
+                    for (const auto& [i, at] : other.on) held += " " + uid + "/" + std::to_string(i) + "@" + at.machine;
+            breaks("quota", name + " beside" + held);
+        }
+}
+
+void Checker::leaves(const TaskName& task, const std::string& machine) {
+    auto& job = jobs_[task.first];
+    const auto it = job.on.find(task.second);
+    if (it == job.on.end() || it->second.machine != machine) return;
+    job.on.erase(it);
+    placement::take(use_[job.spec.team], job.spec.need);
+}
+
+void Checker::told(const std::string& uid, const std::string& status, TimePoint asked) {
+    const auto it = jobs_.find(uid);
+    if (it == jobs_.end()) return breaks("invented", uid);
+    auto& job = it->second;
+    if (!job.final_word.empty() && status != job.final_word && asked > job.told_at)
+        breaks("went_back", uid + " was " + job.final_word + ", is " + status);
+    if (status == "aborted" && !job.cancel_asked) breaks("went_back", uid + " was cancelled by nobody");
+    if (status == "done" && job.done.size() < job.spec.tasks) breaks("not_done", uid);
+    if (status != "done" && status != "aborted") return;
+    if (job.final_word.empty()) {
+        job.final_word = status;
+        job.told_at = events_.now();
+    }
+}
+
+void Checker::told_unknown(const std::string& uid) {
+    const auto it = jobs_.find(uid);
+    if (it == jobs_.end() || !it->second.accepted) return;
+    forgotten_.insert(uid);
+    breaks("forgotten", uid);
+}
+
+void Checker::look() {
+    for (const auto& [uid, job] : jobs_)
+        if (job.final_word == "aborted" && !job.on.empty() &&
+            events_.now() > job.told_at + wire::to_clock(settings_.cancel))
+            breaks("ran_cancelled", uid + " is still on " + job.on.begin()->second.machine);
+}
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/checker.hpp
@@ -0,0 +1,66 @@
+// Watches the rules of the protocol from outside: what is on machines, and what users are told.
+#pragma once
+#include <map>
+#include <set>
+
+#include "config/settings.hpp"
+#include "emulator/events.hpp"
+#include "placement/planner.hpp"
+
+namespace flintdale::emulator {
+
+using TaskName = std::pair<std::string, std::uint32_t>;
+
+struct Place {
+    std::string machine, type, zone;
+    bool spot = false;
+};
+
+class Checker {
+  public:
+    Checker(Events& events, const config::Settings& settings) : events_(events), settings_(settings) {}
+
+    // --- the truth ---
+    void submitted(const wire::JobSpec& spec) { jobs_[spec.uid].spec = spec; }
+    void arrives(const TaskName& task, const Place& place);  // it is on the machine: it has its image
+    void leaves(const TaskName& task, const std::string& machine);
+    void completed(const TaskName& task) { jobs_[task.first].done.insert(task.second); }
+    bool all_done(const std::string& uid) const;
+    bool completed_task(const TaskName& task) const;
+    std::size_t ever(const std::string& uid) const;  // tasks that were on a machine at some time
+
+    // --- what users are told ---
+    void accepted(const std::string& uid) { jobs_[uid].accepted = true; }
+    // `asked`: when the user sent the question. Answers overtake one another; what was asked before a word may be older.
+    void told(const std::string& uid, const std::string& status, TimePoint asked);
+    void told_unknown(const std::string& uid);  // 404, or 400 or 422 to a repetition
+    void asked_to_cancel(const std::string& uid) { jobs_[uid].cancel_asked = true; }
+
+    void look();  // now and then: what may not last too long
+
+    // Rule -> how often it was broken; a line on the first of each.
+    const std::map<std::string, unsigned>& broken() const { return broken_; }
+    const std::map<std::string, std::string>& first() const { return first_; }
+    std::size_t forgotten() const { return forgotten_.size(); }  // jobs
+
+  private:
+    struct Job {
+        wire::JobSpec spec;
+        bool accepted = false, cancel_asked = false;
+        std::string final_word;  // done or aborted, once told
+        TimePoint told_at{};
+        std::set<std::uint32_t> done, ever;
+        std::map<std::uint32_t, Place> on;
+    };
+    void breaks(const std::string& rule, const std::string& what);
+
+    Events& events_;
+    const config::Settings& settings_;
+    std::map<std::string, Job> jobs_;
+    std::map<std::string, placement::Resources> use_;
+    std::map<std::string, unsigned> broken_;
+    std::map<std::string, std::string> first_;
+    std::set<std::string> forgotten_;
+};
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/fleet.cpp
@@ -0,0 +1,432 @@
+#include "emulator/fleet.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace flintdale::emulator {
+
+using wire::Cause;
+using wire::Shape;
+using wire::TaskStatus;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Seconds least_gap{0.5};   // between two reports
+constexpr Seconds patience{4};      // of a worker
+constexpr Seconds listed_dead{30};  // after which the list tells that a machine has died
+
+const char* name_of(TaskStatus s) {
+    constexpr const char* names[] = {"pulling", "waiting", "running", "saving", "ended"};
+    return names[static_cast<std::size_t>(s)];
+}
+
+const char* name_of(Cause c) {
+    constexpr const char* names[] = {"error", "done", "halted", "peers",  "incomplete",
+                                     "error", "full", "in_use", "no_such"};
+    return names[static_cast<std::size_t>(c)];
+}
+
+}  // namespace
+
+Fleet::Fleet(Events& events, Checker& checker, const config::Settings& settings, const Scenario& scenario, Ask ask)
+    : events_(events), checker_(checker), settings_(settings), scenario_(scenario), ask_(std::move(ask)) {}
+
+// --- the cloud ---
+
+Fleet::HostPtr Fleet::add(const wire::MachineType& type, const std::string& zone, bool spot, Seconds boots_in) {
+    auto host = std::make_shared<Host>();
+    host->name = fmt::format("n-{:06}", ++names_);
+    host->type = &type;
+    host->zone = zone;
+    host->spot = spot;
+    host->rented = events_.now();
+    hosts_[host->name] = host;
+    events_.after(boots_in, [this, host] { comes_up(host); });
+    return host;
+}
+
+void Fleet::warm_up(std::size_t machines) {
+    for (std::size_t i = 0; i < machines; ++i) {
+        const auto& type = scenario_.types[i % scenario_.types.size()];
+        add(type, type.zones[i / scenario_.types.size() % type.zones.size()], false, Seconds(0));
+    }
+}
+
+cloud::RentResult Fleet::rent(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+                              int count) {
+    cloud::RentResult r;
+    r.outcome = cloud::Rent::granted;
+    if (const auto it = requests_.find(request); it != requests_.end()) {
+        r.machines = it->second;
+        return r;
+    }
+    for (const auto& t : scenario_.types)
+        if (t.name == type)
+            for (int i = 0; i < count; ++i)
+                r.machines.push_back(add(t, zone, spot, t.boot * events_.uniform(0.6, 1.5))->name);
+    requests_[request] = r.machines;
+    return r;
+}
+
+void Fleet::release(const std::vector<std::string>& names) {
+    for (const auto& name : names)
+        if (const auto it = hosts_.find(name); it != hosts_.end()) {
+            drop_all(it->second);
+            it->second->dead = true;
+            hosts_.erase(it);
+        }
+}
+
+std::vector<wire::ListedMachine> Fleet::list() const {
+    std::vector<wire::ListedMachine> out;
+    for (const auto& [name, h] : hosts_) {
+        const Seconds age = events_.now() - h->rented;
+        if (age < settings_.list_lag && age < events_.since_start()) continue;
+        const bool failed = h->dead && events_.now() - h->died > wire::to_clock(listed_dead);
+        out.push_back({name, "10.1.0.1:9000", h->type->name, h->zone, h->spot,
+                       failed  ? wire::MachineStatus::failed
+                       : h->up ? wire::MachineStatus::running
+                               : wire::MachineStatus::booting,
+                       age});
+    }
+    return out;
+}
+
+// --- a worker's reports ---
+
+void Fleet::comes_up(const HostPtr& host) {
+    if (host->dead) return;
+    host->up = true;
+    host->lease_from = events_.now();
+    host->node = events_.pick(scenario_.members.size());
+    report(host);
+    check_lease(host);
+}
+
+void Fleet::schedule_report(const HostPtr& host, Seconds in) {
+    const auto timer = ++host->timer;
+    events_.after(in, [this, host, timer] {
+        if (timer == host->timer) report(host);
+    });
+}
+
+void Fleet::changed(const HostPtr& host) {
+    host->changed = true;
+    if (host->in_flight) return;
+    const Seconds since = events_.now() - host->last_sent;
+    schedule_report(host, std::max(Seconds(0), least_gap - since));
+}
+
+std::string Fleet::body_of(Host& h) {
+    json::array tasks;
+    for (const auto& [name, t] : h.tasks) {
+        json::object o{{"shard", name.first + "/" + std::to_string(name.second)},
+                       {"try", t.attempt},
+                       {"status", name_of(t.status)}};
+        if (t.status == TaskStatus::exited) o["cause"] = name_of(t.cause);
+        tasks.push_back(std::move(o));
+    }
+    return json::serialize(json::object{{"host", h.name},
+                                        {"endpoint", "10.1.0.1:9000"},
+                                        {"hosttype", h.type->name},
+                                        {"hall", h.zone},
+                                        {"loaners", h.spot},
+                                        {"tenure", h.tenure},
+                                        {"tick", ++h.tick},
+                                        {"baton", h.token},
+                                        {"warning_s", nullptr},
+                                        {"shards", std::move(tasks)}});
+}
+
+void Fleet::report(const HostPtr& host) {
+    auto& h = *host;
+    if (h.dead || !h.up || h.in_flight) return;
+    if (events_.now() < h.hangs_until) return schedule_report(host, h.hangs_until - events_.now());
+    h.in_flight = true;
+    h.changed = false;
+    h.last_sent = events_.now();
+    const auto sent = h.last_sent;
+    const auto tenure = h.tenure;
+    net::Request request;
+    request.verb = net::http::verb::post;
+    request.target = "/agent/beat";
+    request.body = body_of(h);
+    if (events_.now() < h.cut_until) {
+        events_.after(patience, [this, host, tenure, sent] { answered(host, tenure, sent, 0, ""); });
+        return;
+    }
+    ask_(h.node, h.zone, std::move(request), patience,
+         [this, host, tenure, sent](unsigned status, const std::string& body) {
+             answered(host, tenure, sent, status, body);
+         });
+}
+
+void Fleet::answered(const HostPtr& host, std::uint64_t tenure, TimePoint sent, unsigned status,
+                     const std::string& body) {
+    auto& h = *host;
+    h.in_flight = false;
+    if (h.dead) return;
+    if (events_.now() < h.hangs_until || events_.now() < h.cut_until) status = 0;
+    const auto next_node = [&] {
+        h.node = (h.node + 1) % scenario_.members.size();
+        schedule_report(host, Seconds(1));
+    };
+    if (status == 421) {
+        const auto o = wire::parse_object(body);
+        const auto* leader = o.if_contains("overseer");
+        const auto to =
+            leader ? std::find(scenario_.members.begin(), scenario_.members.end(), std::string(leader->as_string()))
+                   : scenario_.members.end();
+        const auto at = static_cast<std::size_t>(to - scenario_.members.begin());
+        if (to == scenario_.members.end() || at == h.node) return next_node();
+        h.node = at;
+        return schedule_report(host, Seconds(events_.uniform(0, 0.5)));
+    }
+    if (status != 200) return next_node();
+    const auto o = wire::parse_object(body);
+    const auto token = o.at("baton").to_number<std::uint64_t>();
+    if (token >= h.token && tenure == h.tenure) {
+        if (token > h.token) h.changed = true;
+        h.token = token;
+        h.lease_from = std::max(h.lease_from, sent);
+        obey(host, o.at("orders").as_array());
+    }
+    if (h.changed)
+        changed(host);
+    else
+        schedule_report(host, settings_.report * events_.uniform(0.75, 1.25));
+}
+
+void Fleet::obey(const HostPtr& host, const json::array& orders) {
+    for (const auto& v : orders) {
+        const auto& o = v.as_object();
+        const std::string shard(o.at("shard").as_string());
+        const auto slash = shard.rfind('/');
+        const TaskName name{shard.substr(0, slash), static_cast<std::uint32_t>(std::stoul(shard.substr(slash + 1)))};
+        const auto attempt = o.at("try").to_number<std::uint64_t>();
+        const std::string verb(o.at("verb").as_string());
+        const auto it = host->tasks.find(name);
+        if (verb == "run") {
+            run(host, name, attempt);
+        } else if (it != host->tasks.end() && it->second.attempt == attempt) {
+            const bool ended = it->second.status == TaskStatus::exited;
+            if (verb == "kill" && !ended) ends(host, name, Cause::stopped);
+            if (verb == "clear" && ended) host->tasks.erase(it);
+        }
+    }
+}
+
+// --- tasks ---
+
+void Fleet::run(const HostPtr& host, const TaskName& name, std::uint64_t attempt) {
+    auto& h = *host;
+    const auto held = h.tasks.find(name);
+    if (held != h.tasks.end() && held->second.attempt == attempt) return;
+    const auto serial = ++serials_;
+    h.changed = true;
+    const auto job = jobs_.find(name.first);
+    auto cause = Cause::none;
+    auto free = h.type->capacity;
+    placement::take(free, h.used);
+    if (job == jobs_.end() || name.second >= job->second.spec.tasks)
+        cause = Cause::unknown;
+    else if (held != h.tasks.end() && held->second.status != TaskStatus::exited)
+        return;  // refused as in use; the report shows the other attempt
+    else if (!placement::fits(job->second.spec.need, free))
+        cause = Cause::no_room;
+    auto& task = h.tasks[name];
+    task = {attempt, cause == Cause::none ? TaskStatus::fetching : TaskStatus::exited, cause, serial};
+    if (cause != Cause::none) return;
+    const auto& spec = job->second.spec;
+    placement::give(h.used, spec.need);
+    const bool cached = h.images.contains(spec.image);
+    const Seconds fetch(cached ? 0.05 : spec.image_gb / h.type->fetch_gb_per_s * events_.uniform(0.8, 1.3));
+    events_.after(fetch, [this, host, name, serial] { has_image(host, name, serial); });
+}
+
+std::vector<std::pair<Fleet::HostPtr, TaskName>> Fleet::members(const std::string& uid, std::uint64_t attempt) const {
+    std::vector<std::pair<HostPtr, TaskName>> out;
+    const auto it = gangs_.find({uid, attempt});
+    if (it == gangs_.end()) return out;
+    for (const auto& name : it->second)
+        if (const auto h = hosts_.find(name); h != hosts_.end())
+            for (const auto& [task, t] : h->second->tasks)
+                if (task.first == uid && t.attempt == attempt && t.status != TaskStatus::exited)
+                    out.emplace_back(h->second, task);
+    return out;
+}
+
+void Fleet::has_image(const HostPtr& host, const TaskName& name, std::uint64_t serial) {
+    auto& h = *host;
+    const auto it = h.tasks.find(name);
+    if (h.dead || it == h.tasks.end() || it->second.serial != serial || it->second.status != TaskStatus::fetching)
+        return;
+    if (events_.now() < h.hangs_until) {
+        events_.after(h.hangs_until - events_.now() + Seconds(0.01),
+                      [this, host, name, serial] { has_image(host, name, serial); });
+        return;
+    }
+    auto& job = jobs_[name.first];
+    h.images.insert(job.spec.image);
+    checker_.arrives(name, {h.name, h.type->name, h.zone, h.spot});
+    last_start = events_.now();
+    if (job.done.contains(name.second)) {
+        it->second.status = TaskStatus::running;
+        return ends(host, name, Cause::done);
+    }
+    if (job.spec.shape != Shape::gang) {
+        starts(host, name);
+        return;
+    }
+    const auto attempt = it->second.attempt;
+    it->second.status = TaskStatus::waiting;
+    gangs_[{name.first, attempt}].insert(h.name);
+    changed(host);
+    const auto all = members(name.first, attempt);
+    const auto ready = std::count_if(all.begin(), all.end(), [](const auto& m) {
+        return m.first->tasks.at(m.second).status == TaskStatus::waiting;
+    });
+    if (static_cast<std::uint32_t>(ready) == job.spec.tasks) {
+        for (const auto& [other, task] : all) starts(other, task);
+        return;
+    }
+    events_.after(settings_.gang_wait, [this, host, name, serial] {
+        const auto t = host->tasks.find(name);
+        if (!host->dead && t != host->tasks.end() && t->second.serial == serial &&
+            t->second.status == TaskStatus::waiting)
+            ends(host, name, Cause::alone);
+    });
+}
+
+void Fleet::starts(const HostPtr& host, const TaskName& name) {
+    auto& task = host->tasks[name];
+    task.status = TaskStatus::running;
+    const auto serial = task.serial;
+    const auto& job = jobs_[name.first];
+    ++started;
+    ++started_by_class[job.spec.job_class];
+    changed(host);
+    if (job.spec.shape == Shape::service) return;
+    events_.after(job.runs, [this, host, name, serial] { completes(host, name, serial); });
+}
+
+void Fleet::completes(const HostPtr& host, const TaskName& name, std::uint64_t serial) {
+    const auto t = host->tasks.find(name);
+    if (host->dead || t == host->tasks.end() || t->second.serial != serial || t->second.status != TaskStatus::running)
+        return;
+    auto& job = jobs_[name.first];
+    if (job.spec.shape != Shape::gang) {
+        if (events_.now() >= host->hangs_until) return ends(host, name, Cause::done);
+        // What hangs goes on later.
+        events_.after(host->hangs_until - events_.now() + Seconds(0.01),
+                      [this, host, name, serial] { completes(host, name, serial); });
+        return;
+    }
+    // A gang completes as one; where a member hangs, the others notice, and exit.
+    const auto all = members(name.first, t->second.attempt);
+    for (const auto& [other, task] : all)
+        if (events_.now() < other->hangs_until) return gang_member_gone(name, t->second.attempt);
+    if (all.size() < job.spec.tasks) return;
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+        job.done.insert(i);
+        checker_.completed({name.first, i});
+    }
+    for (const auto& [other, task] : all) ends(other, task, Cause::done);
+}
+
+void Fleet::ends(const HostPtr& host, const TaskName& name, Cause cause) {
+    auto& task = host->tasks[name];
+    const bool was_there = task.status != TaskStatus::fetching;
+    auto& job = jobs_[name.first];
+    task.status = TaskStatus::exited;
+    task.cause = cause;
+    placement::take(host->used, job.spec.need);
+    if (was_there) checker_.leaves(name, host->name);
+    if (cause == Cause::done) {
+        ++finished;
+        if (job.done.insert(name.second).second) checker_.completed(name);
+    } else if (job.spec.shape == Shape::gang) {
+        gang_member_gone(name, task.attempt);
+    }
+    changed(host);
+}
+
+// The others of a running gang notice, and exit.
+void Fleet::gang_member_gone(const TaskName& name, std::uint64_t attempt) {
+    const auto uid = name.first;
+    events_.after(settings_.gang_peer * events_.uniform(0.3, 1), [this, uid, attempt] {
+        for (const auto& [other, task] : members(uid, attempt))
+            if (other->tasks.at(task).status == TaskStatus::running) ends(other, task, Cause::peers);
+    });
+}
+
+void Fleet::drop_all(const HostPtr& host) {
+    for (const auto& [name, t] : host->tasks) {
+        if (t.status == TaskStatus::exited) continue;
+        if (t.status != TaskStatus::fetching) checker_.leaves(name, host->name);
+        if (jobs_[name.first].spec.shape == Shape::gang) gang_member_gone(name, t.attempt);
+    }
+    host->tasks.clear();
+    host->used = {};
+}
+
+void Fleet::check_lease(const HostPtr& host) {
+    auto& h = *host;
+    if (h.dead) return;
+    if (events_.now() >= h.hangs_until && events_.now() - h.lease_from > wire::to_clock(settings_.lease)) {
+        lease_kills += h.tasks.size();
+        drop_all(host);
+        ++h.tenure;
+        h.lease_from = events_.now();
+        changed(host);
+    }
+    events_.after(Seconds(0.5), [this, host] { check_lease(host); });
+}
+
+// --- troubles ---
+
+std::vector<Fleet::HostPtr> Fleet::some(double share) {
+    std::vector<HostPtr> out;
+    for (const auto& [name, h] : hosts_)
+        if (h->up && !h->dead && events_.chance(share)) out.push_back(h);
+    return out;
+}
+
+void Fleet::die(double share) {
+    for (const auto& h : some(share)) {
+        drop_all(h);
+        h->dead = true;
+        h->died = events_.now();
+    }
+}
+
+void Fleet::hang(double share, Seconds lasts) {
+    for (const auto& h : some(share)) h->hangs_until = events_.now() + wire::to_clock(lasts);
+}
+
+void Fleet::cut(double share, Seconds lasts) {
+    for (const auto& h : some(share)) h->cut_until = events_.now() + wire::to_clock(lasts);
+}
+
+std::map<TaskName, std::string> Fleet::running() const {
+    std::map<TaskName, std::string> out;
+    for (const auto& [name, h] : hosts_)
+        for (const auto& [task, t] : h->tasks)
+            if (!h->dead && (t.status == TaskStatus::running || t.status == TaskStatus::waiting)) out[task] = name;
+    return out;
+}
+
+bool Fleet::alive(const std::string& machine) const {
+    const auto it = hosts_.find(machine);
+    return it != hosts_.end() && !it->second->dead && events_.now() >= it->second->hangs_until &&
+           events_.now() >= it->second->cut_until;
+}
+
+std::size_t Fleet::up() const {
+    return static_cast<std::size_t>(
+        std::count_if(hosts_.begin(), hosts_.end(), [](const auto& h) { return h.second->up && !h.second->dead; }));
+}
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/fleet.hpp
@@ -0,0 +1,104 @@
+// The cloud and the machines it rents, each with its worker, by the protocol.
+#pragma once
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "cloud/client.hpp"
+#include "emulator/checker.hpp"
+#include "emulator/scenario.hpp"
+#include "net/http_server.hpp"
+
+namespace flintdale::emulator {
+
+// Sends a request to a controller; `done` gets its answer, or status 0 after the sender's patience.
+using Ask = std::function<void(std::size_t node, const std::string& zone, net::Request, Seconds patience,
+                               std::function<void(unsigned status, const std::string& body)> done)>;
+
+class Fleet {
+  public:
+    Fleet(Events& events, Checker& checker, const config::Settings& settings, const Scenario& scenario, Ask ask);
+
+    // What the users uploaded: how long a task runs.
+    void upload(const wire::JobSpec& spec, Seconds runs) { jobs_[spec.uid] = {spec, runs, {}}; }
+    void warm_up(std::size_t machines);
+
+    // --- the cloud ---
+    bool down = false;
+    cloud::RentResult rent(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+                           int count);
+    void release(const std::vector<std::string>& names);
+    std::vector<wire::ListedMachine> list() const;
+
+    // --- troubles, of a share of the machines that are up ---
+    void die(double share);
+    void hang(double share, Seconds lasts);
+    void cut(double share, Seconds lasts);
+
+    // Tasks on machines that live, and where.
+    std::map<TaskName, std::string> running() const;
+    bool alive(const std::string& machine) const;
+    std::size_t up() const;
+    std::size_t started = 0, finished = 0, lease_kills = 0;
+    std::map<std::string, std::size_t> started_by_class;
+    TimePoint last_start{};
+
+  private:
+    struct Task {
+        std::uint64_t attempt = 0;
+        wire::TaskStatus status = wire::TaskStatus::fetching;
+        wire::Cause cause = wire::Cause::none;
+        std::uint64_t serial = 0;  // tells events of another run of it apart
+    };
+    struct Host {
+        std::string name;
+        const wire::MachineType* type = nullptr;
+        std::string zone;
+        bool spot = false, up = false, dead = false, in_flight = false, changed = false;
+        TimePoint rented{}, died{}, lease_from{}, last_sent{}, hangs_until{}, cut_until{};
+        std::uint64_t tenure = 1, tick = 0, token = 0, timer = 0;
+        std::size_t node = 0;
+        std::map<TaskName, Task> tasks;
+        std::set<std::string> images;
+        placement::Resources used;
+    };
+    struct Job {
+        wire::JobSpec spec;
+        Seconds runs{0};
+        std::set<std::uint32_t> done;
+    };
+    using HostPtr = std::shared_ptr<Host>;
+
+    HostPtr add(const wire::MachineType& type, const std::string& zone, bool spot, Seconds boots_in);
+    void comes_up(const HostPtr& host);
+    void schedule_report(const HostPtr& host, Seconds in);
+    void report(const HostPtr& host);
+    void answered(const HostPtr& host, std::uint64_t tenure, TimePoint sent, unsigned status, const std::string& body);
+    void obey(const HostPtr& host, const boost::json::array& orders);
+    void run(const HostPtr& host, const TaskName& name, std::uint64_t attempt);
+    void has_image(const HostPtr& host, const TaskName& name, std::uint64_t serial);
+    void starts(const HostPtr& host, const TaskName& name);
+    void completes(const HostPtr& host, const TaskName& name, std::uint64_t serial);
+    void ends(const HostPtr& host, const TaskName& name, wire::Cause cause);
+    void gang_member_gone(const TaskName& name, std::uint64_t attempt);
+    void check_lease(const HostPtr& host);
+    void drop_all(const HostPtr& host);
+    void changed(const HostPtr& host);
+    std::string body_of(Host& host);
+    std::vector<std::pair<HostPtr, TaskName>> members(const std::string& uid, std::uint64_t attempt) const;
+    std::vector<HostPtr> some(double share);
+
+    Events& events_;
+    Checker& checker_;
+    const config::Settings& settings_;
+    const Scenario& scenario_;
+    Ask ask_;
+    std::map<std::string, HostPtr> hosts_;
+    std::map<std::string, std::vector<std::string>> requests_;
+    std::map<std::string, Job> jobs_;
+    std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> gangs_;  // uid, attempt -> hosts
+    std::uint64_t names_ = 0, serials_ = 0;
+};
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/scenario.cpp
@@ -0,0 +1,149 @@
+#include "emulator/scenario.hpp"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace flintdale::emulator {
+
+namespace {
+
+using config::BadSetting;
+
+class Table {
+  public:
+    Table(const toml::table& table, std::string where) : table_(table), where_(std::move(where)) {}
+    double number(const char* key, std::optional<double> otherwise = {}) const {
+        if (const auto v = table_[key].value<double>()) return *v;
+        if (table_.contains(key) || !otherwise) throw BadSetting(where_ + "." + key + ": expected a number");
+        return *otherwise;
+    }
+    bool flag(const char* key) const { return table_[key].value_or(false); }
+    std::string text(const char* key, std::optional<std::string> otherwise = {}) const {
+        if (const auto v = table_[key].value<std::string>()) return *v;
+        if (table_.contains(key) || !otherwise) throw BadSetting(where_ + "." + key + ": expected text");
+        return *otherwise;
+    }
+    std::vector<std::string> texts(const char* key) const {
+        std::vector<std::string> out;
+        const auto* list = table_[key].as_array();
+        if (!list) throw BadSetting(where_ + "." + key + ": expected a list of texts");
+        for (const auto& v : *list) out.push_back(v.value_or(std::string()));
+        return out;
+    }
+    template <class Each>
+    void each(const char* key, Each take) const {
+        const auto* list = table_[key].as_array();
+        if (!list) return;
+        std::size_t n = 0;
+        for (const auto& v : *list) {
+            const auto where = where_ + key + "[" + std::to_string(n++) + "]";
+            if (!v.as_table()) throw BadSetting(where + ": expected a table");
+            take(Table(*v.as_table(), where));
+        }
+    }
+
+  private:
+    const toml::table& table_;
+    std::string where_;
+};
+
+template <class T>
+T one_of(const std::map<std::string, T>& names, const std::string& name, const std::string& what) {
+    const auto it = names.find(name);
+    if (it == names.end()) throw BadSetting(what + ": unknown \"" + name + "\"");
+    return it->second;
+}
+
+const std::map<std::string, wire::Shape> shapes{
+    {"array", wire::Shape::array}, {"gang", wire::Shape::gang}, {"service", wire::Shape::service}};
+const std::map<std::string, wire::Rank> ranks{{"idle", wire::Rank::idle},
+                                              {"normal", wire::Rank::normal},
+                                              {"high", wire::Rank::high},
+                                              {"critical", wire::Rank::critical}};
+
+JobClass job_class(const Table& t, const std::string& where) {
+    JobClass c;
+    c.like.job_class = t.text("class");
+    c.like.team = t.text("team");
+    c.like.shape = one_of(shapes, t.text("shape"), where + ".shape");
+    c.like.rank = one_of(ranks, t.text("rank", "normal"), where + ".rank");
+    c.like.need = {t.number("cpus", 1), t.number("gpus", 0), t.number("memory_gb", 1)};
+    c.like.image = t.text("image", c.like.job_class);
+    c.like.image_gb = t.number("image_gb", 1);
+    c.like.one_zone = t.flag("one_zone");
+    c.like.spread = t.flag("spread");
+    c.like.spot = t.flag("spot");
+    c.like.checkpoint = Seconds(t.number("checkpoint_s", 0));
+    c.like.save = Seconds(t.number("save_s", 0));
+    c.initial = static_cast<int>(t.number("initial", 0));
+    c.per_minute = t.number("per_minute", 0);
+    c.tasks_from = static_cast<std::uint32_t>(t.number("tasks_from", 1));
+    c.tasks_to = static_cast<std::uint32_t>(t.number("tasks_to", c.tasks_from));
+    c.runs_s = t.number("runs_s", 30);
+    c.like.estimate = Seconds(c.like.shape == wire::Shape::service ? 0 : c.runs_s);
+    c.cancelled = t.number("cancelled", 0);
+    c.cancel_from = t.number("cancel_from_s", 5);
+    c.cancel_to = t.number("cancel_to_s", 60);
+    return c;
+}
+
+}  // namespace
+
+Scenario parse_scenario(const std::string& text, const std::string& name) {
+    toml::table root;
+    try {
+        root = toml::parse(text, name);
+    } catch (const toml::parse_error& e) {
+        throw BadSetting(name + ": line " + std::to_string(e.source().begin.line) + ": " +
+                         std::string(e.description()));
+    }
+    Scenario s;
+    s.name = name;
+    s.cluster = text;
+    const auto* world = root["world"].as_table();
+    if (!world) throw BadSetting(name + ": world: expected a table");
+    const Table w(*world, name + ": world");
+    s.members = w.texts("members");
+    s.member_zones = w.texts("member_zones");
+    if (s.members.empty() || s.members.size() != s.member_zones.size())
+        throw BadSetting(name + ": world.member_zones: expected one for each of world.members");
+    s.length = Seconds(w.number("length_s", 300));
+    s.warm = static_cast<std::size_t>(w.number("warm", 0));
+    s.late = w.number("late", 0);
+    s.drawn = w.number("drawn", 0);
+    s.draws_losses = w.flag("draws_losses");
+    const Table top(root, name + ": ");
+    top.each("machines", [&](const Table& t) {
+        wire::MachineType m;
+        m.name = t.text("type");
+        m.capacity = {t.number("cpus"), t.number("gpus", 0), t.number("memory_gb")};
+        m.cache_gb = t.number("cache_gb", 100);
+        m.fetch_gb_per_s = t.number("fetch_gb_per_s", 0.5);
+        m.price = t.number("price", 1);
+        m.spot_price = t.number("spot_price", m.price / 2);
+        m.boot = Seconds(t.number("boot_s", 20));
+        m.zones = t.texts("zones");
+        s.types.push_back(std::move(m));
+    });
+    if (s.types.empty()) throw BadSetting(name + ": machines: expected at least one type");
+    top.each("jobs", [&](const Table& t) { s.jobs.push_back(job_class(t, name + ": jobs")); });
+    top.each("troubles", [&](const Table& t) {
+        s.troubles.push_back({t.text("kind"), Seconds(t.number("at_s")), Seconds(t.number("lasts_s", 0)),
+                              t.number("share", 1), t.text("node", "leader"), t.text("zone", ""), t.text("prefix", ""),
+                              t.number("seconds", 0)});
+    });
+    return s;
+}
+
+Scenario load_scenario(const std::string& path) {
+    std::ifstream in(path);
+    if (!in) throw BadSetting(path + ": cannot be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parse_scenario(text.str(), path);
+}
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/scenario.hpp
@@ -0,0 +1,50 @@
+// What is played: the cluster's settings (the platform's own form), how much of everything there is, which jobs come
+// and what goes wrong when.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "config/settings.hpp"
+
+namespace flintdale::emulator {
+
+using wire::Seconds;
+
+struct JobClass {
+    wire::JobSpec like;  // everything but the name
+    int initial = 0;     // that come at the start
+    double per_minute = 0;
+    std::uint32_t tasks_from = 1, tasks_to = 1;
+    double runs_s = 30;    // of a task, give or take a fifth; a service's replicas run until it is cancelled
+    double cancelled = 0;  // share that is cancelled, some time after it was accepted
+    double cancel_from = 5, cancel_to = 60;
+};
+
+// One trouble. Which of the fields count depends on the kind; docs/emulator.md lists them.
+struct Trouble {
+    std::string kind;
+    Seconds at{0}, lasts{0};
+    double share = 1;  // of the machines concerned
+    std::string node;  // a controller, "leader" or "all"
+    std::string zone, prefix;
+    double seconds = 0;  // set_back
+};
+
+struct Scenario {
+    std::string name, cluster;  // the platform's settings but for what differs between controllers
+    std::vector<std::string> members, member_zones;
+    Seconds length{300};
+    std::vector<wire::MachineType> types;
+    std::size_t warm = 0;       // machines that are up at the start
+    double late = 0;            // share of transactions that are late
+    double drawn = 0;           // troubles drawn by the seed, so many on average
+    bool draws_losses = false;  // and a loss of data among them
+    std::vector<JobClass> jobs;
+    std::vector<Trouble> troubles;
+};
+
+// Throws config::BadSetting, naming what is wrong where.
+Scenario load_scenario(const std::string& path);
+Scenario parse_scenario(const std::string& text, const std::string& name);
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/state_service.cpp
@@ -0,0 +1,304 @@
+#include "emulator/state_service.hpp"
+
+#include <algorithm>
+
+namespace flintdale::emulator {
+
+using namespace std::chrono_literals;
+using state::Outcome;
+
+namespace {
+constexpr std::size_t kept_changes = 10'000;
+constexpr std::size_t page_items = 500;
+constexpr auto no_answer = 1500ms;  // after which a request is given up
+constexpr double safety = 0.9;
+}  // namespace
+
+void Keys::put(const std::string& key, std::optional<state::Item> item) {
+    const auto it = items_.find(key);
+    Logged entry{revision_, events_.now(), key, {}, item};
+    if (it != items_.end()) entry.before = it->second;
+    if (item)
+        items_[key] = *item;
+    else
+        items_.erase(key);
+    log_.push_back(std::move(entry));
+    if (log_.size() > kept_changes) log_.pop_front();
+}
+
+state::TxnResult Keys::commit(const state::Txn& txn) {
+    expire();
+    state::TxnResult r;
+    r.revision = revision_;
+    for (const auto& c : txn.changes)
+        if (c.lease && !leases_.contains(c.lease)) {
+            r.outcome = Outcome::no_lease;
+            return r;
+        }
+    for (const auto& c : txn.conditions)
+        if (get(c.key).stamp != c.stamp) r.failed.push_back(c.key);
+    r.outcome = r.failed.empty() ? Outcome::ok : Outcome::conflict;
+    if (!r.failed.empty() || txn.changes.empty()) return r;
+    r.revision = ++revision_;
+    for (const auto& c : txn.changes) {
+        attached_.erase(c.key);
+        if (c.lease) attached_[c.key] = c.lease;
+        if (c.value)
+            put(c.key, state::Item{c.key, *c.value, revision_});
+        else if (items_.contains(c.key))
+            put(c.key, std::nullopt);
+    }
+    return r;
+}
+
+state::Item Keys::get(const std::string& key) const {
+    const auto it = items_.find(key);
+    return it == items_.end() ? state::Item{key, {}, 0} : it->second;
+}
+
+state::RangeResult Keys::range(const std::string& prefix, const std::string& after) const {
+    state::RangeResult r;
+    r.outcome = Outcome::ok;
+    r.revision = revision_;
+    for (auto it = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after); it != items_.end(); ++it) {
+        if (!it->first.starts_with(prefix)) break;
+        if (r.items.size() >= page_items) {
+            r.more = true;
+            break;
+        }
+        r.items.push_back(it->second);
+    }
+    return r;
+}
+
+state::FollowResult Keys::changes(const std::string& prefix, std::uint64_t from) const {
+    state::FollowResult r;
+    r.outcome = Outcome::ok;
+    r.revision = revision_;
+    if (log_.size() >= kept_changes && from < log_.front().revision) {
+        r.outcome = Outcome::too_old;
+        return r;
+    }
+    for (auto it = std::upper_bound(log_.begin(), log_.end(), from,
+                                    [](std::uint64_t n, const Logged&e) { return n < e.revision; });
+         it != log_.end(); ++it) {
+        if (!it->key.starts_with(prefix)) continue;
+        r.events.push_back(it->now ? *it->now : state::Item{it->key, {}, it->revision});
+        r.deleted.push_back(!it->now);
+    }
+    return r;
+}
+
+std::uint64_t Keys::grant(Seconds life) {
+    leases_[++last_lease_] = {life, events_.now() + wire::to_clock(life)};
+    return last_lease_;
+}
+
+bool Keys::renew(std::uint64_t lease) {
+    expire();
+    const auto it = leases_.find(lease);
+    if (it == leases_.end()) return false;
+    it->second.ends = events_.now() + wire::to_clock(it->second.life);
+    return true;
+}
+
+void Keys::revoke(std::uint64_t lease) {
+    if (const auto it = leases_.find(lease); it != leases_.end()) it->second.ends = events_.now();
+    expire();
+}
+
+void Keys::expire() {
+    std::erase_if(leases_, [&](const auto& l) { return l.second.ends <= events_.now(); });
+    std::vector<std::string> gone;
+    for (const auto& [key, lease] : attached_)
+        if (!leases_.contains(lease)) gone.push_back(key);
+    if (gone.empty()) return;
+    ++revision_;
+    for (const auto& key : gone) {
+        attached_.erase(key);
+        if (items_.contains(key)) put(key, std::nullopt);
+    }
+}
+
+void Keys::prolong() {
+    for (auto& [id, lease] : leases_) lease.ends = events_.now() + wire::to_clock(lease.life);
+}
+
+void Keys::wipe() {
+    items_.clear();
+    attached_.clear();
+    leases_.clear();
+    log_.clear();
+    revision_ = 0;
+}
+
+void Keys::set_back(Seconds by) {
+    const auto until = events_.now() - wire::to_clock(by);
+    while (!log_.empty() && log_.back().at > until) {
+        const auto& e = log_.back();
+        if (e.before)
+            items_[e.key] = *e.before;
+        else
+            items_.erase(e.key);
+        revision_ = e.revision - 1;
+        log_.pop_back();
+    }
+    // Leases are not part of a copy; keys that hung on one go.
+    leases_.clear();
+    for (const auto& [key, lease] : attached_) items_.erase(key);
+    attached_.clear();
+}
+
+std::size_t Keys::lose(const std::string& prefix) {
+    return std::erase_if(items_, [&](const auto& item) { return item.first.starts_with(prefix); });
+}
+
+std::size_t Keys::age(const std::string& prefix, std::size_t most) {
+    std::size_t n = 0;
+    for (auto it = log_.rbegin(); it != log_.rend() && n < most; ++it) {
+        const auto item = items_.find(it->key);
+        if (!it->key.starts_with(prefix) || !it->before || item == items_.end()) continue;
+        if (item->second.stamp != it->revision) continue;
+        item->second = *it->before;
+        ++n;
+    }
+    return n;
+}
+
+std::size_t Keys::garble(const std::string& prefix, std::size_t most) {
+    std::size_t n = 0;
+    for (auto it = items_.lower_bound(prefix); it != items_.end() && it->first.starts_with(prefix) && n < most; ++it) {
+        if (!events_.chance(0.5)) continue;
+        it->second.value = "#";
+        ++n;
+    }
+    return n;
+}
+
+StateLink::StateLink(net::Executor ex, Events& events, Keys& keys, const config::StateLimits& limits, std::size_t nodes)
+    : events_(events),
+      keys_(keys),
+      limits_(limits),
+      nodes_(static_cast<double>(nodes)),
+      gate_(ex, state::Budget(limits.rps * safety / nodes_, limits.write_rps * safety / nodes_, events.now())) {
+    set_leading(false);
+}
+
+// The leader has most of the requests, and half of the writes.
+void StateLink::set_leading(bool leading) {
+    const double others = std::max(1.0, nodes_ - 1);
+    const double share = nodes_ < 2 ? 1 : leading ? 0.6 : 0.4 / others;
+    gate_.budget().set_rates(limits_.rps * safety * share, limits_.write_rps * safety *
+                                                               (nodes_ < 2 ? 1
+                                                                : leading  ? 0.5
+                                                                           : 0.5 / others));
+}
+
+bool StateLink::healthy(wire::TimePoint now) const { return good_ >= bad_ || now - good_ < 2s; }
+
+net::awaitable<bool> StateLink::reach(double writes, state::Urgency urgency, Outcome& seen) {
+    co_await gate_.enter(writes, urgency);
+    co_await net::sleep_for(wire::to_clock(Seconds(events_.uniform(0.001, 0.008))));
+    if (cut) {
+        co_await net::sleep_for(no_answer);
+        seen = Outcome::unknown;
+    } else if (refused || (outage && *outage)) {
+        seen = Outcome::refused;
+    } else {
+        keys_.expire();
+        good_ = events_.now();
+        co_return true;
+    }
+    bad_ = events_.now();
+    co_return false;
+}
+
+net::awaitable<void> StateLink::back() {
+    co_await net::sleep_for(wire::to_clock(Seconds(events_.uniform(0.001, 0.004))));
+}
+
+net::awaitable<state::GetResult> StateLink::get(std::string key, state::Urgency urgency) {
+    state::GetResult r;
+    const bool there = co_await reach(0, urgency, r.outcome);
+    if (there) {
+        r.outcome = Outcome::ok;
+        r.item = keys_.get(key);
+        co_await back();
+    }
+    co_return r;
+}
+
+net::awaitable<state::RangeResult> StateLink::range(std::string prefix, std::string after, state::Urgency urgency) {
+    state::RangeResult r;
+    const bool there = co_await reach(0, urgency, r.outcome);
+    if (there) {
+        r = keys_.range(prefix, after);
+        co_await back();
+    }
+    co_return r;
+}
+
+net::awaitable<state::TxnResult> StateLink::commit(state::Txn txn, state::Urgency urgency) {
+    state::TxnResult r;
+    const bool there = co_await reach(static_cast<double>(txn.changes.size()), urgency, r.outcome);
+    if (!there) co_return r;
+    if (late > 0 && events_.chance(late)) {
+        // Held on its way, and carried out when nobody waits for it any more.
+        auto* keys = &keys_;
+        events_.after(Seconds(events_.uniform(0.1, 20)), [keys, txn] { keys->commit(txn); });
+        co_await net::sleep_for(no_answer);
+        co_return r;
+    }
+    r = keys_.commit(txn);
+    co_await back();
+    co_return r;
+}
+
+net::awaitable<state::FollowResult> StateLink::follow(std::string prefix, std::uint64_t from,
+                                                      std::chrono::milliseconds hold) {
+    state::FollowResult r;
+    const bool there = co_await reach(0, state::Urgency::leadership, r.outcome);
+    if (!there) co_return r;
+    const auto until = events_.now() + hold;
+    for (;;) {
+        if (!cut && !refused && !(outage && *outage)) {
+            keys_.expire();
+            r = keys_.changes(prefix, from);
+            if (!r.events.empty() || r.outcome != Outcome::ok || events_.now() >= until) break;
+        } else if (events_.now() >= until + no_answer) {
+            r = {};
+            co_return r;
+        }
+        co_await net::sleep_for(20ms);
+    }
+    co_await back();
+    co_return r;
+}
+
+net::awaitable<state::LeaseResult> StateLink::grant(std::chrono::milliseconds life) {
+    state::LeaseResult r;
+    const bool there = co_await reach(0, state::Urgency::leadership, r.outcome);
+    if (there) {
+        r.outcome = Outcome::ok;
+        r.lease = keys_.grant(life);
+        co_await back();
+    }
+    co_return r;
+}
+
+net::awaitable<Outcome> StateLink::renew(std::uint64_t lease) {
+    auto seen = Outcome::unknown;
+    const bool there = co_await reach(0, state::Urgency::leadership, seen);
+    if (!there) co_return seen;
+    const bool alive = keys_.renew(lease);
+    co_await back();
+    co_return alive ? Outcome::ok : Outcome::no_lease;
+}
+
+net::awaitable<void> StateLink::revoke(std::uint64_t lease) {
+    auto seen = Outcome::unknown;
+    const bool there = co_await reach(0, state::Urgency::bookkeeping, seen);
+    if (there) keys_.revoke(lease);
+}
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/state_service.hpp
@@ -0,0 +1,96 @@
+// The state service by its protocol, and what can happen to it: outages, late transactions, lost answers, lost data.
+#pragma once
+#include <deque>
+#include <map>
+
+#include "config/settings.hpp"
+#include "emulator/events.hpp"
+#include "state/gate.hpp"
+#include "state/store.hpp"
+
+namespace flintdale::emulator {
+
+// The keys, their history and the leases.
+class Keys {
+  public:
+    explicit Keys(Events& events) : events_(events) {}
+
+    state::TxnResult commit(const state::Txn& txn);
+    state::Item get(const std::string& key) const;
+    state::RangeResult range(const std::string& prefix, const std::string& after) const;
+    // The changes after that revision; `too_old` where not all are kept.
+    state::FollowResult changes(const std::string& prefix, std::uint64_t from) const;
+    std::uint64_t grant(Seconds life);
+    bool renew(std::uint64_t lease);
+    void revoke(std::uint64_t lease);
+    void expire();   // leases that have run out, and their keys
+    void prolong();  // after an outage: every lease has its full time again
+    std::uint64_t revision() const { return revision_; }
+
+    // Data are lost. Nobody is told.
+    void wipe();
+    void set_back(Seconds by);                                        // to what it was that long ago
+    std::size_t lose(const std::string& prefix);                      // silently
+    std::size_t age(const std::string& prefix, std::size_t most);     // single values are older than they were
+    std::size_t garble(const std::string& prefix, std::size_t most);  // or no values any more
+
+  private:
+    struct Lease {
+        Seconds life{0};
+        TimePoint ends{};
+    };
+    struct Logged {
+        std::uint64_t revision;
+        TimePoint at;
+        std::string key;
+        std::optional<state::Item> before, now;
+    };
+    void put(const std::string& key, std::optional<state::Item> item);
+
+    Events& events_;
+    std::map<std::string, state::Item> items_;
+    std::map<std::string, std::uint64_t> attached_;  // key -> lease
+    std::map<std::uint64_t, Lease> leases_;
+    std::deque<Logged> log_;
+    std::uint64_t revision_ = 0, last_lease_ = 0;
+};
+
+// How one controller reaches it.
+class StateLink : public state::Service {
+  public:
+    StateLink(net::Executor ex, Events& events, Keys& keys, const config::StateLimits& limits, std::size_t nodes);
+
+    // Everyone's outage, or this controller's alone; a cut lets requests vanish instead.
+    const bool* outage = nullptr;
+    bool refused = false, cut = false;
+    double late = 0;  // share of transactions that are carried out late, their answers lost
+
+    net::awaitable<state::GetResult> get(std::string key, state::Urgency urgency) override;
+    net::awaitable<state::RangeResult> range(std::string prefix, std::string after, state::Urgency urgency) override;
+    net::awaitable<state::TxnResult> commit(state::Txn txn, state::Urgency urgency) override;
+    net::awaitable<state::FollowResult> follow(std::string prefix, std::uint64_t from,
+                                               std::chrono::milliseconds hold) override;
+    net::awaitable<state::LeaseResult> grant(std::chrono::milliseconds life) override;
+    net::awaitable<state::Outcome> renew(std::uint64_t lease) override;
+    net::awaitable<void> revoke(std::uint64_t lease) override;
+    std::size_t write_portion() const override { return gate_.write_portion(); }
+    std::chrono::duration<double> write_wait() const override { return gate_.write_wait(); }
+    void set_leading(bool leading) override;
+    double take_write_demand() override { return gate_.take_demand(); }
+    void set_write_demand(double, double) override {}
+    bool healthy(wire::TimePoint now) const override;
+
+  private:
+    // The way there: false if the request does not arrive, with what its sender sees.
+    net::awaitable<bool> reach(double writes, state::Urgency urgency, state::Outcome& seen);
+    net::awaitable<void> back();
+
+    Events& events_;
+    Keys& keys_;
+    config::StateLimits limits_;
+    double nodes_;
+    state::Gate gate_;
+    wire::TimePoint good_{}, bad_{};
+};
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/world.cpp
@@ -0,0 +1,521 @@
+#include "emulator/world.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <cmath>
+
+namespace flintdale::emulator {
+
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+constexpr auto step = 5ms;  // of virtual time
+constexpr std::int64_t epoch_ms = 1'700'000'000'000;
+constexpr Seconds user_patience{5}, poll_patience{2}, poll_gap{5}, served_within{90}, disturbed_after{45};
+}  // namespace
+
+class World::CloudLink : public cloud::Cloud {
+  public:
+    CloudLink(Events& events, Fleet& fleet, const Scenario& scenario)
+        : events_(events), fleet_(fleet), scenario_(scenario) {}
+    bool cut = false;
+
+    net::awaitable<std::optional<std::vector<wire::MachineType>>> catalog() override {
+        const bool there = co_await reach();
+        if (!there) co_return std::nullopt;
+        co_return scenario_.types;
+    }
+    net::awaitable<std::optional<std::vector<wire::ListedMachine>>> machines() override {
+        const bool there = co_await reach();
+        if (!there) co_return std::nullopt;
+        co_return fleet_.list();
+    }
+    net::awaitable<cloud::RentResult> rent(std::string request, std::string type, std::string zone, bool spot,
+                                           int count) override {
+        const bool there = co_await reach();
+        if (!there) co_return cloud::RentResult{};
+        co_return fleet_.rent(request, type, zone, spot, count);
+    }
+    net::awaitable<bool> release(std::vector<std::string> names) override {
+        const bool there = co_await reach();
+        if (there) fleet_.release(names);
+        co_return there;
+    }
+
+  private:
+    net::awaitable<bool> reach() {
+        co_await net::sleep_for(wire::to_clock(Seconds(events_.uniform(0.05, 0.25))));
+        co_return !cut && !fleet_.down;
+    }
+    Events& events_;
+    Fleet& fleet_;
+    const Scenario& scenario_;
+};
+
+// One controller; each life has its own executor, so that what was under way when it ended never goes on.
+struct World::Node {
+    struct Life {
+        net::asio::io_context io{1};
+        state::Form form;
+        StateLink state;
+        CloudLink cloud;
+        app::Controller controller;
+        Life(World& w, std::size_t n, const config::Settings& settings)
+            : form(settings),
+              state(io.get_executor(), w.events_, w.keys_, settings.limits, settings.nodes),
+              cloud(w.events_, w.fleet_, w.scenario_),
+              controller(io.get_executor(), settings, w.tunables_, form,
+                         {state, cloud, [&w, n](const peer::Beat& b) { w.tell_peers(n, b); },
+                          [&w] { return epoch_ms + std::llround(w.events_.since_start().count() * 1000); }}) {
+            state.outage = &w.outage_;
+            state.late = w.scenario_.late;
+            controller.start();
+        }
+    };
+    std::unique_ptr<Life> life;
+    TimePoint frozen_until{};
+    bool cut_state = false, refused = false, cut_workers = false, cut_peers = false;
+};
+
+std::string World::settings_text(std::size_t n) const {
+    std::string out =
+        fmt::format("member = \"{}\"\nlocation = \"{}\"\nserve_on = \"10.0.0.{}:80\"\npeer_listen = \"10.0.0.{}:81\"\n",
+                    scenario_.members[n], scenario_.member_zones[n], n + 1, n + 1);
+    for (std::size_t i = 0; i < scenario_.members.size(); ++i)
+        if (i != n)
+            out += fmt::format("[[seeds]]\nmember = \"{}\"\nlocation = \"{}\"\naddr = \"10.0.0.{}:81\"\n",
+                               scenario_.members[i], scenario_.member_zones[i], i + 1);
+    return out + "[endpoints]\ncloud = \"10.2.0.2:80\"\nstate = \"10.2.0.1:80\"\n" + scenario_.cluster;
+}
+
+World::World(const Scenario& scenario, std::uint64_t seed)
+    : scenario_(scenario),
+      events_(seed),
+      settings_([&] {
+          std::vector<config::Settings> out;
+          for (std::size_t n = 0; n < scenario.members.size(); ++n)
+              out.push_back(config::parse_settings(settings_text(n), scenario.name));
+          return out;
+      }()),
+      keys_(events_),
+      checker_(events_, settings_[0]),
+      fleet_(events_, checker_, settings_[0], scenario,
+             [this](std::size_t node, const std::string& zone, net::Request r, Seconds patience, auto done) {
+                 ask(node, zone, std::move(r), patience, std::move(done));
+             }) {
+    outcome_.seed = seed;
+}
+
+World::~World() = default;
+
+// --- controllers ---
+
+void World::start_node(std::size_t n) {
+    auto& node = *nodes_[n];
+    node.life = std::make_unique<Node::Life>(*this, n, settings_[n]);
+    node.life->state.cut = node.cut_state;
+    node.life->state.refused = node.refused;
+}
+
+void World::end_node(std::size_t n, Seconds back_after) {
+    if (!nodes_[n]->life) return;
+    nodes_[n]->life.reset();
+    events_.after(back_after, [this, n] { start_node(n); });
+}
+
+bool World::reaches(const std::string& zone, std::size_t node) const {
+    const auto& there = scenario_.member_zones[node];
+    // A cut zone goes on inside; users are of no zone.
+    return zone == there || (!cut_zones_.contains(zone) && !cut_zones_.contains(there));
+}
+
+std::size_t World::any_node() { return events_.pick(nodes_.size()); }
+
+void World::ask(std::size_t n, const std::string& zone, net::Request request, Seconds patience,
+                std::function<void(unsigned, const std::string&)> done) {
+    struct Call {
+        std::function<void(unsigned, const std::string&)> done;
+        void end(unsigned status, const std::string& body) {
+            if (auto d = std::exchange(done, nullptr)) d(status, body);
+        }
+    };
+    auto call = std::make_shared<Call>();
+    call->done = std::move(done);
+    events_.after(patience, [call] { call->end(0, ""); });
+    const bool worker = !zone.empty();
+    const bool open = reaches(zone, n) && !(worker && nodes_[n]->cut_workers);
+    if (!nodes_[n]->life) {
+        events_.after(Seconds(0.02), [call] { call->end(0, ""); });
+        return;
+    }
+    // What is held on its way may come much later, when nobody waits for the answer.
+    const auto way = open ? events_.uniform(0.001, 0.02) : events_.uniform(5, 60);
+    if (!open && events_.chance(0.7)) return;
+    events_.after(Seconds(way), [this, n, call, zone, worker, request = std::move(request)]() mutable {
+        auto& life = nodes_[n]->life;
+        if (!life || !reaches(zone, n) || (worker && nodes_[n]->cut_workers)) return;
+        net::asio::co_spawn(life->io, life->controller.handle(std::move(request)),
+                            [this, call, n, zone](std::exception_ptr error, net::Reply reply) {
+                                if (error) std::rethrow_exception(error);
+                                if (!reaches(zone, n)) return;
+                                events_.after(Seconds(events_.uniform(0.001, 0.02)), [call, reply = std::move(reply)] {
+                                    call->end(reply.status, reply.body);
+                                });
+                            });
+    });
+}
+
+void World::tell_peers(std::size_t from, const peer::Beat& beat) {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        if (n == from || nodes_[from]->cut_peers || nodes_[n]->cut_peers || !reaches(scenario_.member_zones[from], n))
+            continue;
+        events_.after(Seconds(events_.uniform(0.001, 0.02)), [this, n, beat] {
+            if (nodes_[n]->life)
+                net::asio::post(nodes_[n]->life->io, [this, n, beat] { nodes_[n]->life->controller.received(beat); });
+        });
+    }
+}
+
+// --- users ---
+
+void World::arrivals(const JobClass& c) {
+    if (c.per_minute <= 0) return;
+    const Seconds gap(-std::log(1 - events_.uniform(0, 1)) * 60 / c.per_minute);
+    events_.after(gap, [this, &c] {
+        new_job(c);
+        arrivals(c);
+    });
+}
+
+void World::new_job(const JobClass& c) {
+    auto job = std::make_shared<UserJob>();
+    job->spec = c.like;
+    job->spec.uid = fmt::format("run-{:06}", (++uids_ * 7919) % 1'000'000);
+    job->spec.tasks = c.tasks_from + static_cast<std::uint32_t>(events_.pick(c.tasks_to - c.tasks_from + 1));
+    job->spec.image = c.like.image + std::to_string(events_.pick(3));
+    job->submitted = events_.now();
+    if (events_.chance(c.cancelled)) job->cancel_after = Seconds(events_.uniform(c.cancel_from, c.cancel_to));
+    fleet_.upload(job->spec, Seconds(c.runs_s * events_.uniform(0.8, 1.2)));
+    checker_.submitted(job->spec);
+    jobs_.push_back(job);
+    submit(job, events_.now() + 60s);
+}
+
+void World::submit(const std::shared_ptr<UserJob>& job, TimePoint until) {
+    net::Request r;
+    r.verb = net::http::verb::post;
+    r.target = "/submissions";
+    auto body = wire::spec_to_record(job->spec);
+    body.erase("at");
+    r.body = json::serialize(body);
+    ask(any_node(), "", std::move(r), user_patience, [this, job, until](unsigned status, const std::string&) {
+        if (status == 200 || status == 201) {
+            job->accepted = true;
+            job->accepted_at = events_.now();
+            ++outcome_.accepted;
+            checker_.accepted(job->spec.uid);
+            events_.after(poll_gap, [this, job] { poll(job); });
+            if (job->cancel_after.count() >= 0)
+                events_.after(job->cancel_after, [this, job] { cancel(job); });
+            else if (events_.chance(0.2))
+                events_.after(Seconds(events_.uniform(0.5, 90)), [this, job] { submit_again(job); });
+        } else if (events_.now() < until) {
+            events_.after(Seconds(events_.uniform(1, 2)), [this, job, until] { submit(job, until); });
+        }
+    });
+}
+
+void World::submit_again(const std::shared_ptr<UserJob>& job) {
+    net::Request r;
+    r.verb = net::http::verb::post;
+    r.target = "/submissions";
+    auto body = wire::spec_to_record(job->spec);
+    body.erase("at");
+    r.body = json::serialize(body);
+    ask(any_node(), "", std::move(r), user_patience, [this, job](unsigned status, const std::string&) {
+        if (status == 400 || status == 422) checker_.told_unknown(job->spec.uid);
+    });
+}
+
+void World::poll(const std::shared_ptr<UserJob>& job) {
+    net::Request r;
+    r.target = "/submissions/" + job->spec.uid;
+    const auto asked = events_.now();
+    ask(any_node(), "", std::move(r), poll_patience, [this, job, asked](unsigned status, const std::string& body) {
+        if (status == 200) {
+            const std::string word(wire::parse_object(body).at("status").as_string());
+            checker_.told(job->spec.uid, word, asked);
+            if (unanswered_since_) {
+                outcome_.answers_after =
+                    std::max(outcome_.answers_after, Seconds(events_.now() - *unanswered_since_).count());
+                unanswered_since_.reset();
+            }
+            if (!job->over && word == "done") ++outcome_.done;
+            if (!job->over && word == "aborted") ++outcome_.cancelled;
+            job->over = job->over || word == "done" || word == "aborted";
+        } else if (status == 404) {
+            checker_.told_unknown(job->spec.uid);
+        }
+        // Of what is over users ask now and then.
+        events_.after(job->over ? Seconds(events_.uniform(20, 60)) : poll_gap, [this, job] { poll(job); });
+    });
+}
+
+void World::cancel(const std::shared_ptr<UserJob>& job) {
+    if (job->over) return;
+    checker_.asked_to_cancel(job->spec.uid);
+    net::Request r;
+    r.verb = net::http::verb::post;
+    r.target = "/submissions/" + job->spec.uid + "/cancel";
+    const auto asked = events_.now();
+    ask(any_node(), "", std::move(r), user_patience, [this, job, asked](unsigned status, const std::string& body) {
+        if (status == 200) {
+            const std::string word(wire::parse_object(body).at("status").as_string());
+            checker_.told(job->spec.uid, word, asked);
+            if (!job->over && word == "aborted") ++outcome_.cancelled;
+            job->over = true;
+            return;
+        }
+        if (status == 404) checker_.told_unknown(job->spec.uid);
+        events_.after(Seconds(events_.uniform(1, 2)), [this, job] { cancel(job); });
+    });
+}
+
+void World::ask_of_nobody() {
+    net::Request r;
+    const auto uid = fmt::format("run-{:07}", 2'000'000 + events_.pick(1'000'000));
+    r.target = "/submissions/" + uid;
+    ask(any_node(), "", std::move(r), poll_patience, [this, uid](unsigned status, const std::string& body) {
+        if (status == 200)
+            checker_.told(uid, std::string(wire::parse_object(body).at("status").as_string()), events_.now());
+    });
+    events_.after(Seconds(3), [this] { ask_of_nobody(); });
+}
+
+// --- troubles ---
+
+std::vector<std::size_t> World::nodes_of(const Trouble& t) const {
+    std::vector<std::size_t> out;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        const bool leads = nodes_[n]->life && nodes_[n]->life->controller.leading();
+        if (t.node == "all" || t.node == scenario_.members[n] || (t.node == "leader" && leads) ||
+            (t.node == "follower" && !leads && out.empty()) || (t.node == "followers" && !leads))
+            out.push_back(n);
+    }
+    return out;
+}
+
+void World::loses_data(const Trouble& t) {
+    const auto here = fleet_.running();
+    ++outcome_.losses;
+    lost_at_ = unanswered_since_ = events_.now();
+    if (t.kind == "wipe") keys_.wipe();
+    if (t.kind == "set_back") keys_.set_back(Seconds(t.seconds));
+    if (t.kind == "lose") keys_.lose(t.prefix);
+    if (t.kind == "age") keys_.age(t.prefix, 3);
+    if (t.kind == "garble") keys_.garble(t.prefix, 3);
+    events_.after(disturbed_after, [this, here] {
+        std::size_t all = 0, same = 0;
+        const auto now = fleet_.running();
+        for (const auto& [task, machine] : here) {
+            const bool over = std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
+                return j->spec.uid == task.first && (j->over || j->cancel_after.count() >= 0);
+            });
+            if (!fleet_.alive(machine) || over || checker_.all_done(task.first)) continue;
+            ++all;
+            const auto it = now.find(task);
+            same += it != now.end() && it->second == machine;
+            // An array's task that ended well is not there any more either.
+            if (it == now.end() && checker_.completed_task(task)) ++same;
+        }
+        if (all)
+            outcome_.undisturbed = std::min(outcome_.undisturbed, static_cast<double>(same) / static_cast<double>(all));
+    });
+}
+
+void World::trouble(const Trouble& t) {
+    outcome_.troubles.push_back(fmt::format("{:.1f} {} {}{}{} {:.1f}", t.at.count(), t.kind, t.node, t.zone, t.prefix,
+                                            t.kind == "set_back" ? t.seconds : t.lasts.count()));
+    spdlog::info("event=trouble at={:.1f} kind={}", t.at.count(), t.kind);
+    const auto until = [&](std::function<void()> end) { events_.after(t.lasts, std::move(end)); };
+    const auto each = [&](bool Node::*flag, bool StateLink::*link) {
+        for (const auto n : nodes_of(t)) {
+            const auto set = [this, n, flag, link](bool on) {
+                (*nodes_[n]).*flag = on;
+                if (link && nodes_[n]->life) nodes_[n]->life->state.*link = on;
+            };
+            set(true);
+            until([set] { set(false); });
+        }
+    };
+    if (t.kind == "wipe" || t.kind == "set_back" || t.kind == "lose" || t.kind == "age" || t.kind == "garble")
+        loses_data(t);
+    else if (t.kind == "crash")
+        for (const auto n : nodes_of(t)) end_node(n, t.lasts);
+    else if (t.kind == "freeze")
+        for (const auto n : nodes_of(t)) nodes_[n]->frozen_until = events_.now() + wire::to_clock(t.lasts);
+    else if (t.kind == "cut_state")
+        each(&Node::cut_state, &StateLink::cut);
+    else if (t.kind == "refused")
+        each(&Node::refused, &StateLink::refused);
+    else if (t.kind == "cut_workers")
+        each(&Node::cut_workers, nullptr);
+    else if (t.kind == "cut_peers")
+        each(&Node::cut_peers, nullptr);
+    else if (t.kind == "outage") {
+        outage_ = true;
+        until([this] {
+            outage_ = false;
+            keys_.prolong();
+        });
+    } else if (t.kind == "cut_zone") {
+        cut_zones_.insert(t.zone);
+        // The state service is outside.
+        for (std::size_t n = 0; n < nodes_.size(); ++n)
+            if (scenario_.member_zones[n] == t.zone) {
+                nodes_[n]->cut_state = true;
+                if (nodes_[n]->life) nodes_[n]->life->state.cut = true;
+            }
+        until([this, zone = t.zone] {
+            cut_zones_.erase(zone);
+            for (std::size_t n = 0; n < nodes_.size(); ++n)
+                if (scenario_.member_zones[n] == zone) {
+                    nodes_[n]->cut_state = false;
+                    if (nodes_[n]->life) nodes_[n]->life->state.cut = false;
+                }
+        });
+    } else if (t.kind == "cloud_down") {
+        fleet_.down = true;
+        until([this] { fleet_.down = false; });
+    } else if (t.kind == "machines_die")
+        fleet_.die(t.share);
+    else if (t.kind == "machines_hang")
+        fleet_.hang(t.share, t.lasts);
+    else if (t.kind == "machines_cut")
+        fleet_.cut(t.share, t.lasts);
+    else
+        throw config::BadSetting(scenario_.name + ": troubles: unknown kind \"" + t.kind + "\"");
+}
+
+// Troubles by luck: several at once, and again while the last is being mended.
+void World::draw_troubles() {
+    static const std::vector<std::string> common{"crash",       "freeze",       "cut_state",     "refused",
+                                                 "cut_workers", "cut_peers",    "outage",        "cut_zone",
+                                                 "cloud_down",  "machines_die", "machines_hang", "machines_cut"};
+    static const std::vector<std::string> losses{"wipe", "set_back", "lose", "set_back", "wipe"};
+    static const std::vector<std::string> nodes{"leader", "all", "follower", "followers", "leader"};
+    const double length = scenario_.length.count();
+    const auto n = static_cast<std::size_t>(std::llround(events_.uniform(0.5, 1.5) * scenario_.drawn));
+    const double heart = events_.uniform(0.25, 0.5) * length;
+    const auto plan = [&](Trouble t) { events_.after(t.at, [this, t] { trouble(t); }); };
+    for (std::size_t i = 0; i < n; ++i) {
+        Trouble t;
+        t.kind = common[events_.pick(common.size())];
+        // Most come close together.
+        t.at = Seconds(events_.chance(0.7) ? heart + events_.uniform(-15, 25) : events_.uniform(10, length * 0.7));
+        t.lasts = Seconds(t.kind == "crash" ? events_.uniform(1, 8) : events_.uniform(3, 45));
+        t.share = events_.uniform(0.05, 0.5);
+        t.node = nodes[events_.pick(nodes.size())];
+        t.zone = settings_[0].zones[events_.pick(settings_[0].zones.size())];
+        plan(t);
+    }
+    if (!scenario_.draws_losses) return;
+    const auto many = 1 + events_.pick(2);
+    for (std::size_t i = 0; i < many; ++i) {
+        Trouble t;
+        t.kind = losses[events_.pick(losses.size())];
+        t.at = Seconds(i == 0 ? heart : heart + events_.uniform(0.2, 30));
+        t.seconds = events_.uniform(0.5, 40);
+        const char* prefixes[] = {"jobs/", "jobs/work/", "jobs/over/", "recovery/", "lead/", "members/"};
+        t.prefix = prefixes[events_.pick(6)];
+        plan(t);
+    }
+}
+
+// --- a run ---
+
+void World::look() {
+    checker_.look();
+    if (lost_at_ && fleet_.last_start > *lost_at_ + wire::to_clock(Seconds(1))) {
+        outcome_.placing_after = std::max(outcome_.placing_after, Seconds(fleet_.last_start - *lost_at_).count());
+        lost_at_.reset();
+    }
+    events_.after(Seconds(0.5), [this] { look(); });
+}
+
+Outcome World::play() {
+    for (std::size_t n = 0; n < scenario_.members.size(); ++n) {
+        nodes_.push_back(std::make_unique<Node>());
+        start_node(n);
+    }
+    fleet_.warm_up(scenario_.warm);
+    for (const auto& c : scenario_.jobs) {
+        for (int i = 0; i < c.initial; ++i) events_.after(Seconds(events_.uniform(0.5, 4)), [this, &c] { new_job(c); });
+        arrivals(c);
+    }
+    for (const auto& t : scenario_.troubles) events_.after(t.at, [this, t] { trouble(t); });
+    draw_troubles();
+    ask_of_nobody();
+    look();
+    while (events_.since_start() < scenario_.length) {
+        events_.advance(step);
+        for (auto& node : nodes_)
+            if (node->life && events_.now() >= node->frozen_until) {
+                node->life->io.restart();
+                node->life->io.poll();
+            }
+    }
+    outcome_.broken = checker_.broken();
+    outcome_.first = checker_.first();
+    outcome_.forgotten = checker_.forgotten();
+    outcome_.machines = fleet_.up();
+    outcome_.started = fleet_.started;
+    outcome_.lease_kills = fleet_.lease_kills;
+    std::map<std::string, std::pair<double, double>> by_class, by_team;
+    for (const auto& j : jobs_) {
+        if (!j->accepted || j->cancel_after.count() >= 0 ||
+            events_.now() - j->accepted_at < wire::to_clock(served_within))
+            continue;
+        const bool served = checker_.all_done(j->spec.uid) || checker_.ever(j->spec.uid) == j->spec.tasks;
+        for (auto* count : {&by_class[j->spec.job_class], &by_team[j->spec.team]}) {
+            count->first += served;
+            count->second += 1;
+        }
+    }
+    for (const auto& [name, n] : by_class) outcome_.served[name] = n.first / n.second;
+    for (const auto& [name, n] : by_team) outcome_.team_served[name] = n.first / n.second;
+    nodes_.clear();
+    return outcome_;
+}
+
+std::string to_line(const Outcome& o) {
+    const auto rounded = [](double v) { return std::round(v * 1000) / 1000; };
+    json::object broken, first, served, team_served;
+    for (const auto& [rule, n] : o.broken) broken[rule] = n;
+    for (const auto& [rule, what] : o.first) first[rule] = what;
+    for (const auto& [name, share] : o.served) served[name] = rounded(share);
+    for (const auto& [name, share] : o.team_served) team_served[name] = rounded(share);
+    json::array troubles;
+    for (const auto& t : o.troubles) troubles.emplace_back(t);
+    return json::serialize(json::object{{"seed", o.seed},
+                                        {"broken", broken},
+                                        {"first", first},
+                                        {"accepted", o.accepted},
+                                        {"done", o.done},
+                                        {"cancelled", o.cancelled},
+                                        {"forgotten", o.forgotten},
+                                        {"machines", o.machines},
+                                        {"started", o.started},
+                                        {"lease_kills", o.lease_kills},
+                                        {"losses", o.losses},
+                                        {"undisturbed", rounded(o.undisturbed)},
+                                        {"placing_after_s", rounded(o.placing_after)},
+                                        {"answers_after_s", rounded(o.answers_after)},
+                                        {"served", served},
+                                        {"team_served", team_served},
+                                        {"troubles", troubles}});
+}
+
+}  // namespace flintdale::emulator
--- /dev/null
+++ b/src/emulator/world.hpp
@@ -0,0 +1,82 @@
+// Three whole controllers in a world of their own: state service, cloud, workers and users emulated in memory under a
+// virtual time, from one seed, with troubles, and a checker that watches the rules from outside.
+#pragma once
+#include "app/controller.hpp"
+#include "emulator/fleet.hpp"
+#include "emulator/state_service.hpp"
+
+namespace flintdale::emulator {
+
+// What came of a run; the same for the same scenario and seed, on any machine.
+struct Outcome {
+    std::uint64_t seed = 0;
+    std::map<std::string, unsigned> broken;  // rule -> how often
+    std::map<std::string, std::string> first;
+    std::size_t accepted = 0, done = 0, cancelled = 0, forgotten = 0;
+    std::size_t machines = 0, started = 0, lease_kills = 0, losses = 0, rebuilt = 0;
+    double undisturbed = 1;     // share of what ran when data were lost that went on where it was; the worst loss
+    double placing_after = -1;  // seconds from a loss of data to the next start of a task, the longest; -1: none
+    double answers_after = -1;  // to the next answer to a poll
+    std::map<std::string, double> served;  // class -> share of its tasks that started in time
+    std::map<std::string, double> team_served;
+    std::vector<std::string> troubles;
+};
+
+class World {
+  public:
+    World(const Scenario& scenario, std::uint64_t seed);
+    ~World();
+    Outcome play();
+
+  private:
+    class CloudLink;
+    struct Node;
+    struct UserJob {
+        wire::JobSpec spec;
+        TimePoint submitted{}, accepted_at{};
+        bool accepted = false, over = false, cancelling = false;
+        Seconds cancel_after{-1};
+    };
+    void start_node(std::size_t n);
+    void end_node(std::size_t n, Seconds back_after);
+    void ask(std::size_t node, const std::string& zone, net::Request request, Seconds patience,
+             std::function<void(unsigned, const std::string&)> done);
+    bool reaches(const std::string& zone, std::size_t node) const;
+    std::size_t any_node();
+    void tell_peers(std::size_t from, const peer::Beat& beat);
+
+    void arrivals(const JobClass& c);
+    void new_job(const JobClass& c);
+    void submit(const std::shared_ptr<UserJob>& job, TimePoint until);
+    void poll(const std::shared_ptr<UserJob>& job);
+    void cancel(const std::shared_ptr<UserJob>& job);
+    void submit_again(const std::shared_ptr<UserJob>& job);
+    void ask_of_nobody();
+
+    void draw_troubles();
+    void trouble(const Trouble& t);
+    void loses_data(const Trouble& t);
+    std::vector<std::size_t> nodes_of(const Trouble& t) const;
+    void look();
+    std::string settings_text(std::size_t n) const;
+
+    const Scenario& scenario_;
+    Events events_;
+    std::vector<config::Settings> settings_;
+    config::Tunables tunables_;
+    Keys keys_;
+    bool outage_ = false;
+    Checker checker_;
+    Fleet fleet_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::set<std::string> cut_zones_;
+    std::vector<std::shared_ptr<UserJob>> jobs_;
+    std::uint64_t uids_ = 0;
+    Outcome outcome_;
+    std::optional<TimePoint> lost_at_, unanswered_since_;
+};
+
+// One line of JSON.
+std::string to_line(const Outcome& outcome);
+
+}  // namespace flintdale::emulator
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -27,6 +27,7 @@
 constexpr auto offers_at_most = 20s;
 constexpr auto shelve_gap = 30s;
 constexpr auto owed_gap = 2s;
+constexpr auto digest_gap = 10s;
 constexpr std::size_t max_shown = 20'000;
 constexpr std::uint64_t owed_stamp = 1;  // older than anything that has its place
 constexpr std::size_t first_page = 256;  // records; fewer where a value cannot hold them
@@ -257,6 +258,7 @@
         }
         following_ = false;
         fill_at_.reset();
+        digested_ = 0;
         led_ = saw_ = 0;
         shown_.clear();
         rebuild_began_ = {};
@@ -264,9 +266,19 @@
     known_ = w;
     rebuilding_ = false;
     if (doubt_) co_return;
+    if (!verified_) {
+        if (!following_) co_await look();
+        if (following_) co_await fill();
+        const bool sound = memory_.whole() && co_await verify();
+        if (!sound) {
+            if (!doubt_) co_await wake_.wait(try_again);
+            co_return;
+        }
+    }
     guarded_.open(w.stamp);
     auto next_look = Clock::now();
     auto next_owed = next_look + owed_gap;
+    auto next_digest = next_look + digest_gap;
     while (!doubt_ && !recheck_ && Clock::now() - checked_at_ < check_gap) {
         if (term_ && !begun_) {
             const bool confirmed = co_await confirm(w);
@@ -283,6 +295,10 @@
             next_owed = Clock::now() + owed_gap;
             co_await pay_back();
         }
+        if (begun_ && owed_.empty() && Clock::now() >= next_digest) {
+            next_digest = Clock::now() + digest_gap;
+            co_await write_digest();
+        }
         if (begun_ && std::exchange(clear_offers_, false)) co_await remove_all(offers_prefix, leading_conditions(w));
         if (term_ && !begun_) continue;
         const auto rest = std::min(next_look - Clock::now(), Clock::duration(look_gap));
@@ -357,21 +373,58 @@
     links_.outcomes(outcomes, began, Look::changes);
 }
 
-// What was on record before, a page each time: it is not needed at once.
+// What was on record before. A controller that has just begun reads all of it before it answers anybody: only then can it
+// tell whether what there is is what there was. One that knew the former records reads a page each time.
 awaitable<void> Keeper::fill() {
-    if (!fill_at_) co_return;
-    const auto page = co_await raw_.range(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
-    if (page.outcome != Outcome::ok || !fill_at_) co_return;
-    memory_.page(page.items);
-    if (page.more && !page.items.empty()) {
-        fill_at_ = page.items.back().key;
-        co_return;
+    while (fill_at_) {
+        const auto page = co_await raw_.range(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
+        if (page.outcome != Outcome::ok || !fill_at_) co_return;
+        memory_.page(page.items);
+        if (page.more && !page.items.empty()) {
+            fill_at_ = page.items.back().key;
+            if (verified_) co_return;
+            continue;
+        }
+        fill_at_.reset();
+        memory_.filled();
+        spdlog::info("event=remembers records={} generation={} revision={}", memory_.size(), memory_.generation(),
+                     memory_.revision());
+        if (former_) co_await add_late();
+    }
+}
+
+// Outcomes are never removed, so as many as there were at some revision there must always be.
+awaitable<bool> Keeper::verify() {
+    if (verified_) co_return true;
+    const auto got = co_await raw_.get(digest_key, Urgency::leadership);
+    if (got.outcome != Outcome::ok) co_return false;
+    const auto* o = got.item.stamp ? got.item.value.if_object() : nullptr;
+    if (o && number(*o, "generation") == known_->generation) {
+        const auto now = memory_.digest(number(*o, "revision"));
+        if (now != Memory::Digest{number(*o, "outcomes"), number(*o, "sum")}) {
+            doubt(std::to_string(number(*o, "outcomes")) + " outcomes were on record, and " +
+                  std::to_string(now.outcomes) + " are");
+            co_return false;
+        }
     }
-    fill_at_.reset();
-    memory_.filled();
-    spdlog::info("event=remembers records={} generation={} revision={}", memory_.size(), memory_.generation(),
-                 memory_.revision());
-    if (former_) co_await add_late();
+    verified_ = true;
+    co_return true;
+}
+
+// Written now and then by the leader, when nobody else has anything to write.
+awaitable<void> Keeper::write_digest() {
+    const auto revision = memory_.revision();
+    const auto digest = memory_.digest(revision);
+    if (!memory_.whole() || digest.outcomes == digested_) co_return;
+    state::Txn txn;
+    txn.conditions = leading_conditions(*known_);
+    boost::json::object value{{"generation", known_->generation},
+                              {"revision", revision},
+                              {"outcomes", digest.outcomes},
+                              {"sum", digest.sum}};
+    txn.changes.push_back({digest_key, std::move(value), 0});
+    const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
+    if (r.outcome == Outcome::ok) digested_ = digest.outcomes;
 }
 
 // This controller may have been out of reach while another rebuilt. What it alone had accepted or cancelled is put on
@@ -662,6 +715,7 @@
     // 2. What everybody remembers, and what the service still has.
     const auto gathered = co_await gather(w);
     if (!gathered || !still()) co_return;
+    verified_ = true;  // whatever it was that is missing, there is nobody else to ask
     auto there = co_await present();
     if (!there || !still()) co_return;
     const auto merged = merge(gathered->sources, there->source);
@@ -693,6 +747,7 @@
         }
     w.phase = Witness::Phase::whole;
     std::vector<state::Change> with;
+    with.push_back({digest_key, std::nullopt, 0});
     if (!gathered->placements_known)
         with.push_back({unsettled_key, boost::json::object{{"generation", w.generation}}, 0});
     const auto last = co_await put(w, std::move(with));
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -19,6 +19,8 @@
 using net::awaitable;
 
 inline constexpr const char* offers_prefix = "recovery/offer/";
+// How many outcomes there were at some revision.
+inline constexpr const char* digest_key = "recovery/digest";
 // There while tasks may be on machines that no record names; removed by the leader that has heard all machines.
 // Outcomes that are not back in their places yet, in pages: as good as on record.
 inline constexpr const char* owed_prefix = "recovery/owed/";
@@ -98,6 +100,8 @@
     awaitable<bool> confirm(const Witness& witness);
     awaitable<void> look();
     awaitable<void> fill();
+    awaitable<bool> verify();
+    awaitable<void> write_digest();
     awaitable<void> add_late();
     awaitable<void> pay_back();
     void shelve();
@@ -135,6 +139,8 @@
     Memory memory_;
     std::optional<Memory> former_;  // of the history before, until what only it holds is on record
     bool following_ = false;
+    bool verified_ = false;       // what there was when this controller began is all there should have been
+    std::uint64_t digested_ = 0;  // outcomes, in the last digest
     std::optional<std::string> fill_at_;  // the last key of the pages read so far; nothing once all are
     std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
 
--- a/src/recovery/memory.cpp
+++ b/src/recovery/memory.cpp
@@ -1,6 +1,7 @@
 #include "recovery/memory.hpp"
 
 #include <algorithm>
+#include <boost/crc.hpp>
 
 #include "agent/job.hpp"
 #include "wire/json.hpp"
@@ -121,6 +122,21 @@
     return Outcome{};
 }
 
+Memory::Digest Memory::digest(std::uint64_t revision) const {
+    Digest out;
+    const auto count = [&](std::string_view uid, std::uint64_t stamp) {
+        if (stamp > revision) return;
+        boost::crc_32_type crc;
+        crc.process_bytes(uid.data(), uid.size());
+        ++out.outcomes;
+        out.sum += crc.checksum();
+    };
+    for (const auto& [uid, f] : finals_) count(uid, f.stamp);
+    for (const auto& [key, record] : work_)
+        if (is_final(key)) count(uid_of_final(key), record.stamp);
+    return out;
+}
+
 std::string Memory::text_of(const Final& f) {
     json::object o{{"state", wire::job_state_name(f.state)}};
     if (f.at) o["at"] = f.at;
--- a/src/recovery/memory.hpp
+++ b/src/recovery/memory.hpp
@@ -37,6 +37,12 @@
     // Of a job that is remembered; `open` if it has none.
     std::optional<Outcome> outcome_of(const std::string& uid) const;
     std::optional<Record> record(const std::string& key) const;
+    // Of the outcomes that were on record at that revision: how many, and a sum over their names.
+    struct Digest {
+        std::uint64_t outcomes = 0, sum = 0;
+        bool operator==(const Digest&) const = default;
+    };
+    Digest digest(std::uint64_t revision) const;
     bool whole() const { return whole_; }
     std::uint64_t generation() const { return generation_; }
     const std::string& id() const { return id_; }
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -18,7 +18,7 @@
     using time_point = std::chrono::steady_clock::time_point;
     static constexpr bool is_steady = true;
     static time_point now() { return emulated ? *emulated : std::chrono::steady_clock::now(); }
-    static inline const time_point* emulated = nullptr;
+    static inline thread_local const time_point* emulated = nullptr;
 };
 using TimePoint = Clock::time_point;
 
