--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -75,7 +75,7 @@
 // be said of one that is remembered here: then the records are not what they were.
 Desk::Absent Desk::recall(const std::string& uid) {
     const auto remembered = links_.remembered(uid);
-    if (!remembered) return Absent::none;
+    if (!remembered) return links_.certain() ? Absent::none : Absent::missed;
     if (remembered->state == JobState::open) {
         links_.missed(uid);
         return Absent::missed;
@@ -146,7 +146,8 @@
 awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
     // What was over once stays over, whatever has become of its record.
     if (const auto it = known_.find(uid); it == known_.end() || it->second.state == JobState::open)
-        if (const auto r = links_.remembered(uid); r && r->state != JobState::open) known_[uid] = {r->state, r->size, {}};
+        if (const auto r = links_.remembered(uid); r && r->state != JobState::open)
+            known_[uid] = {r->state, r->size, {}};
     const auto it = known_.find(uid);
     const bool final = it != known_.end() && it->second.state != JobState::open;  // such states never change
     const bool fresh = final || co_await check_fresh(uid);
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -77,6 +77,7 @@
                  return it == counts_.end() ? api::DisplayCount{} : it->second;
              },
              [this](const state::Item& item) {
+                 keeper_.told(item);
                  if (reign_) reign_->job_changed(item);
              },
              [this](const std::string& uid) -> std::optional<api::Remembered> {
@@ -84,7 +85,8 @@
                  if (!outcome) return std::nullopt;
                  return api::Remembered{outcome->state, outcome->size};
              },
-             [this](const std::string& uid) { keeper_.doubt("nothing on record of " + uid); }}) {}
+             [this](const std::string& uid) { keeper_.doubt("nothing on record of " + uid); },
+             [this] { return keeper_.certain(); }}) {}
 
 recovery::Keeper::Links Controller::keeper_links() {
     recovery::Keeper::Links links;
@@ -108,10 +110,17 @@
 }
 
 void Controller::begin_reign(election::Term term, bool unsettled) {
-    reign_ = std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled,
-                                     Reign::Links{[this] { elector_.doubt(); }, ports_.time_of_day_ms,
-                                                  [this](const char* why) { keeper_.doubt(why); },
-                     [this](const std::string& uid) { return keeper_.memory().over(uid); }});
+    Reign::Links links;
+    links.doubt = [this] { elector_.doubt(); };
+    links.time_of_day_ms = ports_.time_of_day_ms;
+    links.loss = [this](const char* why, bool beyond_memory) {
+        using Loss = recovery::Keeper::Loss;
+        keeper_.doubt(why, beyond_memory ? Loss::beyond_memory : Loss::seen);
+    };
+    links.over = [this](const std::string& uid) { return keeper_.memory().over(uid); };
+    links.open = [this] { return keeper_.memory().open_jobs(); };
+    reign_ =
+        std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled, std::move(links));
     reign_->start(types_);
 }
 
@@ -287,7 +296,7 @@
     if (r.token > elector_.term()) elector_.heard(r.token, std::string());
     // Between this leader's term and the one on record before it there was none, unless the records of one were lost.
     if (elector_.leading() && r.token > term_.previous && r.token < term_.number)
-        keeper_.doubt("a worker has seen a term that is not on record");
+        keeper_.doubt("a worker has seen a term that is not on record", recovery::Keeper::Loss::beyond_memory);
     if (elector_.leading() && !reign_) {
         // A term that was just won begins in a moment.
         for (auto waited = 0ms; waited < begin_wait && elector_.leading() && !reign_ && !keeper_.rebuilding();
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -102,7 +102,7 @@
     if (!entitled(now)) co_return std::nullopt;
     const bool was_dirty = overseer_.dirty();
     auto orders = overseer_.report(r, now);
-    if (overseer_.loss_seen()) links_.loss("a worker holds an attempt that is not on record");
+    if (overseer_.loss_seen()) links_.loss("a worker holds an attempt that is not on record", true);
     if (!orders) co_return std::nullopt;
     if (overseer_.dirty()) {
         if (!was_dirty) commit_.notify();
@@ -179,10 +179,21 @@
             const auto got = co_await store_.get(agent::outcome_key(uid), Urgency::leadership);
             if (stopped_) co_return false;
             if (got.outcome == Outcome::ok && !got.item.stamp) {
-                links_.loss("the outcome of a job is gone");
+                links_.loss("the outcome of a job is gone", false);
                 co_return false;
             }
         }
+    // And what is remembered to be open is on record, or over by now.
+    for (const auto& uid : links_.open()) {
+        if (overseer_.knows(uid)) continue;
+        const auto outcome = co_await store_.get(agent::outcome_key(uid), Urgency::leadership);
+        const auto work = co_await store_.get(agent::work_key(uid, 0), Urgency::leadership);
+        if (stopped_) co_return false;
+        if (outcome.outcome == Outcome::ok && work.outcome == Outcome::ok && !outcome.item.stamp && !work.item.stamp) {
+            links_.loss("the work of a job is gone", false);
+            co_return false;
+        }
+    }
     std::size_t most = 0;
     for (std::size_t at = 0; at < open.size(); at += most) {
         state::TxnResult result;
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -18,8 +18,9 @@
     struct Links {
         std::function<void()> doubt;  // the term's stamp may no longer hold
         std::function<std::int64_t()> time_of_day_ms;
-        std::function<void(const char* why)> loss;  // something shows that records were lost
-        std::function<bool(const std::string&)> over;  // a job is remembered to be
+        std::function<void(const char* why, bool beyond_memory)> loss;  // something shows that records were lost
+        std::function<bool(const std::string&)> over;                   // a job is remembered to be
+        std::function<std::vector<std::string>()> open;                 // jobs that are remembered to be
     };
 
     Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -27,9 +27,10 @@
 constexpr auto offers_at_most = 20s;
 constexpr auto shelve_gap = 30s;
 constexpr auto owed_gap = 2s;
+constexpr auto not_certain_for = 60s;  // that nobody is told a job never was, while a controller has not offered
+constexpr auto scrub_gap = 5s;
 constexpr auto digest_gap = 10s;
 constexpr std::size_t max_shown = 20'000;
-constexpr std::uint64_t owed_stamp = 1;  // older than anything that has its place
 constexpr std::size_t first_page = 256;  // records; fewer where a value cannot hold them
 
 bool is_outcome(const std::string& key) { return key.starts_with(agent::over_prefix); }
@@ -80,8 +81,9 @@
     wake_.notify();
 }
 
-void Keeper::doubt(std::string why) {
+void Keeper::doubt(std::string why, Loss loss) {
     if (rebuilding_) return;
+    beyond_memory_ = beyond_memory_ || loss == Loss::beyond_memory;
     guarded_.close();
     if (!doubt_) {
         spdlog::error("event=loss_suspected why=\"{}\"", why);
@@ -191,7 +193,7 @@
     Witness w;
     w.generation = 1;
     w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
-    const auto stamp = co_await put(w, {});
+    const auto stamp = co_await put(w);
     if (stamp)
         spdlog::info("event=witness_made id={}", w.id);
     else
@@ -199,7 +201,12 @@
 }
 
 // Puts the witness in place of the one with its stamp. The new stamp, or 0: then it has to be read again.
-awaitable<std::uint64_t> Keeper::put(const Witness& w, std::vector<state::Change> with) {
+awaitable<std::uint64_t> Keeper::put(const Witness& w) {
+    std::vector<state::Change> nothing;
+    co_return co_await put_with(w, std::move(nothing));
+}
+
+awaitable<std::uint64_t> Keeper::put_with(const Witness& w, std::vector<state::Change> with) {
     state::Txn txn;
     if (w.term)
         txn.conditions = leading_conditions(w);
@@ -227,9 +234,10 @@
     w.generation = std::max(newest_generation(), generation) + 1;
     w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
     w.phase = Witness::Phase::merging;
+    w.beyond_memory = beyond_memory_;
     w.stamp = over;
-    const auto stamp = co_await put(w, {});
-    if (stamp) doubt_.reset();
+    const auto stamp = co_await put(w);
+    if (stamp) doubt_.reset(), beyond_memory_ = false;
     if (stamp)
         spdlog::error("event=loss_declared generation={}", w.generation);
     else
@@ -241,6 +249,8 @@
 awaitable<void> Keeper::attend(Witness w) {
     const bool news = !known_ || known_->generation != w.generation || known_->id != w.id;
     if (news) {
+        certain_at_ = Clock::now();
+        if (!w.missing.empty()) certain_at_ += not_certain_for;
         // What is owed counts as on record, so it must be known before anybody is answered.
         Memory next;
         next.begin(w.generation, w.id, 0);
@@ -278,7 +288,6 @@
     guarded_.open(w.stamp);
     auto next_look = Clock::now();
     auto next_owed = next_look + owed_gap;
-    auto next_digest = next_look + digest_gap;
     while (!doubt_ && !recheck_ && Clock::now() - checked_at_ < check_gap) {
         if (term_ && !begun_) {
             const bool confirmed = co_await confirm(w);
@@ -291,12 +300,16 @@
             co_await fill();
             if (shelf_.in_use()) shelve();
         }
+        if (!term_ && memory_.whole() && Clock::now() >= next_scrub_) {
+            next_scrub_ = Clock::now() + scrub_gap;
+            co_await scrub();
+        }
         if (begun_ && !owed_.empty() && Clock::now() >= next_owed) {
             next_owed = Clock::now() + owed_gap;
             co_await pay_back();
         }
-        if (begun_ && owed_.empty() && Clock::now() >= next_digest) {
-            next_digest = Clock::now() + digest_gap;
+        if (begun_ && owed_.empty() && Clock::now() >= next_digest_) {
+            next_digest_ = Clock::now() + digest_gap;
             co_await write_digest();
         }
         if (begun_ && std::exchange(clear_offers_, false)) co_await remove_all(offers_prefix, leading_conditions(w));
@@ -321,6 +334,10 @@
         unsettled = unsettled || item.key == unsettled_key;
     }
     if (!same) co_return false;
+    if (got.revision < newest_remembered()) {
+        doubt("its revisions went back");
+        co_return false;
+    }
     if (!term_ || term_->number != term.number || doubt_) co_return true;
     begun_ = true;
     led_ = term.number;
@@ -329,6 +346,15 @@
     co_return true;
 }
 
+// The highest revision of this history that anybody has told of.
+std::uint64_t Keeper::newest_remembered() const {
+    auto newest = memory_.revision();
+    for (const auto& [member, word] : peers_)
+        if (word.generation == memory_.generation() && word.id == memory_.id())
+            newest = std::max(newest, word.remembers);
+    return newest;
+}
+
 // Follows the records: for the memory, and for whoever must know of cancellations.
 awaitable<void> Keeper::look() {
     const auto began = Clock::now();
@@ -347,10 +373,7 @@
         links_.outcomes({}, began, Look::after_a_gap);
         co_return;
     }
-    std::uint64_t remembered = memory_.revision();
-    for (const auto& [member, word] : peers_)
-        if (word.generation == memory_.generation() && word.id == memory_.id())
-            remembered = std::max(remembered, word.remembers);
+    const auto remembered = newest_remembered();
     auto seen = co_await raw_.follow(agent::jobs_prefix, memory_.revision(), 0ms);
     if (seen.outcome == Outcome::too_old) {
         following_ = false;
@@ -373,8 +396,8 @@
     links_.outcomes(outcomes, began, Look::changes);
 }
 
-// What was on record before. A controller that has just begun reads all of it before it answers anybody: only then can it
-// tell whether what there is is what there was. One that knew the former records reads a page each time.
+// What was on record before. A controller that has just begun reads all of it before it answers anybody: only then can
+// it tell whether what there is is what there was. One that knew the former records reads a page each time.
 awaitable<void> Keeper::fill() {
     while (fill_at_) {
         const auto page = co_await raw_.range(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
@@ -401,9 +424,11 @@
     const auto* o = got.item.stamp ? got.item.value.if_object() : nullptr;
     if (o && number(*o, "generation") == known_->generation) {
         const auto now = memory_.digest(number(*o, "revision"));
-        if (now != Memory::Digest{number(*o, "outcomes"), number(*o, "sum")}) {
-            doubt(std::to_string(number(*o, "outcomes")) + " outcomes were on record, and " +
-                  std::to_string(now.outcomes) + " are");
+        if (now != Memory::Digest{number(*o, "outcomes"), number(*o, "sum")} || memory_.jobs() < number(*o, "jobs")) {
+            doubt(std::to_string(number(*o, "outcomes")) + " outcomes of " + std::to_string(number(*o, "jobs")) +
+                      " jobs were on record, and " + std::to_string(now.outcomes) + " of " +
+                      std::to_string(memory_.jobs()) + " are",
+                  Loss::beyond_memory);
             co_return false;
         }
     }
@@ -415,16 +440,20 @@
 awaitable<void> Keeper::write_digest() {
     const auto revision = memory_.revision();
     const auto digest = memory_.digest(revision);
-    if (!memory_.whole() || digest.outcomes == digested_) co_return;
+    const auto jobs = memory_.jobs();
+    if (!memory_.whole() || digest.outcomes + jobs == digested_) co_return;
     state::Txn txn;
     txn.conditions = leading_conditions(*known_);
     boost::json::object value{{"generation", known_->generation},
                               {"revision", revision},
                               {"outcomes", digest.outcomes},
-                              {"sum", digest.sum}};
+                              {"sum", digest.sum},
+                              {"jobs", jobs}};
     txn.changes.push_back({digest_key, std::move(value), 0});
     const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
-    if (r.outcome == Outcome::ok) digested_ = digest.outcomes;
+    if (r.outcome == Outcome::ok) digested_ = digest.outcomes + jobs;
+    spdlog::debug("event=digest outcomes={} revision={} outcome={}", digest.outcomes, revision,
+                  static_cast<int>(r.outcome));
 }
 
 // This controller may have been out of reach while another rebuilt. What it alone had accepted or cancelled is put on
@@ -513,6 +542,38 @@
     if (owed_.empty()) spdlog::info("event=outcomes_back generation={}", witness.generation);
 }
 
+// Whether what is neither on record nor remembered never was. Somebody who was not heard when the records were rebuilt
+// may know better, and adds it when he is back; users who ask meanwhile are asked to come again, but not for so long
+// that a job which does exist counts as forgotten.
+bool Keeper::certain() const {
+    if (!known_ || Clock::now() >= certain_at_) return true;
+    return std::all_of(known_->missing.begin(), known_->missing.end(), [&](const std::string& member) {
+        if (member == settings_.member) return memory_.whole();
+        const auto it = peers_.find(member);
+        return it != peers_.end() && it->second.generation == known_->generation && it->second.remembers > 0;
+    });
+}
+
+// Data can go without any sign. Whoever does not lead reads the records again, a page now and then, and holds them
+// against what it remembers.
+awaitable<void> Keeper::scrub() {
+    const auto from = scrub_at_;
+    const auto page = co_await raw_.range(agent::jobs_prefix, from, Urgency::leftover);
+    if (page.outcome != Outcome::ok || doubt_ || !memory_.whole()) co_return;
+    scrub_at_ = page.more && !page.items.empty() ? page.items.back().key : std::string();
+    const auto missing = memory_.missing_from(from, scrub_at_, page.items);
+    for (const auto& key : missing) {
+        // It may have been removed, or its job have ended, since the last look.
+        const auto work = agent::parse_work_key(key);
+        auto outcome = work ? agent::outcome_key(work->uid) : key;
+        const auto got = co_await raw_.get(std::move(outcome), Urgency::bookkeeping);
+        if (got.outcome != Outcome::ok) co_return;
+        if (got.item.stamp) continue;
+        doubt("gone without a sign: " + key);
+        co_return;
+    }
+}
+
 void Keeper::shelve() {
     const auto now = Clock::now();
     if (!memory_.whole() || now - shelved_at_ < shelve_gap) return;
@@ -573,11 +634,13 @@
     return out;
 }
 
-// What this controller remembers and the rebuilder may not, page by page, and then a key that says so.
+// What this controller remembers and the rebuilder may not, page by page, and then a key that says so. The rebuilder
+// puts down all of its own before it waits for others: if all end meanwhile, the next one finds it.
 awaitable<bool> Keeper::offer(const Witness& w) {
     const std::string mine = offers_prefix + settings_.member;
     boost::json::array sources;
-    for (const auto& source : own_sources(w.of, w.remembers)) {
+    const bool its_own = w.by == settings_.member;
+    for (const auto& source : own_sources(its_own ? std::string() : w.of, w.remembers)) {
         const auto prefix = mine + "/" + std::to_string(sources.size()) + ".";
         const auto all = pages(prefix, source);
         for (const auto& [key, text] : all) {
@@ -603,6 +666,30 @@
     co_return r.outcome == Outcome::ok;
 }
 
+Source Keeper::offered(const std::string& member, std::size_t k, const boost::json::value& entry,
+                       const std::map<std::string, const Item*>& by_key) const {
+    Source s;
+    s.from = member;
+    const auto* o = entry.if_object();
+    if (!o) return s;
+    s.generation = number(*o, "generation");
+    s.revision = number(*o, "revision");
+    if (const auto* id = o->if_contains("id"); id && id->is_string()) s.id = std::string(id->get_string());
+    if (const auto* whole = o->if_contains("whole")) s.whole = whole->is_bool() && whole->get_bool();
+    for (std::uint64_t n = 0; n < number(*o, "pages"); ++n) {
+        const auto page = by_key.find(offers_prefix + member + "/" + std::to_string(k) + "." + std::to_string(n));
+        try {
+            if (page == by_key.end()) throw wire::BadBody("missing");
+            for (auto& r : wire::decode_archive_text(std::string_view(page->second->value.as_string())))
+                s.records.emplace(std::move(r.key), Record{r.stamp, std::move(r.text)});
+        } catch (const std::exception& e) {
+            spdlog::error("event=offer_unreadable member={} page={} why=\"{}\"", member, n, e.what());
+            s.whole = false;
+        }
+    }
+    return s;
+}
+
 // The offers that were made for this witness; nothing while one is still to be waited for.
 std::optional<Keeper::Gathered> Keeper::read_offers(const Witness& w, const std::vector<Item>& items,
                                                     bool last_call) const {
@@ -612,42 +699,25 @@
     for (const auto& item : items) by_key[item.key] = &item;
     auto saw = saw_;
     std::set<std::uint64_t> led{led_};
-    for (const auto& peer : settings_.peers) {
-        const auto it = by_key.find(offers_prefix + peer.member);
+    std::vector<std::string> members{settings_.member};
+    for (const auto& peer : settings_.peers) members.push_back(peer.member);
+    for (const auto& member : members) {
+        const auto it = by_key.find(offers_prefix + member);
         const auto* header = it == by_key.end() ? nullptr : it->second->value.if_object();
-        if (!header || number(*header, "for") != w.stamp) {
-            const auto word = peers_.find(peer.member);
+        if (member != settings_.member && (!header || number(*header, "for") != w.stamp)) {
+            const auto word = peers_.find(member);
             const bool there = word != peers_.end() && Clock::now() - word->second.heard < peer_fresh;
             if (!last_call && (there || Clock::now() - rebuild_began_ < offers_at_least)) return std::nullopt;
-            spdlog::error("event=offer_missing member={} heard={}", peer.member, there);
-            out.all_there = false;
-            continue;
+            out.missing.push_back(member);
         }
+        if (!header) continue;
+        // An offer that was made to another rebuilder, or by a former life of this one, is as true as it was.
         saw = std::max(saw, number(*header, "saw"));
         led.insert(number(*header, "led"));
-        std::size_t k = 0;
-        for (const auto& entry : header->at("sources").as_array()) {
-            const auto& o = entry.as_object();
-            Source s;
-            s.from = peer.member;
-            s.generation = number(o, "generation");
-            s.id = std::string(o.at("id").as_string());
-            s.revision = number(o, "revision");
-            s.whole = o.at("whole").as_bool();
-            for (std::uint64_t n = 0; n < number(o, "pages"); ++n) {
-                const auto page = by_key.find(it->first + "/" + std::to_string(k) + "." + std::to_string(n));
-                try {
-                    if (page == by_key.end()) throw wire::BadBody("missing");
-                    for (auto& r : wire::decode_archive_text(std::string_view(page->second->value.as_string())))
-                        s.records.emplace(std::move(r.key), Record{r.stamp, std::move(r.text)});
-                } catch (const std::exception& e) {
-                    spdlog::error("event=offer_unreadable member={} page={} why=\"{}\"", peer.member, n, e.what());
-                    s.whole = false;
-                }
-            }
-            out.sources.push_back(std::move(s));
-            ++k;
-        }
+        const auto* list = header->if_contains("sources");
+        if (!list || !list->is_array()) continue;
+        for (std::size_t k = 0; k < list->get_array().size(); ++k)
+            out.sources.push_back(offered(member, k, list->get_array()[k], by_key));
     }
     out.placements_known = saw > 0 && led.contains(saw);
     return out;
@@ -704,7 +774,7 @@
     w.term = term;
     w.of = memory_.whole() ? memory_.id() : std::string();
     w.remembers = memory_.revision();
-    const auto first = co_await put(w, {});
+    const auto first = co_await put(w);
     if (!first) {
         co_await wake_.wait(try_again);
         co_return;
@@ -712,12 +782,17 @@
     w.stamp = first;
     spdlog::info("event=rebuilding generation={} term={} remembers={} revision={}", w.generation, term, memory_.size(),
                  memory_.revision());
+    if (memory_.size()) {
+        const bool put_down = co_await offer(w);
+        if (!put_down || !still()) co_return;
+    }
     // 2. What everybody remembers, and what the service still has.
     const auto gathered = co_await gather(w);
     if (!gathered || !still()) co_return;
     verified_ = true;  // whatever it was that is missing, there is nobody else to ask
     auto there = co_await present();
     if (!there || !still()) co_return;
+    for (const auto& member : gathered->missing) spdlog::error("event=offer_missing member={}", member);
     const auto merged = merge(gathered->sources, there->source);
     for (const auto& doubt : merged.doubts) spdlog::error("event=record_lost what=\"{}\"", doubt);
     // Nobody can cancel anything before the records are whole again, so if all have told, all cancellations are known.
@@ -730,10 +805,10 @@
             item.stamp = 1;
             outcomes.push_back(std::move(item));
         }
-    links_.outcomes(outcomes, Clock::now(), gathered->all_there ? Look::all : Look::changes);
+    links_.outcomes(outcomes, Clock::now(), gathered->missing.empty() ? Look::all : Look::changes);
     // 3. Write it back.
     w.phase = Witness::Phase::restoring;
-    const auto second = co_await put(w, {});
+    const auto second = co_await put(w);
     if (!second || !still()) co_return;
     w.stamp = second;
     const bool restored = co_await restore(w, merged, std::move(*there));
@@ -746,15 +821,16 @@
             spdlog::error("event=job_lost job={} why=\"a worker shows it, and nobody remembers it\"", uid);
         }
     w.phase = Witness::Phase::whole;
+    w.missing = gathered->missing;
     std::vector<state::Change> with;
     with.push_back({digest_key, std::nullopt, 0});
-    if (!gathered->placements_known)
+    if (!gathered->placements_known || w.beyond_memory)
         with.push_back({unsettled_key, boost::json::object{{"generation", w.generation}}, 0});
-    const auto last = co_await put(w, std::move(with));
+    const auto last = co_await put_with(w, std::move(with));
     if (!last) co_return;
     spdlog::info("event=rebuilt generation={} records={} sources={} lost={} placements_known={}", w.generation,
                  merged.records.size(), gathered->sources.size(), missed + merged.doubts.size(),
-                 gathered->placements_known);
+                 gathered->placements_known && !w.beyond_memory);
     clear_offers_ = true;
 }
 
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -49,9 +49,13 @@
     // This controller has won a term, or lost it.
     void leads(election::Term term);
     void deposed();
-    // Something showed that data were lost, or may have been.
-    void doubt(std::string why);
+    // Something showed that data were lost, or may have been; `beyond_memory`: more than this controller remembers, so
+    // that nobody may know where tasks were placed last.
+    enum class Loss : std::uint8_t { seen, beyond_memory };
+    void doubt(std::string why, Loss loss = Loss::seen);
     void written(const state::Change& change, std::uint64_t revision) { memory_.written(change, revision); }
+    // Users were told what this record says.
+    void told(const state::Item& item) { memory_.written({item.key, item.value, 0}, item.stamp); }
     // What a peer said of itself: the generation it knows, 0 if none, and up to where it remembers that.
     struct PeerWord {
         std::uint64_t generation = 0, remembers = 0;
@@ -68,6 +72,8 @@
     // remembered is either owed, or was lost.
     std::optional<Memory::Outcome> outcome_of(const std::string& uid) const { return memory_.outcome_of(uid); }
 
+    // Whether a job that is neither on record nor remembered never was.
+    bool certain() const;
     // The witness is known: it was whole since this controller began.
     bool ready() const { return known_.has_value(); }
     bool rebuilding() const { return rebuilding_; }
@@ -83,16 +89,19 @@
     // Everything that was offered, and whether the last leader's own memory is among it.
     struct Gathered {
         std::vector<Source> sources;
-        bool placements_known = false, all_there = true;
+        std::vector<std::string> missing;  // controllers that made none
+        bool placements_known = false;
     };
 
     // The witness: made, doubted, replaced.
     awaitable<void> without_witness();
     bool may_create() const;
     std::uint64_t newest_generation() const;
+    std::uint64_t newest_remembered() const;
     bool outdated(const Witness& witness) const;
     awaitable<void> declare(std::uint64_t over, std::uint64_t generation);
-    awaitable<std::uint64_t> put(const Witness& witness, std::vector<state::Change> with);
+    awaitable<std::uint64_t> put(const Witness& witness);
+    awaitable<std::uint64_t> put_with(const Witness& witness, std::vector<state::Change> with);
 
     // While the records are whole.
     awaitable<void> attend(Witness witness);
@@ -101,6 +110,7 @@
     awaitable<void> look();
     awaitable<void> fill();
     awaitable<bool> verify();
+    awaitable<void> scrub();
     awaitable<void> write_digest();
     awaitable<void> add_late();
     awaitable<void> pay_back();
@@ -112,6 +122,8 @@
     std::vector<Source> own_sources(const std::string& of, std::uint64_t remembers) const;
     awaitable<void> rebuild(Witness witness);
     awaitable<std::optional<Gathered>> gather(const Witness& witness);
+    Source offered(const std::string& member, std::size_t k, const boost::json::value& entry,
+                   const std::map<std::string, const Item*>& by_key) const;
     std::optional<Gathered> read_offers(const Witness& witness, const std::vector<Item>& items, bool last_call) const;
     awaitable<std::optional<Present>> present();
     awaitable<bool> restore(const Witness& witness, const Merged& merged, Present present);
@@ -132,7 +144,8 @@
 
     std::optional<Witness> known_;      // the newest that was whole
     std::optional<std::string> doubt_;  // why it may be so no more
-    bool recheck_ = false;              // the witness should be read again
+    bool beyond_memory_ = false;
+    bool recheck_ = false;  // the witness should be read again
     wire::TimePoint began_{}, checked_at_{}, shelved_at_{}, rebuild_began_{};
     std::unordered_map<std::string, PeerWord> peers_;
 
@@ -140,7 +153,9 @@
     std::optional<Memory> former_;  // of the history before, until what only it holds is on record
     bool following_ = false;
     bool verified_ = false;       // what there was when this controller began is all there should have been
-    std::uint64_t digested_ = 0;  // outcomes, in the last digest
+    std::uint64_t digested_ = 0;  // what the last digest counted
+    wire::TimePoint next_digest_{}, next_scrub_{}, certain_at_{};
+    std::string scrub_at_;                // the last key that was held against the memory
     std::optional<std::string> fill_at_;  // the last key of the pages read so far; nothing once all are
     std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
 
--- a/src/recovery/memory.cpp
+++ b/src/recovery/memory.cpp
@@ -137,6 +137,36 @@
     return out;
 }
 
+std::vector<std::string> Memory::open_jobs() const {
+    std::vector<std::string> out;
+    for (const auto& [key, record] : work_) {
+        const auto work = agent::parse_work_key(key);
+        if (work && work->first() && !over(work->uid) && !work_.contains(agent::outcome_key(work->uid)))
+            out.push_back(work->uid);
+    }
+    return out;
+}
+
+std::size_t Memory::jobs() const {
+    const auto odd = std::count_if(work_.begin(), work_.end(), [](const auto& r) { return is_final(r.first); });
+    return open_jobs().size() + finals_.size() + static_cast<std::size_t>(odd);
+}
+
+std::vector<std::string> Memory::missing_from(const std::string& from, const std::string& to,
+                                              const std::vector<state::Item>& items) const {
+    std::map<std::string_view, const state::Item*> there;
+    for (const auto& item : items) there.emplace(item.key, &item);
+    std::vector<std::string> out;
+    const auto check = [&](const std::string& key, std::uint64_t stamp) {
+        if (key <= from || (!to.empty() && key > to) || stamp <= owed_stamp) return;
+        const auto it = there.find(key);
+        if (it == there.end() || it->second->stamp < stamp || !it->second->value.is_object()) out.push_back(key);
+    };
+    for (const auto& [key, record] : work_) check(key, record.stamp);
+    for (const auto& [uid, f] : finals_) check(agent::outcome_key(uid), f.stamp);
+    return out;
+}
+
 std::string Memory::text_of(const Final& f) {
     json::object o{{"state", wire::job_state_name(f.state)}};
     if (f.at) o["at"] = f.at;
--- a/src/recovery/memory.hpp
+++ b/src/recovery/memory.hpp
@@ -10,6 +10,9 @@
 
 namespace flintdale::recovery {
 
+// Of outcomes that have no place of their own yet: older than anything that has.
+inline constexpr std::uint64_t owed_stamp = 1;
+
 class Memory {
   public:
     // Begins anew with a history, of which everything after that revision will be told. What was on record before comes
@@ -43,6 +46,12 @@
         bool operator==(const Digest&) const = default;
     };
     Digest digest(std::uint64_t revision) const;
+    std::size_t jobs() const;  // open or over
+    std::vector<std::string> open_jobs() const;
+    // Keys after `from` and up to `to` (empty: the last) that are remembered and not among the items read there, or are
+    // there with an older or unreadable value. What is owed has no place yet.
+    std::vector<std::string> missing_from(const std::string& from, const std::string& to,
+                                          const std::vector<state::Item>& items) const;
     bool whole() const { return whole_; }
     std::uint64_t generation() const { return generation_; }
     const std::string& id() const { return id_; }
--- a/src/state/guarded_store.cpp
+++ b/src/state/guarded_store.cpp
@@ -46,7 +46,19 @@
     return true;
 }
 
-awaitable<GetResult> GuardedStore::get(std::string key, Urgency urgency) { return inner_.get(std::move(key), urgency); }
+awaitable<GetResult> GuardedStore::get(std::string key, Urgency urgency) {
+    GetResult r;
+    const bool guarded = key.starts_with(prefix_);
+    if (guarded && !is_open()) {
+        r.outcome = Outcome::refused;
+        co_return r;
+    }
+    const auto sent = opening_;
+    r = co_await inner_.get(std::move(key), urgency);
+    // What was written just after a loss must not be told as an answer, not even by reading it again.
+    if (guarded && sent != opening_) r.outcome = Outcome::unknown;
+    co_return r;
+}
 
 awaitable<RangeResult> GuardedStore::range(std::string prefix, std::string after, Urgency urgency) {
     const bool guarded = prefix.starts_with(prefix_);
--- a/src/state/witness.cpp
+++ b/src/state/witness.cpp
@@ -23,13 +23,15 @@
 }  // namespace
 
 boost::json::object witness_record(const Witness& w) {
-    return {{"generation", w.generation},
-            {"id", w.id},
-            {"phase", phases[static_cast<std::size_t>(w.phase)]},
-            {"by", w.by},
-            {"term", w.term},
-            {"of", w.of},
-            {"remembers", w.remembers}};
+    json::object o{{"generation", w.generation}, {"id", w.id}, {"phase", phases[static_cast<std::size_t>(w.phase)]}};
+    if (!w.missing.empty()) o["missing"] = json::array(w.missing.begin(), w.missing.end());
+    if (w.whole()) return o;
+    o["by"] = w.by;
+    o["term"] = w.term;
+    o["of"] = w.of;
+    o["remembers"] = w.remembers;
+    o["beyond_memory"] = w.beyond_memory;
+    return o;
 }
 
 std::optional<Witness> parse_witness(const Item& item) {
@@ -43,6 +45,11 @@
     w.term = number(o, "term");
     w.remembers = number(o, "remembers");
     w.stamp = item.stamp;
+    const auto* beyond = o.if_contains("beyond_memory");
+    w.beyond_memory = beyond && beyond->is_bool() && beyond->get_bool();
+    if (const auto* missing = o.if_contains("missing"); missing && missing->is_array())
+        for (const auto& member : missing->get_array())
+            if (member.is_string()) w.missing.emplace_back(member.get_string());
     const auto phase = text(o, "phase");
     for (std::size_t i = 0; i < phases.size(); ++i)
         if (phase == phases[i]) {
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -12,7 +12,7 @@
     FakeStore store;
     config::Settings cluster = settings();
     std::vector<wire::MachineType> known = types();
-    bool types_known = true;
+    bool types_known = true, certain = true;
     std::map<std::string, api::Remembered> remembered;
     std::vector<std::string> missed;
     state::Form form{cluster};
@@ -26,7 +26,8 @@
                     const auto it = remembered.find(uid);
                     return it == remembered.end() ? std::nullopt : std::optional(it->second);
                 },
-                [this](const std::string& uid) { missed.push_back(uid); }};
+                [this](const std::string& uid) { missed.push_back(uid); },
+                [this] { return certain; }};
     }
     net::Reply run(net::awaitable<net::Reply> call) {
         net::Reply out;
