--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -118,6 +118,7 @@
         keeper_.doubt(why, beyond_memory ? Loss::beyond_memory : Loss::seen);
     };
     links.over = [this](const std::string& uid) { return keeper_.memory().over(uid); };
+    links.seen = [this](const state::Item& item) { keeper_.told(item); };
     links.open = [this] { return keeper_.memory().open_jobs(); };
     reign_ =
         std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled, std::move(links));
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -248,6 +248,8 @@
         followed_ = std::max(followed_, seen.revision);
         const auto now = Clock::now();
         bool news = false;
+        for (std::size_t i = 0; i < seen.events.size(); ++i)
+            if (!seen.deleted[i]) links_.seen(seen.events[i]);
         for (std::size_t i = 0; i < seen.events.size(); ++i)
             news = (!seen.deleted[i] && overseer_.job_changed(seen.events[i], now)) || news;
         if (news) wake();
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -26,10 +26,12 @@
 constexpr auto offers_at_least = 3s;  // that all others are waited for, heard or not
 constexpr auto offers_at_most = 20s;
 constexpr auto shelve_gap = 30s;
+constexpr std::size_t most_offers = 6;  // of one controller's lives, that are kept
 constexpr auto owed_gap = 2s;
 constexpr auto not_certain_for = 60s;  // that nobody is told a job never was, while a controller has not offered
 constexpr auto scrub_gap = 5s;
 constexpr auto digest_gap = 10s;
+constexpr auto failed = static_cast<std::size_t>(-1);
 constexpr std::size_t max_shown = 20'000;
 constexpr std::size_t first_page = 256;  // records; fewer where a value cannot hold them
 
@@ -638,9 +640,20 @@
 // puts down all of its own before it waits for others: if all end meanwhile, the next one finds it.
 awaitable<bool> Keeper::offer(const Witness& w) {
     const std::string mine = offers_prefix + settings_.member;
+    // What a former life of this controller put down is all that is left of what that remembered.
+    const auto before = co_await raw_.get(mine, Urgency::user);
+    if (before.outcome != Outcome::ok) co_return false;
     boost::json::array sources;
+    auto led = led_, saw = saw_;
+    if (const auto* header = before.item.stamp ? before.item.value.if_object() : nullptr) {
+        if (const auto* list = header->if_contains("sources"); list && list->is_array()) sources = list->get_array();
+        if (!led) led = number(*header, "led");
+        saw = std::max(saw, number(*header, "saw"));
+    }
+    if (sources.size() > most_offers) sources.resize(most_offers);
     const bool its_own = w.by == settings_.member;
     for (const auto& source : own_sources(its_own ? std::string() : w.of, w.remembers)) {
+        if (source.records.empty() && !source.whole) continue;
         const auto prefix = mine + "/" + std::to_string(sources.size()) + ".";
         const auto all = pages(prefix, source);
         for (const auto& [key, text] : all) {
@@ -650,17 +663,18 @@
             const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
             if (r.outcome != Outcome::ok) co_return false;
         }
-        sources.push_back(boost::json::object{{"generation", source.generation},
-                                              {"id", source.id},
-                                              {"revision", source.revision},
-                                              {"whole", source.whole},
-                                              {"pages", all.size()}});
+        boost::json::object entry{{"generation", source.generation},
+                                  {"id", source.id},
+                                  {"revision", source.revision},
+                                  {"whole", source.whole},
+                                  {"pages", all.size()}};
+        sources.push_back(std::move(entry));
         spdlog::info("event=offered records={} pages={} revision={}", source.records.size(), all.size(),
                      source.revision);
     }
     state::Txn txn;
     txn.conditions.push_back({state::witness_key, w.stamp});
-    boost::json::object header{{"for", w.stamp}, {"led", led_}, {"saw", saw_}, {"sources", std::move(sources)}};
+    boost::json::object header{{"for", w.stamp}, {"led", led}, {"saw", saw}, {"sources", std::move(sources)}};
     txn.changes.push_back({mine, std::move(header), 0});
     const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
     co_return r.outcome == Outcome::ok;
@@ -728,6 +742,7 @@
     for (;;) {
         const bool last_call = Clock::now() >= until;
         const auto items = co_await read_all(offers_prefix);
+        spdlog::debug("event=offers keys={}", items ? items->size() : 0);
         if (!term_) co_return std::nullopt;
         if (items)
             if (auto all = read_offers(w, *items, last_call)) co_return all;
@@ -782,16 +797,17 @@
     w.stamp = first;
     spdlog::info("event=rebuilding generation={} term={} remembers={} revision={}", w.generation, term, memory_.size(),
                  memory_.revision());
-    if (memory_.size()) {
-        const bool put_down = co_await offer(w);
-        if (!put_down || !still()) co_return;
-    }
+    const bool put_down = co_await offer(w);
+    if (!put_down || !still()) co_return;
     // 2. What everybody remembers, and what the service still has.
     const auto gathered = co_await gather(w);
     if (!gathered || !still()) co_return;
     verified_ = true;  // whatever it was that is missing, there is nobody else to ask
     auto there = co_await present();
     if (!there || !still()) co_return;
+    for (const auto& s : gathered->sources)
+        spdlog::debug("event=source from={} generation={} revision={} whole={} records={}", s.from, s.generation,
+                      s.revision, s.whole, s.records.size());
     for (const auto& member : gathered->missing) spdlog::error("event=offer_missing member={}", member);
     const auto merged = merge(gathered->sources, there->source);
     for (const auto& doubt : merged.doubts) spdlog::error("event=record_lost what=\"{}\"", doubt);
@@ -811,8 +827,13 @@
     const auto second = co_await put(w);
     if (!second || !still()) co_return;
     w.stamp = second;
-    const bool restored = co_await restore(w, merged, std::move(*there));
-    if (!restored || !still()) co_return;
+    for (std::size_t missing = 1; missing > 0;) {
+        missing = co_await restore(w, merged, std::move(*there));
+        if (missing == failed || !still()) co_return;
+        // More may have been lost while it was being written.
+        there = co_await present();
+        if (!there || !still()) co_return;
+    }
     // 4. Open again.
     std::size_t missed = 0;
     for (const auto& uid : shown_)
@@ -834,7 +855,8 @@
     clear_offers_ = true;
 }
 
-awaitable<bool> Keeper::restore(const Witness& w, const Merged& merged, Present there) {
+// How many records were missing, or `failed`.
+awaitable<std::size_t> Keeper::restore(const Witness& w, const Merged& merged, Present there) {
     std::vector<std::pair<int, state::Change>> missing;
     Source owed;
     for (const auto& [key, text] : merged.records) {
@@ -866,26 +888,34 @@
         if (i + 1 < missing.size() && changes.size() < most && bytes < 30'000) continue;
         auto batch = flush();
         const bool put = co_await put_back(w, std::move(batch), there.stamps);
-        if (!put) co_return false;
+        if (!put) co_return failed;
     }
+    if (owed.records.empty()) co_return missing.size();
     std::map<std::string, std::uint64_t> stamps;
     const auto former = co_await read_all(owed_prefix);
-    if (!former) co_return false;
-    // Pages of a rebuilding that was interrupted are in the memory of nobody yet, so what they owe is owed again.
+    if (!former) co_return failed;
+    // Pages of a rebuilding that was interrupted, or of an earlier round of this one, owe some of it already.
     std::size_t number = 0;
     for (const auto& item : *former) {
         stamps[item.key] = item.stamp;
         const auto tail = item.key.substr(std::string_view(owed_prefix).size());
         number = std::max(number, static_cast<std::size_t>(std::strtoull(tail.c_str(), nullptr, 10)) + 1);
+        try {
+            for (const auto& r : wire::decode_archive_text(std::string_view(item.value.as_string())))
+                owed.records.erase(r.key);
+        } catch (const std::exception& e) {
+            spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
+        }
     }
+    const auto fresh = owed.records.size();
     for (const auto& [key, text] : pages("", owed)) {
         std::vector<state::Change> page;
         page.push_back({owed_prefix + std::to_string(number + std::strtoull(key.c_str(), nullptr, 10)),
                         boost::json::string(text), 0});
         const bool put = co_await put_back(w, std::move(page), stamps);
-        if (!put) co_return false;
+        if (!put) co_return failed;
     }
-    co_return true;
+    co_return missing.size() + fresh;
 }
 
 // Until they are on record, or somebody else rebuilds.
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -126,7 +126,7 @@
                    const std::map<std::string, const Item*>& by_key) const;
     std::optional<Gathered> read_offers(const Witness& witness, const std::vector<Item>& items, bool last_call) const;
     awaitable<std::optional<Present>> present();
-    awaitable<bool> restore(const Witness& witness, const Merged& merged, Present present);
+    awaitable<std::size_t> restore(const Witness& witness, const Merged& merged, Present present);
     awaitable<bool> put_back(const Witness& witness, std::vector<state::Change> changes,
                              std::map<std::string, std::uint64_t>& stamps);
     awaitable<std::optional<std::vector<Item>>> read_all(std::string prefix);
