--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -160,7 +160,11 @@
     const auto work = co_await read_all(agent::work_prefix);
     if (!work) co_return false;
     overseer_.load(work->items, Clock::now(), links_.time_of_day_ms());
-    if (!co_await check_open_jobs()) co_return false;
+    const bool sound = co_await check_open_jobs();
+    if (!sound) {
+        co_await net::sleep_for(100ms);
+        co_return false;
+    }
     followed_ = work->revision;
     fresh_ = began;
     if (!loaded_) spdlog::info("event=loaded term={} records={}", term_, work->items.size());
@@ -173,27 +177,6 @@
 // What looks open may be of jobs that are over: their outcomes tell.
 awaitable<bool> Reign::check_open_jobs() {
     const auto open = overseer_.open_jobs();
-    for (const auto& uid : open)
-        if (links_.over(uid)) {
-            // Its outcome is looked for below; if it is not there, the job must not be run again.
-            const auto got = co_await store_.get(agent::outcome_key(uid), Urgency::leadership);
-            if (stopped_) co_return false;
-            if (got.outcome == Outcome::ok && !got.item.stamp) {
-                links_.loss("the outcome of a job is gone", false);
-                co_return false;
-            }
-        }
-    // And what is remembered to be open is on record, or over by now.
-    for (const auto& uid : links_.open()) {
-        if (overseer_.knows(uid)) continue;
-        const auto outcome = co_await store_.get(agent::outcome_key(uid), Urgency::leadership);
-        const auto work = co_await store_.get(agent::work_key(uid, 0), Urgency::leadership);
-        if (stopped_) co_return false;
-        if (outcome.outcome == Outcome::ok && work.outcome == Outcome::ok && !outcome.item.stamp && !work.item.stamp) {
-            links_.loss("the work of a job is gone", false);
-            co_return false;
-        }
-    }
     std::size_t most = 0;
     for (std::size_t at = 0; at < open.size(); at += most) {
         state::TxnResult result;
@@ -212,6 +195,34 @@
                 result.failed.end())
                 overseer_.ended(open[i], Clock::now());
     }
+    co_return co_await check_remembered();
+}
+
+// What is remembered to be open is on record, or over by now; and what is remembered to be over has its outcome, or else
+// it would be run again.
+awaitable<bool> Reign::check_remembered() {
+    std::vector<std::string> asked;
+    for (auto& uid : links_.open())
+        if (!overseer_.knows(uid)) asked.push_back(std::move(uid));
+    for (auto& uid : overseer_.open_jobs())
+        if (links_.over(uid)) asked.push_back(std::move(uid));
+    for (std::size_t at = 0; at < asked.size();) {
+        const auto first = at;
+        state::Txn txn;
+        for (; at < asked.size() && txn.conditions.size() + 2 <= form_.conditions(); ++at) {
+            txn.conditions.push_back({agent::outcome_key(asked[at]), 0});
+            txn.conditions.push_back({agent::work_key(asked[at], 0), 0});
+        }
+        const auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
+        if (stopped_ || (result.outcome != Outcome::ok && result.outcome != Outcome::conflict)) co_return false;
+        const std::set<std::string> there(result.failed.begin(), result.failed.end());
+        for (auto i = first; i < at; ++i) {
+            if (there.contains(agent::outcome_key(asked[i]))) continue;
+            if (there.contains(agent::work_key(asked[i], 0)) && !links_.over(asked[i])) continue;
+            links_.loss("the records of a job are not what they were", false);
+            co_return false;
+        }
+    }
     co_return true;
 }
 
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -53,6 +53,7 @@
     };
     awaitable<std::optional<Everything>> read_all(std::string prefix);
     awaitable<bool> check_open_jobs();
+    awaitable<bool> check_remembered();
     awaitable<void> commit_loop();
     awaitable<void> tick_loop();
     awaitable<void> list_loop();
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -21,8 +21,12 @@
 // Timers by the same clock as everything else. Under an emulated time the reactor must not sleep: it looks at its timers
 // whenever it is polled.
 struct WaitTraits {
+    // How long until the earliest timer of the reactor that asked last.
+    static inline thread_local wire::Clock::duration earliest{};
     static wire::Clock::duration to_wait_duration(const wire::Clock::duration& d) {
-        return wire::Clock::emulated ? wire::Clock::duration(0) : d;
+        if (!wire::Clock::emulated) return d;
+        earliest = d;
+        return wire::Clock::duration(0);
     }
     static wire::Clock::duration to_wait_duration(const wire::Clock::time_point& t) {
         return to_wait_duration(t - wire::Clock::now());
--- /dev/null
+++ b/tests/recovery_test.cpp
@@ -0,0 +1,548 @@
+// What is remembered, merged and kept in snapshots, and what guards the records of jobs.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+
+#include "api/desk.hpp"
+#include "fake_store.hpp"
+#include "recovery/keeper.hpp"
+#include "wire/archive.hpp"
+
+namespace flintdale::test {
+
+namespace {
+
+using recovery::Memory;
+using recovery::Merged;
+using recovery::Record;
+using recovery::Source;
+using state::Outcome;
+namespace fs = std::filesystem;
+
+const std::string cancelled = R"({"state":"aborted","shape":"array","shards":2})";
+const std::string done = R"({"state":"done","shape":"array","shards":2})";
+
+// Work of which task 0 has that attempt on that machine.
+std::string work(std::uint64_t attempt, const std::string& machine = "n-1") {
+    boost::json::array tasks;
+    if (attempt) tasks = wire::ranges_to_record({{0, 0, attempt, machine, false}});
+    return boost::json::serialize(boost::json::object{{"spec", boost::json::object()}, {"tasks", tasks}});
+}
+
+Source source(std::uint64_t generation, std::uint64_t revision, bool whole, std::map<std::string, Record> records) {
+    Source s;
+    s.from = "somebody";
+    s.generation = generation;
+    s.id = "history-" + std::to_string(generation);
+    s.revision = revision;
+    s.whole = whole;
+    s.records = std::move(records);
+    return s;
+}
+
+// Merges them in every order, which must not matter.
+Merged merged(std::vector<Source> sources, const Source& store = {}) {
+    std::vector<std::size_t> order(sources.size());
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+    std::optional<Merged> first;
+    do {
+        std::vector<Source> in;
+        for (const auto i : order) in.push_back(sources[i]);
+        auto out = recovery::merge(in, store);
+        if (!first) first = out;
+        EXPECT_EQ(out.records, first->records);
+        EXPECT_EQ(out.doubts, first->doubts);
+    } while (std::next_permutation(order.begin(), order.end()));
+    return *first;
+}
+
+state::FollowResult told(std::uint64_t revision, std::vector<state::Item> events, std::vector<bool> deleted) {
+    state::FollowResult r;
+    r.outcome = Outcome::ok;
+    r.revision = revision;
+    r.events = std::move(events);
+    r.deleted = std::move(deleted);
+    return r;
+}
+
+state::Item item(const std::string& key, const std::string& text, std::uint64_t stamp) {
+    return {key, boost::json::parse(text), stamp};
+}
+
+state::Item removed(const std::string& key, std::uint64_t stamp) { return {key, {}, stamp}; }
+
+struct TemporaryDirectory {
+    fs::path path;
+    TemporaryDirectory() {
+        std::string name = (fs::temp_directory_path() / "flintdale-test-XXXXXX").string();
+        path = ::mkdtemp(name.data());
+    }
+    ~TemporaryDirectory() { fs::remove_all(path); }
+};
+
+}  // namespace
+
+// --- the merge ---
+
+TEST(MergeStory, of_a_key_the_newest_value_holds_whoever_has_it) {
+    const auto r = merged({source(1, 10, true, {{"jobs/work/run-1", {7, work(1)}}}),
+                           source(1, 8, true, {{"jobs/work/run-1", {5, work(0)}}}),
+                           source(1, 12, false, {{"jobs/work/run-1", {11, work(2)}}})});
+    EXPECT_EQ(r.records.at("jobs/work/run-1"), work(2));
+    EXPECT_TRUE(r.doubts.empty());
+}
+
+TEST(MergeStory, an_outcome_beats_open_work_and_the_work_of_a_cancelled_job_stays_until_its_tasks_are_found) {
+    const auto r =
+        merged({source(1, 10, true, {{"jobs/work/run-1", {7, work(1)}}, {"jobs/work/run-2", {8, work(1)}}}),
+                source(1, 9, false, {{"jobs/over/run-1", {12, done}}, {"jobs/over/run-2", {13, cancelled}}})});
+    EXPECT_FALSE(r.records.contains("jobs/work/run-1"));
+    EXPECT_EQ(r.records.at("jobs/over/run-1"), done);
+    EXPECT_TRUE(r.records.contains("jobs/work/run-2"));
+    EXPECT_EQ(r.records.at("jobs/over/run-2"), cancelled);
+}
+
+TEST(MergeStory, work_that_was_removed_with_its_job_does_not_come_back_from_an_older_memory) {
+    const auto r = merged({source(1, 20, true, {{"jobs/over/run-2", {13, cancelled}}}),
+                           source(1, 12, true, {{"jobs/work/run-2", {8, work(1)}}})});
+    EXPECT_EQ(r.records.size(), 1u);
+}
+
+// A controller that began after a service was set back knows less, and its revisions grow past what it never saw.
+TEST(MergeStory, what_a_memory_lacks_without_knowing_the_outcome_was_not_removed) {
+    const auto r = merged({source(1, 40, true, {}), source(1, 30, true, {{"jobs/work/run-1", {25, work(3)}}})});
+    EXPECT_TRUE(r.records.contains("jobs/work/run-1"));
+}
+
+TEST(MergeStory, an_older_generation_counts_only_where_nobody_knows_all_of_a_newer_one) {
+    const auto old = source(1, 90, true, {{"jobs/work/run-1", {80, work(5)}}});
+    EXPECT_FALSE(merged({old, source(2, 9, true, {})}).records.contains("jobs/work/run-1"));
+    const auto r = merged({old, source(2, 9, false, {{"jobs/work/run-2", {3, work(1)}}})});
+    EXPECT_TRUE(r.records.contains("jobs/work/run-1"));
+    EXPECT_TRUE(r.records.contains("jobs/work/run-2"));
+}
+
+TEST(MergeStory, the_service_adds_what_nobody_knows_and_ends_what_others_believe_to_be_open) {
+    const auto store = source(0, 0, false,
+                              {{"jobs/work/run-1", {300, work(9, "n-9")}},
+                               {"jobs/over/run-2", {301, done}},
+                               {"jobs/work/run-3", {302, work(0)}},
+                               {"jobs/work/run-4", {303, work(1)}}});
+    const auto r = merged({source(1, 50, true,
+                                  {{"jobs/work/run-1", {20, work(4)}},
+                                   {"jobs/work/run-2", {21, work(1)}},
+                                   {"jobs/over/run-4", {22, cancelled}}})},
+                          store);
+    EXPECT_EQ(r.records.at("jobs/work/run-1"), work(4)) << "its stamps say nothing beside those of the lost history";
+    EXPECT_EQ(r.records.at("jobs/over/run-2"), done);
+    EXPECT_FALSE(r.records.contains("jobs/work/run-2"));
+    EXPECT_TRUE(r.records.contains("jobs/work/run-3"));
+    EXPECT_FALSE(r.records.contains("jobs/work/run-4")) << "set back, it shows what had long been removed";
+}
+
+TEST(MergeStory, what_is_lost_is_said) {
+    const auto r = merged({source(1, 50, true,
+                                  {{"jobs/work/run-1/2", {20, work(4)}},
+                                   {"jobs/work/run-2", {21, "7"}},
+                                   {"jobs/work/run-3", {22, work(1)}}}),
+                           source(1, 50, true, {{"jobs/work/run-3", {22, work(2)}}})});
+    EXPECT_EQ(r.records, (std::map<std::string, std::string>{{"jobs/work/run-3", work(2)}}));
+    EXPECT_EQ(r.doubts, (std::vector<std::string>{"submission lost run-1", "two values of jobs/work/run-3",
+                                                  "unreadable jobs/work/run-2"}));
+}
+
+// --- the memory ---
+
+TEST(MemoryStory, it_holds_what_was_told_and_what_was_read_whichever_came_first) {
+    Memory m;
+    m.begin(1, "a", 10);
+    EXPECT_FALSE(m.told(told(
+        14, {item("jobs/work/run-1", work(2), 12), removed("jobs/work/run-2", 13), item("jobs/over/run-2", done, 11)},
+        {false, true, false})));
+    m.page({item("jobs/work/run-1", work(1), 9), item("jobs/work/run-2", work(1), 8),
+            item("jobs/work/run-3", work(0), 7)});
+    m.filled();
+    EXPECT_TRUE(m.knows("run-1"));
+    EXPECT_TRUE(m.over("run-2"));
+    EXPECT_EQ(m.open_jobs(), (std::vector<std::string>{"run-1", "run-3"}));
+    const auto all = m.source("me");
+    EXPECT_TRUE(all.whole);
+    EXPECT_EQ(all.revision, 14u);
+    EXPECT_EQ(all.records.at("jobs/work/run-1"), (Record{12, boost::json::serialize(boost::json::parse(work(2)))}));
+    EXPECT_FALSE(all.records.contains("jobs/work/run-2"));
+    EXPECT_EQ(m.source("me", 11).records.size(), 1u) << "what is newer than that";
+    EXPECT_FALSE(m.source("me", 11).whole);
+}
+
+TEST(MemoryStory, a_removal_that_nobody_can_have_ordered_is_told_and_not_believed) {
+    Memory m;
+    m.begin(1, "a", 0);
+    m.page({item("jobs/work/run-1", work(2), 3), item("jobs/over/run-2", done, 4)});
+    m.filled();
+    EXPECT_EQ(m.told(told(9, {removed("jobs/work/run-1", 9)}, {true})), "jobs/work/run-1");
+    EXPECT_EQ(m.told(told(10, {removed("jobs/over/run-2", 10)}, {true})), "jobs/over/run-2");
+    EXPECT_TRUE(m.knows("run-1"));
+    EXPECT_TRUE(m.over("run-2"));
+    EXPECT_FALSE(
+        m.told(told(12, {item("jobs/over/run-1", cancelled, 11), removed("jobs/work/run-1", 12)}, {false, true})));
+    EXPECT_TRUE(m.open_jobs().empty());
+}
+
+TEST(MemoryStory, its_own_acknowledged_writes_count_before_they_are_told) {
+    Memory m;
+    m.begin(1, "a", 5);
+    m.filled();
+    m.written({"jobs/work/run-1", boost::json::parse(work(0)), 0}, 7);
+    EXPECT_TRUE(m.knows("run-1"));
+    EXPECT_EQ(m.revision(), 5u);
+    EXPECT_FALSE(m.told(told(7, {item("jobs/work/run-1", work(0), 7)}, {false})));
+    EXPECT_EQ(m.size(), 1u);
+}
+
+TEST(MemoryStory, an_outcome_is_kept_in_a_few_words_and_comes_back_as_a_record_that_says_the_same) {
+    Memory m;
+    m.begin(1, "a", 0);
+    auto kept = boost::json::parse(done).as_object();
+    kept["at"] = 1234567;
+    kept["spec"] = boost::json::object{{"shape", "array"}, {"shards", 2}, {"bundle", std::string(3000, 'x')}};
+    m.page({{"jobs/over/run-1", kept, 4}});
+    const auto record = m.record("jobs/over/run-1");
+    ASSERT_TRUE(record);
+    EXPECT_LT(record->text.size(), 100u);
+    EXPECT_EQ(boost::json::parse(record->text),
+              boost::json::parse(R"({"state":"done","at":1234567,"shape":"array","shards":2})"));
+    // The oldest format says nothing but state and submission.
+    m.page({item("jobs/over/run-2", R"({"state":"aborted","spec":{"shape":"array","shards":3}})", 5)});
+    EXPECT_TRUE(m.record("jobs/over/run-2")->text.find("spec") != std::string::npos);
+    EXPECT_TRUE(m.knows("run-2"));
+}
+
+TEST(MemoryStory, a_reading_shows_what_went_without_a_sign) {
+    Memory m;
+    m.begin(1, "a", 0);
+    m.page(
+        {item("jobs/over/run-1", done, 4), item("jobs/work/run-2", work(1), 5), item("jobs/work/run-3", work(1), 6)});
+    m.written({"jobs/over/run-9", boost::json::parse(done), 0}, recovery::owed_stamp);
+    m.filled();
+    EXPECT_TRUE(m.missing_from("", "",
+                               {item("jobs/over/run-1", done, 4), item("jobs/work/run-2", work(1), 5),
+                                item("jobs/work/run-3", work(2), 8)})
+                    .empty());
+    EXPECT_EQ(m.missing_from("", "jobs/work/run-2", {item("jobs/work/run-2", work(0), 3)}).size(), 2u)
+        << "one is gone, the other is older than it was; the third is on another page";
+    EXPECT_EQ(m.missing_from("jobs/work/run-2", "", {item("jobs/work/run-3", "7", 6)}).size(), 1u) << "unreadable";
+}
+
+TEST(MemoryStory, a_digest_tells_outcomes_apart_and_does_not_change_with_later_ones) {
+    Memory a, b;
+    for (auto* m : {&a, &b}) m->begin(1, "a", 0);
+    a.page({item("jobs/over/run-1", done, 4), item("jobs/over/run-2", done, 5), item("jobs/over/run-3", done, 9)});
+    b.page({item("jobs/over/run-1", done, 4), item("jobs/over/run-4", done, 5)});
+    EXPECT_EQ(a.digest(5).outcomes, 2u);
+    EXPECT_NE(a.digest(5), b.digest(5)) << "as many, and others";
+    const auto before = a.digest(8);
+    a.page({item("jobs/over/run-5", done, 12)});
+    EXPECT_EQ(a.digest(8), before);
+}
+
+// --- pages and snapshots ---
+
+TEST(ArchiveStory, a_page_comes_back_whole_or_not_at_all) {
+    std::vector<wire::ArchivedRecord> records;
+    for (int i = 0; i < 300; ++i) records.push_back({"jobs/work/run-" + std::to_string(i), 7u + i, work(i)});
+    const auto bytes = wire::encode_archive(records);
+    EXPECT_EQ(wire::decode_archive(bytes), records);
+    EXPECT_EQ(wire::decode_archive_text(wire::encode_archive_text(records)), records);
+    for (std::size_t n = 0; n < bytes.size(); n += 7) {
+        EXPECT_THROW(wire::decode_archive(bytes.substr(0, n)), wire::BadBody) << n;
+        auto damaged = bytes;
+        damaged[n] = static_cast<char>(damaged[n] ^ 0x10);
+        try {
+            EXPECT_EQ(wire::decode_archive(damaged), records) << "bits that mean nothing";
+        } catch (const wire::BadBody&) {
+        }
+    }
+    EXPECT_THROW(wire::decode_archive_text("no page"), wire::BadBody);
+}
+
+TEST(ShelfStory, every_torn_prefix_of_a_snapshot_leaves_the_former_one) {
+    TemporaryDirectory dir;
+    recovery::Shelf shelf(dir.path);
+    EXPECT_FALSE(shelf.newest());
+    auto one = source(1, 10, true, {{"jobs/work/run-1", {4, work(1)}}});
+    auto two = source(1, 20, true, {{"jobs/work/run-1", {14, work(2)}}, {"jobs/over/run-2", {15, done}}});
+    ASSERT_TRUE(shelf.put(one));
+    ASSERT_TRUE(shelf.put(two));
+    EXPECT_EQ(shelf.newest()->records, two.records);
+    EXPECT_EQ(shelf.newest()->revision, 20u);
+    EXPECT_EQ(shelf.newest()->id, "history-1");
+    std::vector<fs::path> files;
+    for (const auto& entry : fs::directory_iterator(dir.path)) files.push_back(entry.path());
+    std::sort(files.begin(), files.end());
+    ASSERT_EQ(files.size(), 2u);
+    std::ifstream in(files[1], std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        std::ofstream(files[1], std::ios::binary | std::ios::trunc) << bytes.substr(0, n);
+        ASSERT_TRUE(shelf.newest());
+        EXPECT_EQ(shelf.newest()->records, one.records) << n;
+    }
+    // A crash before the rename leaves a part, which is nobody's.
+    std::ofstream(files[1], std::ios::binary | std::ios::trunc) << bytes;
+    std::ofstream(dir.path / "00000000000000000009-00000000000000000001.records.part") << bytes;
+    EXPECT_EQ(shelf.newest()->records, two.records);
+}
+
+TEST(ShelfStory, two_generations_are_kept_and_a_directory_that_cannot_be_written_harms_nothing) {
+    TemporaryDirectory dir;
+    recovery::Shelf shelf(dir.path);
+    for (std::uint64_t n = 1; n <= 5; ++n) ASSERT_TRUE(shelf.put(source(n / 3, n, true, {})));
+    EXPECT_EQ(std::distance(fs::directory_iterator(dir.path), fs::directory_iterator()), 2);
+    EXPECT_EQ(shelf.newest()->revision, 5u);
+    std::ofstream(dir.path / "file") << "not a directory";
+    recovery::Shelf nowhere(dir.path / "file");
+    EXPECT_FALSE(nowhere.put(source(1, 1, true, {})));
+    EXPECT_FALSE(nowhere.newest());
+}
+
+// --- the guard ---
+
+namespace {
+
+struct GuardStory : ::testing::Test {
+    net::asio::io_context io;
+    FakeStore inner;
+    std::vector<std::string> doubts;
+    std::map<std::string, std::uint64_t> written;
+    state::GuardedStore store{inner,
+                              "jobs/",
+                              {[this](const char* why) { doubts.push_back(why); },
+                               [this](const state::Change& c, std::uint64_t revision) { written[c.key] = revision; }}};
+
+    template <class R>
+    R run(net::awaitable<R> call) {
+        R out;
+        net::asio::co_spawn(io, std::move(call), [&](std::exception_ptr e, R r) {
+            EXPECT_FALSE(e);
+            out = std::move(r);
+        });
+        io.restart();
+        io.run();
+        return out;
+    }
+    state::TxnResult put(const std::string& key, std::uint64_t over = 0) {
+        state::Txn txn;
+        txn.conditions.push_back({key, over});
+        txn.changes.push_back({key, boost::json::object{{"x", 1}}, 0});
+        return run(store.commit(std::move(txn), state::Urgency::user));
+    }
+    state::TxnResult ask(const std::string& key) {
+        state::Txn txn;
+        txn.conditions.push_back({key, 0});
+        return run(store.commit(std::move(txn), state::Urgency::user));
+    }
+    std::uint64_t make_witness() {
+        state::Txn txn;
+        state::Witness w;
+        w.generation = 1;
+        w.id = "one";
+        txn.changes.push_back({state::witness_key, state::witness_record(w), 0});
+        return inner.keys.commit(txn).revision;
+    }
+};
+
+}  // namespace
+
+TEST_F(GuardStory, while_it_is_closed_nothing_of_jobs_is_written_or_told_and_the_rest_goes_on) {
+    EXPECT_EQ(put("jobs/work/run-1").outcome, Outcome::refused);
+    EXPECT_EQ(ask("jobs/work/run-1").outcome, Outcome::refused);
+    EXPECT_EQ(run(store.get("jobs/over/run-1", state::Urgency::user)).outcome, Outcome::refused);
+    EXPECT_EQ(put("members/one").outcome, Outcome::ok);
+    EXPECT_EQ(run(store.get("members/one", state::Urgency::user)).outcome, Outcome::ok);
+    EXPECT_TRUE(inner.keys.range("jobs/").empty());
+    EXPECT_TRUE(doubts.empty());
+}
+
+TEST_F(GuardStory, under_another_witness_nothing_is_carried_out_and_the_guard_closes) {
+    store.open(make_witness());
+    EXPECT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
+    EXPECT_EQ(written.at("jobs/work/run-1"), inner.keys.revision());
+    make_witness();
+    EXPECT_EQ(put("jobs/work/run-2").outcome, Outcome::refused);
+    EXPECT_EQ(inner.keys.get("jobs/work/run-2").stamp, 0u);
+    EXPECT_FALSE(store.is_open());
+    EXPECT_EQ(doubts.size(), 1u);
+}
+
+// The proof that a job was never accepted: the records of both keys are absent, and so is the witness.
+TEST_F(GuardStory, forgotten_a_wiped_service_does_not_prove_that_there_is_no_such_job) {
+    store.open(make_witness());
+    ASSERT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
+    inner.keys = Keys();
+    EXPECT_EQ(ask("jobs/work/run-1").outcome, Outcome::refused);
+    EXPECT_EQ(doubts.size(), 1u);
+}
+
+TEST_F(GuardStory, an_answer_under_a_lower_revision_is_no_answer_though_the_witness_is_the_same) {
+    store.open(make_witness());
+    const auto copy = inner.keys;
+    ASSERT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
+    ASSERT_EQ(put("jobs/work/run-2").outcome, Outcome::ok);
+    inner.keys = copy;
+    EXPECT_EQ(put("jobs/work/run-3").outcome, Outcome::unknown) << "it stands, in a service that is not what it was";
+    EXPECT_EQ(doubts.size(), 1u);
+    EXPECT_FALSE(store.is_open());
+    EXPECT_EQ(run(store.get("jobs/work/run-3", state::Urgency::user)).outcome, Outcome::refused);
+}
+
+TEST_F(GuardStory, no_alarm_by_conflicts_refusals_lost_answers_or_what_was_sent_before_the_opening) {
+    store.open(make_witness());
+    ASSERT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
+    EXPECT_EQ(put("jobs/work/run-1").outcome, Outcome::conflict);
+    inner.refuse = true;
+    EXPECT_EQ(put("jobs/work/run-2").outcome, Outcome::refused);
+    inner.refuse = false;
+    inner.lose_answers = 1;
+    EXPECT_EQ(put("jobs/work/run-2").outcome, Outcome::unknown);
+    EXPECT_EQ(put("jobs/work/run-3").outcome, Outcome::ok);
+    EXPECT_TRUE(doubts.empty());
+    EXPECT_TRUE(store.is_open());
+}
+
+// --- what the leader makes of rebuilt records ---
+
+TEST(UnsettledStory, nothing_is_placed_before_every_machine_on_a_young_list_was_heard) {
+    World w;
+    w.elect();
+    w.leader->distrust_records();
+    w.accept(job("run-1", wire::Shape::array, 2));
+    Worker heard, silent;
+    silent.name = "n-000002";
+    std::vector<wire::ListedMachine> list;
+    for (const auto* m : {&heard, &silent})
+        list.push_back({m->name, "", m->type, m->zone, false, wire::MachineStatus::running, Seconds(60)});
+    w.beat(heard);
+    w.beat(heard);
+    w.pass(Seconds(20));
+    EXPECT_FALSE(w.place()) << "no list has come yet";
+    w.leader->listed(list, w.now);
+    EXPECT_FALSE(w.place()) << "the other machine may hold anything";
+    EXPECT_TRUE(w.leader->rent(w.now).empty());
+    w.beat(silent);
+    EXPECT_FALSE(w.place()) << "its report is older than the answer that showed it this term";
+    w.beat(silent);
+    w.beat(heard);
+    EXPECT_TRUE(w.place());
+    EXPECT_FALSE(w.leader->unsettled());
+}
+
+TEST(UnsettledStory, ran_twice_a_later_attempt_that_a_worker_shows_is_where_the_task_is) {
+    World w;
+    w.elect();
+    w.accept(job("run-1", wire::Shape::array, 3));
+    // Of the placements that an earlier leader made, the records know nothing.
+    Worker m;
+    m.type = "large";
+    w.elect();
+    w.leader->distrust_records();
+    for (const std::uint32_t i : {0u, 2u}) {
+        wire::TaskReport t;
+        t.id = {"run-1", i};
+        t.attempt = 4;
+        t.status = TaskStatus::running;
+        m.tasks.push_back(t);
+    }
+    w.beat(m, false);
+    EXPECT_EQ(w.machine_of("run-1", 0), "") << "a report that may be old proves nothing";
+    m.token = w.term;
+    const auto orders = w.beat(m);
+    EXPECT_FALSE(w.ordered(orders, Verb::kill, "run-1", 0));
+    EXPECT_EQ(w.machine_of("run-1", 0), m.name);
+    EXPECT_EQ(w.machine_of("run-1", 2), m.name);
+    w.commit();
+    w.pass(Seconds(20));
+    w.leader->listed({}, w.now);
+    w.beat(m);
+    ASSERT_TRUE(w.place());
+    EXPECT_NE(w.machine_of("run-1", 1), "");
+    EXPECT_EQ(m.find("run-1", 0)->attempt, 4u);
+    // The next leader finds them where they are.
+    w.elect();
+    EXPECT_EQ(w.machine_of("run-1", 2), m.name);
+}
+
+TEST(UnsettledStory, tasks_of_a_job_that_nobody_knows_are_stopped_and_waited_for) {
+    World w;
+    w.elect();
+    w.leader->distrust_records();
+    Worker m;
+    wire::TaskReport t;
+    t.id = {"run-9", 0};
+    t.attempt = 2;
+    t.status = TaskStatus::running;
+    m.tasks.push_back(t);
+    w.beat(m);
+    w.accept(job("run-9", wire::Shape::array, 1));  // submitted again, as a new job
+    w.pass(Seconds(20));
+    w.leader->listed({}, w.now);
+    EXPECT_FALSE(w.place());
+    m.token = w.term;
+    w.beat(m);
+    w.beat(m);
+    EXPECT_TRUE(w.place());
+    EXPECT_TRUE(w.leader->loss_seen() == false);
+}
+
+TEST(UnsettledStory, an_attempt_above_the_one_on_record_is_a_sign_of_loss_and_nothing_else_is) {
+    World w;
+    w.elect();
+    w.accept(job("run-1", wire::Shape::array, 1));
+    w.settle();
+    Worker m;
+    w.beat(m);
+    w.beat(m);
+    ASSERT_TRUE(w.place());
+    w.beat(m);
+    m.run_all();
+    w.beat(m);
+    Worker old = m;
+    m.lose_lease();
+    w.beat(m);
+    EXPECT_FALSE(w.leader->loss_seen());
+    old.name = "n-000007";
+    old.tasks[0].attempt = 9;
+    w.beat(old);
+    EXPECT_TRUE(w.leader->loss_seen());
+    EXPECT_FALSE(w.leader->loss_seen()) << "it is told once";
+}
+
+TEST(TermStory, a_term_is_above_the_time_of_day_so_that_no_lost_one_comes_again) {
+    net::asio::io_context io;
+    FakeStore store;
+    std::vector<election::Term> won;
+    std::int64_t clock = 5000;
+    election::Elector elector(io.get_executor(), store, "one", Seconds(5),
+                              {[&](election::Term t) { won.push_back(t); }, [] {}}, [&] { return clock; });
+    net::asio::co_spawn(io, elector.run(), net::asio::detached);
+    const auto settle = [&] {
+        io.restart();
+        while (io.poll() > 0) {
+        }
+    };
+    settle();
+    ASSERT_EQ(won.size(), 1u);
+    EXPECT_EQ(won[0].number, 5000u);
+    EXPECT_FALSE(won[0].gap);
+    store.keys = Keys();
+    clock = 9000;
+    elector.again("the state service lost data");
+    settle();
+    ASSERT_EQ(won.size(), 2u);
+    EXPECT_EQ(won[1].number, 9000u);
+    EXPECT_EQ(won[1].previous, 0u);
+    EXPECT_TRUE(won[1].gap) << "term 5000 was seen, and is not on record";
+}
+
+}  // namespace flintdale::test
