--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -296,7 +296,8 @@
     }
     if (r.token > elector_.term()) elector_.heard(r.token, std::string());
     // Between this leader's term and the one on record before it there was none, unless the records of one were lost.
-    if (elector_.leading() && r.token > term_.previous && r.token < term_.number)
+    if (elector_.leading() && keeper_.ready() && r.token > std::max(term_.previous, keeper_.rebuilt_under()) &&
+        r.token < term_.number)
         keeper_.doubt("a worker has seen a term that is not on record", recovery::Keeper::Loss::beyond_memory);
     if (elector_.leading() && !reign_) {
         // A term that was just won begins in a moment.
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -198,8 +198,8 @@
     co_return co_await check_remembered();
 }
 
-// What is remembered to be open is on record, or over by now; and what is remembered to be over has its outcome, or else
-// it would be run again.
+// What is remembered to be open is on record, or over by now; and what is remembered to be over has its outcome, or
+// else it would be run again.
 awaitable<bool> Reign::check_remembered() {
     std::vector<std::string> asked;
     for (auto& uid : links_.open())
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -30,6 +30,7 @@
 constexpr auto owed_gap = 2s;
 constexpr auto not_certain_for = 60s;  // that nobody is told a job never was, while a controller has not offered
 constexpr auto scrub_gap = 5s;
+constexpr auto former_kept = 60s;
 constexpr auto digest_gap = 10s;
 constexpr auto failed = static_cast<std::size_t>(-1);
 constexpr std::size_t max_shown = 20'000;
@@ -302,6 +303,8 @@
             co_await fill();
             if (shelf_.in_use()) shelve();
         }
+        // If data are lost again just after a rebuilding, this is still the best there is.
+        if (former_ && memory_.whole() && Clock::now() >= former_until_) former_.reset();
         if (!term_ && memory_.whole() && Clock::now() >= next_scrub_) {
             next_scrub_ = Clock::now() + scrub_gap;
             co_await scrub();
@@ -365,6 +368,10 @@
         const auto here =
             co_await raw_.range(agent::jobs_prefix, std::string(agent::jobs_prefix) + "~", Urgency::bookkeeping);
         if (here.outcome != Outcome::ok) co_return;
+        if (here.revision < known_->stamp) {
+            doubt("its revisions went back");
+            co_return;
+        }
         const auto so_far = memory_.source("so far");
         memory_.begin(known_->generation, known_->id, here.revision);
         // What is owed, and what this controller has written meanwhile.
@@ -404,6 +411,11 @@
     while (fill_at_) {
         const auto page = co_await raw_.range(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
         if (page.outcome != Outcome::ok || !fill_at_) co_return;
+        if (page.revision < memory_.revision()) {
+            // To take this for all there is would be to forget what was lost.
+            doubt("its revisions went back");
+            co_return;
+        }
         memory_.page(page.items);
         if (page.more && !page.items.empty()) {
             fill_at_ = page.items.back().key;
@@ -414,7 +426,10 @@
         memory_.filled();
         spdlog::info("event=remembers records={} generation={} revision={}", memory_.size(), memory_.generation(),
                      memory_.revision());
-        if (former_) co_await add_late();
+        if (former_) {
+            co_await add_late();
+            former_until_ = Clock::now() + former_kept;
+        }
     }
 }
 
@@ -462,7 +477,6 @@
 // record now; nobody else can have answered otherwise, for nobody else knew of it.
 awaitable<void> Keeper::add_late() {
     const auto former = former_->source("former");
-    former_.reset();
     std::size_t added = 0, lost = 0;
     for (const auto& [key, record] : former.records) {
         const auto work = agent::parse_work_key(key);
@@ -600,9 +614,9 @@
             co_return;
         }
         links_.new_term("the state service lost data");
-    } else if (w.phase == Witness::Phase::merging && !w.by.empty() && offered_to_ != w.stamp) {
+    } else if (w.phase == Witness::Phase::merging && !w.by.empty() && offered_to_ != w.id + std::to_string(w.stamp)) {
         const bool offered = co_await offer(w);
-        if (offered) offered_to_ = w.stamp;
+        if (offered) offered_to_ = w.id + std::to_string(w.stamp);
     }
     co_await wake_.wait(stand_gap);
 }
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -77,6 +77,8 @@
     // The witness is known: it was whole since this controller began.
     bool ready() const { return known_.has_value(); }
     bool rebuilding() const { return rebuilding_; }
+    // The term under which the records were rebuilt last; of those below it none need be on record.
+    std::uint64_t rebuilt_under() const { return known_ ? known_->term : 0; }
     const Memory& memory() const { return memory_; }
 
   private:
@@ -154,7 +156,7 @@
     bool following_ = false;
     bool verified_ = false;       // what there was when this controller began is all there should have been
     std::uint64_t digested_ = 0;  // what the last digest counted
-    wire::TimePoint next_digest_{}, next_scrub_{}, certain_at_{};
+    wire::TimePoint next_digest_{}, next_scrub_{}, certain_at_{}, former_until_{};
     std::string scrub_at_;                // the last key that was held against the memory
     std::optional<std::string> fill_at_;  // the last key of the pages read so far; nothing once all are
     std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
@@ -163,7 +165,7 @@
     bool begun_ = false;               // the reign of that term
     std::uint64_t led_ = 0, saw_ = 0;  // terms in the history of memory_: the last it reigned in, the highest
     bool rebuilding_ = false, clear_offers_ = false;
-    std::uint64_t offered_to_ = 0;  // stamp of the witness
+    std::string offered_to_;  // the witness, by identity and stamp
     std::set<std::string> shown_;
 };
 
--- a/src/state/witness.cpp
+++ b/src/state/witness.cpp
@@ -25,9 +25,9 @@
 boost::json::object witness_record(const Witness& w) {
     json::object o{{"generation", w.generation}, {"id", w.id}, {"phase", phases[static_cast<std::size_t>(w.phase)]}};
     if (!w.missing.empty()) o["missing"] = json::array(w.missing.begin(), w.missing.end());
+    if (w.term) o["term"] = w.term;
     if (w.whole()) return o;
     o["by"] = w.by;
-    o["term"] = w.term;
     o["of"] = w.of;
     o["remembers"] = w.remembers;
     o["beyond_memory"] = w.beyond_memory;
