--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -118,6 +118,7 @@
         keeper_.doubt(why, beyond_memory ? Loss::beyond_memory : Loss::seen);
     };
     links.over = [this](const std::string& uid) { return keeper_.memory().over(uid); };
+    links.settled = [this] { keeper_.settled(); };
     links.seen = [this](const state::Item& item) { keeper_.told(item); };
     links.open = [this] { return keeper_.memory().open_jobs(); };
     reign_ =
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -379,6 +379,7 @@
         txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
         txn.changes.push_back({recovery::unsettled_key, std::nullopt, 0});
         const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
+        if (result.outcome == Outcome::ok) links_.settled();
         if (result.outcome == Outcome::ok || result.outcome == Outcome::conflict) co_return;
         co_await net::sleep_for(300ms);
     }
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -272,6 +272,7 @@
         following_ = false;
         fill_at_.reset();
         digested_ = 0;
+        settled_ = false;
         led_ = saw_ = 0;
         shown_.clear();
         rebuild_began_ = {};
@@ -339,6 +340,7 @@
         unsettled = unsettled || item.key == unsettled_key;
     }
     if (!same) co_return false;
+    settled_ = !unsettled;
     if (got.revision < newest_remembered()) {
         doubt("its revisions went back");
         co_return false;
@@ -688,7 +690,8 @@
     }
     state::Txn txn;
     txn.conditions.push_back({state::witness_key, w.stamp});
-    boost::json::object header{{"for", w.stamp}, {"led", led}, {"saw", saw}, {"sources", std::move(sources)}};
+    boost::json::object header{
+        {"for", w.stamp}, {"led", led}, {"saw", saw}, {"unsettled", unsettled()}, {"sources", std::move(sources)}};
     txn.changes.push_back({mine, std::move(header), 0});
     const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
     co_return r.outcome == Outcome::ok;
@@ -726,6 +729,7 @@
     std::map<std::string, const Item*> by_key;
     for (const auto& item : items) by_key[item.key] = &item;
     auto saw = saw_;
+    bool still_unsettled = unsettled();
     std::set<std::uint64_t> led{led_};
     std::vector<std::string> members{settings_.member};
     for (const auto& peer : settings_.peers) members.push_back(peer.member);
@@ -742,12 +746,14 @@
         // An offer that was made to another rebuilder, or by a former life of this one, is as true as it was.
         saw = std::max(saw, number(*header, "saw"));
         led.insert(number(*header, "led"));
+        const auto* open = header->if_contains("unsettled");
+        still_unsettled = still_unsettled || (open && open->is_bool() && open->get_bool());
         const auto* list = header->if_contains("sources");
         if (!list || !list->is_array()) continue;
         for (std::size_t k = 0; k < list->get_array().size(); ++k)
             out.sources.push_back(offered(member, k, list->get_array()[k], by_key));
     }
-    out.placements_known = saw > 0 && led.contains(saw);
+    out.placements_known = saw > 0 && led.contains(saw) && !still_unsettled;
     return out;
 }
 
@@ -859,13 +865,12 @@
     w.missing = gathered->missing;
     std::vector<state::Change> with;
     with.push_back({digest_key, std::nullopt, 0});
-    if (!gathered->placements_known || w.beyond_memory)
-        with.push_back({unsettled_key, boost::json::object{{"generation", w.generation}}, 0});
+    w.beyond_memory = w.beyond_memory || !gathered->placements_known;
+    if (w.beyond_memory) with.push_back({unsettled_key, boost::json::object{{"generation", w.generation}}, 0});
     const auto last = co_await put_with(w, std::move(with));
     if (!last) co_return;
     spdlog::info("event=rebuilt generation={} records={} sources={} lost={} placements_known={}", w.generation,
-                 merged.records.size(), gathered->sources.size(), missed + merged.doubts.size(),
-                 gathered->placements_known && !w.beyond_memory);
+                 merged.records.size(), gathered->sources.size(), missed + merged.doubts.size(), !w.beyond_memory);
     clear_offers_ = true;
 }
 
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -54,6 +54,8 @@
     enum class Loss : std::uint8_t { seen, beyond_memory };
     void doubt(std::string why, Loss loss = Loss::seen);
     void written(const state::Change& change, std::uint64_t revision) { memory_.written(change, revision); }
+    // All machines have been heard since the records were rebuilt.
+    void settled() { settled_ = true; }
     // Users were told what this record says.
     void told(const state::Item& item) { memory_.written({item.key, item.value, 0}, item.stamp); }
     // What a peer said of itself: the generation it knows, 0 if none, and up to where it remembers that.
@@ -99,6 +101,9 @@
     awaitable<void> without_witness();
     bool may_create() const;
     std::uint64_t newest_generation() const;
+    // The records were rebuilt without the last placements, and nobody here has seen that all machines were heard
+    // since.
+    bool unsettled() const { return known_ && known_->beyond_memory && !settled_; }
     std::uint64_t newest_remembered() const;
     bool outdated(const Witness& witness) const;
     awaitable<void> declare(std::uint64_t over, std::uint64_t generation);
@@ -163,6 +168,7 @@
 
     std::optional<election::Term> term_;
     bool begun_ = false;               // the reign of that term
+    bool settled_ = false;             // as far as this controller has seen, since the last rebuilding
     std::uint64_t led_ = 0, saw_ = 0;  // terms in the history of memory_: the last it reigned in, the highest
     bool rebuilding_ = false, clear_offers_ = false;
     std::string offered_to_;  // the witness, by identity and stamp
--- a/src/state/witness.cpp
+++ b/src/state/witness.cpp
@@ -26,11 +26,11 @@
     json::object o{{"generation", w.generation}, {"id", w.id}, {"phase", phases[static_cast<std::size_t>(w.phase)]}};
     if (!w.missing.empty()) o["missing"] = json::array(w.missing.begin(), w.missing.end());
     if (w.term) o["term"] = w.term;
+    o["beyond_memory"] = w.beyond_memory;
     if (w.whole()) return o;
     o["by"] = w.by;
     o["of"] = w.of;
     o["remembers"] = w.remembers;
-    o["beyond_memory"] = w.beyond_memory;
     return o;
 }
 
