--- a/src/emulator/checker.cpp
+++ b/src/emulator/checker.cpp
@@ -13,11 +13,6 @@
     return it != jobs_.end() && it->second.done.size() == it->second.spec.tasks;
 }
 
-bool Checker::completed_task(const TaskName& task) const {
-    const auto it = jobs_.find(task.first);
-    return it != jobs_.end() && it->second.done.contains(task.second);
-}
-
 std::size_t Checker::ever(const std::string& uid) const {
     const auto it = jobs_.find(uid);
     return it == jobs_.end() ? 0 : it->second.ever.size();
@@ -45,8 +40,7 @@
     placement::give(use, spec.need);
     if (const auto* team = settings_.team(spec.team))
         if ((team->cpus_limit > 0 && use.cpus > team->cpus_limit + 1e-6) ||
-            (team->gpus_limit > 0 && use.gpus > team->gpus_limit + 1e-6))
-        {
+            (team->gpus_limit > 0 && use.gpus > team->gpus_limit + 1e-6)) {
             std::string held;
             for (const auto& [uid, other] : jobs_)
                 if (other.spec.team == spec.team)
--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -26,12 +26,12 @@
     void leaves(const TaskName& task, const std::string& machine);
     void completed(const TaskName& task) { jobs_[task.first].done.insert(task.second); }
     bool all_done(const std::string& uid) const;
-    bool completed_task(const TaskName& task) const;
     std::size_t ever(const std::string& uid) const;  // tasks that were on a machine at some time
 
     // --- what users are told ---
     void accepted(const std::string& uid) { jobs_[uid].accepted = true; }
-    // `asked`: when the user sent the question. Answers overtake one another; what was asked before a word may be older.
+    // `asked`: when the user sent the question. Answers overtake one another; what was asked before a word may be
+    // older.
     void told(const std::string& uid, const std::string& status, TimePoint asked);
     void told_unknown(const std::string& uid);  // 404, or 400 or 422 to a repetition
     void asked_to_cancel(const std::string& uid) { jobs_[uid].cancel_asked = true; }
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -344,6 +344,7 @@
     task.cause = cause;
     placement::take(host->used, job.spec.need);
     if (was_there) checker_.leaves(name, host->name);
+    if (cause == Cause::stopped && was_there && job.spec.shape != Shape::service) stopped[name] = events_.now();
     if (cause == Cause::done) {
         ++finished;
         if (job.done.insert(name.second).second) checker_.completed(name);
@@ -377,6 +378,8 @@
     if (h.dead) return;
     if (events_.now() >= h.hangs_until && events_.now() - h.lease_from > wire::to_clock(settings_.lease)) {
         lease_kills += h.tasks.size();
+        for (const auto& [name, t] : h.tasks)
+            if (t.status != TaskStatus::exited) stopped[name] = events_.now();
         drop_all(host);
         ++h.tenure;
         h.lease_from = events_.now();
--- a/src/emulator/fleet.hpp
+++ b/src/emulator/fleet.hpp
@@ -40,6 +40,9 @@
     std::map<TaskName, std::string> running() const;
     bool alive(const std::string& machine) const;
     std::size_t up() const;
+    // When work was last stopped that would have gone on: by a lease that ran out, or an order to a task of an array or
+    // gang.
+    std::map<TaskName, TimePoint> stopped;
     std::size_t started = 0, finished = 0, lease_kills = 0;
     std::map<std::string, std::size_t> started_by_class;
     TimePoint last_start{};
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -323,17 +323,15 @@
     if (t.kind == "garble") keys_.garble(t.prefix, 3);
     events_.after(disturbed_after, [this, here] {
         std::size_t all = 0, same = 0;
-        const auto now = fleet_.running();
+        const auto began = events_.now() - wire::to_clock(disturbed_after);
         for (const auto& [task, machine] : here) {
-            const bool over = std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
-                return j->spec.uid == task.first && (j->over || j->cancel_after.count() >= 0);
+            const bool cancelled = std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
+                return j->spec.uid == task.first && j->cancel_after.count() >= 0;
             });
-            if (!fleet_.alive(machine) || over || checker_.all_done(task.first)) continue;
+            if (!fleet_.alive(machine) || cancelled) continue;
+            const auto it = fleet_.stopped.find(task);
             ++all;
-            const auto it = now.find(task);
-            same += it != now.end() && it->second == machine;
-            // An array's task that ended well is not there any more either.
-            if (it == now.end() && checker_.completed_task(task)) ++same;
+            same += it == fleet_.stopped.end() || it->second < began;
         }
         if (all)
             outcome_.undisturbed = std::min(outcome_.undisturbed, static_cast<double>(same) / static_cast<double>(all));
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -20,8 +20,10 @@
         two{io.get_executor(), store, cluster, form, links()};
 
     api::Desk::Links links() {
-        return {[] { return std::int64_t{1000}; }, [this] { return types_known ? &known : nullptr; },
-                [](const std::string&) { return api::DisplayCount{}; }, [](const state::Item&) {},
+        return {[] { return std::int64_t{1000}; },
+                [this] { return types_known ? &known : nullptr; },
+                [](const std::string&) { return api::DisplayCount{}; },
+                [](const state::Item&) {},
                 [this](const std::string& uid) {
                     const auto it = remembered.find(uid);
                     return it == remembered.end() ? std::nullopt : std::optional(it->second);
--- /dev/null
+++ b/tests/rebuild_story_test.cpp
@@ -0,0 +1,219 @@
+// Losses of data in the emulated world: three whole controllers, two dozen machines, users, and a checker of the rules.
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "emulator/world.hpp"
+
+namespace flintdale::test {
+
+namespace {
+
+constexpr const char* world = R"(
+[world]
+members = ["one", "two", "three"]
+member_zones = ["a", "b", "c"]
+length_s = 110
+warm = 24
+[cluster]
+nodes = 3
+zones = ["a", "b", "c"]
+[[cluster.teams]]
+name = "red"
+gpus_max = 30.0
+[[cluster.teams]]
+name = "blue"
+[cluster.workers]
+report_s = 3.0
+lease_s = 20.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 50.0
+[cluster.state]
+rps = 200.0
+write_rps = 30.0
+value_kb = 16.0
+txn_ops = 24
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+[[machines]]
+type = "small"
+cpus = 16
+gpus = 2
+memory_gb = 96
+zones = ["a", "b", "c"]
+boot_s = 15
+[[machines]]
+type = "large"
+cpus = 48
+gpus = 8
+memory_gb = 192
+zones = ["a", "b", "c"]
+boot_s = 20
+price = 4
+[[jobs]]
+class = "lookup"
+team = "blue"
+shape = "service"
+rank = "critical"
+cpus = 4
+gpus = 1
+memory_gb = 14
+tasks_to = 4
+spread = true
+initial = 6
+per_minute = 3
+cancelled = 0.4
+cancel_from_s = 20
+cancel_to_s = 80
+[[jobs]]
+class = "rescore"
+team = "red"
+shape = "array"
+cpus = 6
+gpus = 1
+memory_gb = 18
+tasks_to = 10
+spot = true
+initial = 3
+per_minute = 8
+runs_s = 20
+cancelled = 0.15
+[[jobs]]
+class = "train"
+team = "blue"
+shape = "gang"
+cpus = 14
+gpus = 2
+memory_gb = 70
+tasks_to = 3
+one_zone = true
+initial = 2
+per_minute = 4
+runs_s = 25
+cancelled = 0.1
+)";
+
+struct Kind {
+    const char* name;
+    const char* trouble;
+};
+
+// What is lost, at 50 s.
+constexpr Kind losses[] = {
+    {"wipe", "kind = \"wipe\"\nat_s = 50"},
+    {"set_back", "kind = \"set_back\"\nseconds = 15\nat_s = 50"},
+    {"jobs_gone", "kind = \"lose\"\nprefix = \"jobs/\"\nat_s = 50"},
+    {"outcomes_gone", "kind = \"lose\"\nprefix = \"jobs/over/\"\nat_s = 50"},
+    {"values_older", "kind = \"age\"\nprefix = \"jobs/work/\"\nat_s = 50"},
+    {"values_unreadable", "kind = \"garble\"\nprefix = \"jobs/over/\"\nat_s = 50"},
+};
+
+// What goes wrong beside it, several machines among it.
+constexpr Kind beside[] = {
+    {"leader_alive", "kind = \"machines_die\"\nshare = 0.15\nat_s = 45"},
+    {"leader_ends",
+     "kind = \"crash\"\nlasts_s = 3\nat_s = 50.4\n[[troubles]]\nkind = \"machines_hang\"\nshare = 0.2\n"
+     "lasts_s = 12\nat_s = 48"},
+    {"a_third_of_the_machines_die", "kind = \"machines_die\"\nshare = 0.33\nat_s = 50"},
+    {"a_zone_is_cut", "kind = \"cut_zone\"\nzone = \"b\"\nlasts_s = 15\nat_s = 49"},
+    {"interrupted",
+     "kind = \"crash\"\nlasts_s = 2\nat_s = 51.2\n[[troubles]]\nkind = \"wipe\"\nat_s = 51.6\n[[troubles]]\n"
+     "kind = \"machines_cut\"\nshare = 0.3\nlasts_s = 10\nat_s = 50"},
+    {"an_outage_before_and_after",
+     "kind = \"outage\"\nlasts_s = 6\nat_s = 43.9\n[[troubles]]\nkind = \"outage\"\n"
+     "lasts_s = 5\nat_s = 50.3"},
+};
+
+emulator::Outcome play(const std::string& troubles, std::uint64_t seed) {
+    spdlog::set_level(spdlog::level::off);
+    std::string text = world;
+    if (!troubles.empty()) text += "[[troubles]]\n" + troubles + "\n";
+    const auto scenario = emulator::parse_scenario(text, "story");
+    return emulator::World(scenario, seed).play();
+}
+
+std::string broken(const emulator::Outcome& o) {
+    std::string out;
+    for (const auto& [rule, first] : o.first) out += rule + " at " + first + "; ";
+    return out;
+}
+
+struct LossStory : ::testing::TestWithParam<std::tuple<Kind, Kind>> {};
+
+}  // namespace
+
+TEST_P(LossStory, every_rule_holds_what_runs_goes_on_and_all_are_served) {
+    const auto& [lost, also] = GetParam();
+    const auto o = play(std::string(lost.trouble) + "\n[[troubles]]\n" + also.trouble, 3);
+    EXPECT_EQ(broken(o), "");
+    EXPECT_GT(o.accepted, 20u);
+    for (const auto& [name, share] : o.served) EXPECT_GE(share, 0.5) << name;
+    for (const auto& [name, share] : o.team_served) EXPECT_GE(share, 0.5) << name;
+    EXPECT_GT(o.undisturbed, 0.8);
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, LossStory, ::testing::Combine(::testing::ValuesIn(losses), ::testing::ValuesIn(beside)),
+                         [](const auto& p) {
+                             return std::string(std::get<0>(p.param).name) + "_" + std::get<1>(p.param).name;
+                         });
+
+TEST(LossStories, after_a_wipe_placing_goes_on_within_seconds_and_no_task_is_stopped) {
+    const auto o = play("kind = \"wipe\"\nat_s = 50", 1);
+    EXPECT_EQ(broken(o), "");
+    EXPECT_EQ(o.undisturbed, 1);
+    EXPECT_EQ(o.lease_kills, 0u);
+    EXPECT_LT(o.placing_after, 20);
+    EXPECT_LT(o.answers_after, 10);
+}
+
+// The rules table of docs/rebuilding.md: with no memory left jobs are lost, and nothing else may be wrong.
+TEST(LossStories, where_nobody_remembers_anything_jobs_are_forgotten_and_nothing_runs_twice) {
+    const auto o =
+        play("kind = \"crash\"\nnode = \"all\"\nlasts_s = 3\nat_s = 50\n[[troubles]]\nkind = \"wipe\"\nat_s = 51", 2);
+    EXPECT_GT(o.forgotten, 0u);
+    for (const auto& [rule, n] : o.broken) EXPECT_EQ(rule, "forgotten") << o.first.at(rule);
+}
+
+TEST(LossStories, no_false_alarm_without_a_loss) {
+    const auto quiet = play("", 5);
+    EXPECT_EQ(broken(quiet), "");
+    EXPECT_EQ(quiet.losses, 0u);
+    const auto troubled = play(
+        "kind = \"crash\"\nnode = \"all\"\nlasts_s = 3\nat_s = 40\n[[troubles]]\nkind = \"cut_state\"\nlasts_s = "
+        "12\nat_s = 60\n"
+        "[[troubles]]\nkind = \"freeze\"\nlasts_s = 8\nat_s = 80\n[[troubles]]\nkind = \"machines_die\"\nshare = "
+        "0.3\nat_s = 82",
+        5);
+    EXPECT_EQ(broken(troubled), "");
+    EXPECT_EQ(troubled.rebuilt, 0u);
+}
+
+TEST(LossStories, the_same_seed_gives_the_same_line) {
+    const char* troubles =
+        "kind = \"set_back\"\nseconds = 9\nat_s = 50\n[[troubles]]\nkind = \"crash\"\nlasts_s = 3\nat_s = 55";
+    const auto once = emulator::to_line(play(troubles, 11));
+    EXPECT_EQ(once, emulator::to_line(play(troubles, 11)));
+    EXPECT_NE(once, emulator::to_line(play(troubles, 12)));
+}
+
+TEST(ScenarioStory, what_is_wrong_in_a_scenario_is_named) {
+    const auto complaint = [](const std::string& text) -> std::string {
+        try {
+            emulator::parse_scenario(text, "file");
+        } catch (const config::BadSetting& e) {
+            return e.what();
+        }
+        return "";
+    };
+    EXPECT_NE(complaint("x = ").find("line 1"), std::string::npos);
+    EXPECT_NE(complaint("[cluster]\n").find("world"), std::string::npos);
+    auto text = std::string(world);
+    EXPECT_EQ(complaint(text), "");
+    EXPECT_NE(complaint(text + "[[jobs]]\nclass = \"x\"\nteam = \"red\"\nshape = \"heap\"\n").find("heap"),
+              std::string::npos);
+    EXPECT_NE(complaint(text + "[[troubles]]\nkind = \"wipe\"\n").find("at_s"), std::string::npos);
+}
+
+}  // namespace flintdale::test
