Limits and guarantees of teams in a ledger of their own; tables that differ in a roll

Need: guarantees were not served, and a rolling restart with a new table left each term its own limits. Change: src/quota, told of placements and evidence; guaranteed jobs (in the order of acceptance) come before all others and stop arrays beyond other teams' guarantees; members' keys hold each controller's table, and the strictest holds.

--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -32,6 +32,7 @@
       term_(term),
       term_stamp_(term_stamp),
       since_(now),
+      teams_(quota::table_of(settings.teams)),
       spare_since_(now) {}
 
 // --- jobs ---
@@ -67,6 +68,7 @@
     job->spec = std::move(spec);
     auto& ref = *job;
     jobs_[ref.spec.uid] = std::move(job);
+    teams_.opened(ref.spec);
     return ref;
 }
 
@@ -75,6 +77,7 @@
     spdlog::info("event=job_cancelled job={} placed={}", job.spec.uid, job.placed);
     job.cancelled = true;
     job.cancelled_at = now;
+    teams_.over(job.spec);
     for (std::uint32_t i = 0; i < job.spec.tasks && job.placed; ++i)
         // What no `run` was sent for is nowhere; the rest must be seen to go.
         if (auto& t = job.tasks[i]; t.state == State::placed && !t.sent) leave(job, i, State::waiting, now);
@@ -147,15 +150,14 @@
     ledger_.assign(m, {job.spec.uid, task}, job.spec, job.rank);
     spdlog::debug("event=placed task={}/{} class={} attempt={} machine={}", job.spec.uid, task, job.spec.job_class,
                   attempt, m.name);
-    auto& use = team_use_[job.spec.team];
-    placement::give(use, job.spec.need);
+    teams_.placed(job.spec.team, job.spec.need);
 }
 
 void Overseer::leave(Job& job, std::uint32_t task, State next, TimePoint now) {
     auto& t = job.tasks[task];
     if (t.state == State::placed) {
         ledger_.unassign(*t.machine, {job.spec.uid, task}, job.spec, now);
-        placement::take(team_use_[job.spec.team], job.spec.need);
+        teams_.gone(job.spec.team, job.spec.need);
         --job.placed;
         if (job.is(Shape::array)) --array_tasks_[static_cast<std::size_t>(job.spec.rank)];
         if (t.started) --job.running;
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -7,6 +7,7 @@
 #include "agent/job.hpp"
 #include "agent/prerequisites.hpp"
 #include "config/settings.hpp"
+#include "quota/ledger.hpp"
 #include "state/store.hpp"
 
 namespace flintdale::agent {
@@ -116,6 +117,9 @@
     std::uint64_t term() const { return term_; }
     std::uint64_t term_stamp() const { return term_stamp_; }
     fleet::Ledger& ledger() { return ledger_; }
+    // The teams' figures, where they are others than in the settings.
+    void set_teams(quota::Table table) { teams_.set(std::move(table)); }
+    const quota::Ledger& teams() const { return teams_; }
     const Job* job(const std::string& uid) const;
     std::size_t machines_up(TimePoint now) const;
     // What waits, by class, and what each machine holds, for the debug log.
@@ -198,6 +202,9 @@
                                  const placement::Planner& plan, const placement::JobHosts& hosts,
                                  const std::vector<TaskKey>& spared, TimePoint now, Seconds& loss) const;
     bool lower_arrays(wire::Rank rank) const;
+    bool guaranteed(const Job& job) const { return teams_.guaranteed(job.spec.team, job.spec.uid); }
+    bool gives_way(const Job& other, const Job& job) const;
+    std::map<std::string, quota::Amount> stopping() const;
     void stop_for(const Job& job, const std::vector<TaskKey>& tasks);
     std::uint32_t room_with_image(Job& job, const placement::Planner& plan, const placement::JobHosts& hosts,
                                   std::uint32_t tasks, TimePoint now);
@@ -238,7 +245,7 @@
     std::deque<std::pair<TimePoint, std::string>> due_later_;  // when they become dirty
     std::set<std::string> later_set_;
     std::vector<std::pair<std::string, std::uint64_t>> leftovers_;  // keys of jobs that are over, with their stamps
-    std::map<std::string, placement::Resources> team_use_;
+    quota::Ledger teams_;
     std::array<std::size_t, 4> array_tasks_{};  // placed ones, by rank
     std::set<std::string> counts_changed_;
     std::vector<Move> moves_;
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -56,10 +56,12 @@
 
 std::vector<Job*> Overseer::queue(TimePoint now, bool eligible_only) {
     std::vector<std::pair<placement::Waiting, Job*>> waiting;
+    const bool guarantees = teams_.any_guarantee();
     for (auto& [uid, job] : jobs_) {
         if (!job->runnable() || job->waiting() == 0) continue;
         if (eligible_only && now < job->eligible_at) continue;
         placement::Waiting w;
+        w.guaranteed = guarantees && guaranteed(*job);
         w.rank = job->rank;
         // What its window could not place waits in one queue with the rest of that kind, ahead of new windows:
         // else, under load, the order would be that of arrival, and the short would wait for the long.
@@ -85,16 +87,7 @@
 
 // How many of so many tasks the team's limit leaves room for. All tasks that may be on a machine count.
 std::uint32_t Overseer::within_limit(const Job& job, std::uint32_t tasks) const {
-    const auto* team = settings_.team(job.spec.team);
-    if (!team) return 0;
-    const auto it = team_use_.find(job.spec.team);
-    const placement::Resources use = it == team_use_.end() ? placement::Resources{} : it->second;
-    const auto room = [&](double limit, double used, double need) {
-        if (limit <= 0 || need <= 0) return tasks;
-        return static_cast<std::uint32_t>(std::clamp(std::floor((limit - used) / need + 1e-9), 0.0, double(tasks)));
-    };
-    return std::min(room(team->cpus_limit, use.cpus, job.spec.need.cpus),
-                    room(team->gpus_limit, use.gpus, job.spec.need.gpus));
+    return teams_.room(job.spec.team, job.spec.need, tasks);
 }
 
 std::uint32_t Overseer::take_waiting(Job& job) {
@@ -217,7 +210,7 @@
     std::vector<std::pair<Seconds, TaskKey>> stoppable;
     for (const auto& key : m.tasks) {
         const auto* other = this->job(key.first);
-        if (!other || other->rank >= job.rank || !other->is(Shape::array)) continue;
+        if (!other || !other->is(Shape::array) || !gives_way(*other, job)) continue;
         const auto& t = other->tasks[key.second];
         if (t.draining || std::find(spared.begin(), spared.end(), key) != spared.end()) continue;
         const Seconds ran = t.started ? Seconds(now - t.running_since) : Seconds(0);
@@ -246,8 +239,40 @@
     return false;
 }
 
+// Within a team by rank. What one team is guaranteed gives way to no other, and other teams' work beyond their own
+// guarantee gives way to it, of whatever rank.
+bool Overseer::gives_way(const Job& other, const Job& job) const {
+    if (other.spec.team != job.spec.team) {
+        if (guaranteed(other)) return false;
+        if (guaranteed(job)) return true;
+    }
+    return other.rank < job.rank;
+}
+
+// What is being stopped already, by team.
+std::map<std::string, quota::Amount> Overseer::stopping() const {
+    std::map<std::string, quota::Amount> out;
+    for (const auto& [name, m] : ledger_.all())
+        for (const auto& [uid, i] : m->tasks)
+            if (const auto* j = job(uid); j && (j->tasks[i].draining || j->cancelled)) {
+                auto& amount = out[j->spec.team];
+                amount.cpus += j->spec.need.cpus;
+                amount.gpus += j->spec.need.gpus;
+            }
+    return out;
+}
+
 void Overseer::stop_for(const Job& job, const std::vector<TaskKey>& tasks) {
+    std::map<std::string, quota::Amount> on_the_way;
+    if (guaranteed(job)) on_the_way = stopping();
     for (const auto& [uid, i] : tasks) {
+        const auto& other = *find(uid);
+        if (other.spec.team != job.spec.team && other.rank >= job.rank) {
+            auto& amount = on_the_way[other.spec.team];
+            if (!teams_.may_stop(other.spec.team, amount, other.spec.need)) continue;
+            amount.cpus += other.spec.need.cpus;
+            amount.gpus += other.spec.need.gpus;
+        }
         auto& t = find(uid)->tasks[i];
         spdlog::info("event=preempt task={}/{} machine={} for={}", uid, i, t.machine->name, job.spec.uid);
         t.draining = true;
@@ -258,7 +283,7 @@
 // that waits would fit; of a gang all or nothing. What is stopped can never do the same in turn, so this cannot go on
 // in circles. Without it a guest's idle tasks, on for minutes, keep gangs from machines whose accelerators lie idle.
 void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
-    if (now < job.preempt_again || job.doubtful() || !lower_arrays(job.rank)) return;
+    if (now < job.preempt_again || job.doubtful() || !(lower_arrays(job.rank) || guaranteed(job))) return;
     const bool together = job.is(Shape::gang);
     if (together && (job.gang_failing || job.gang_started)) return;
     auto wanted = std::min(job.waiting(), max_planned_tasks);
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -32,6 +32,7 @@
         } catch (const std::exception& e) {
             spdlog::error("event=record_unreadable job={} why=\"{}\"", uid, e.what());
             // Where its tasks are cannot be told, so none of them may be started.
+            if (const auto* job = find(uid)) teams_.over(job->spec);
             jobs_.erase(uid);
         }
     }
@@ -150,6 +151,7 @@
             cancel(*job, now);
         } else {
             job->finished = true;
+            teams_.over(job->spec);
             mark_dirty(uid);
         }
         return true;
@@ -339,6 +341,7 @@
                 spdlog::info("event=job_done job={} class={} seconds={:.1f}", p.uid, job->spec.job_class,
                              Seconds(now - job->arrived).count());
                 job->finished = true;
+                teams_.over(job->spec);
                 ready = take_in(prerequisites_.over(p.uid, true, p.at), now) || ready;
                 break;
             case Batch::Part::Kind::abort:
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -65,7 +65,11 @@
                 },
                 [this] { end_reign(); }},
                ports_.time_of_day_ms),
-      members_(store_, settings_, form_),
+      members_(store_, settings_, form_,
+               [this](const quota::Table& teams) {
+                   teams_ = teams;
+                   if (reign_) reign_->overseer().set_teams(teams);
+               }),
       caretaker_(settings_),
       keeper_(ex_, ports_.state, store_, settings_, form_, recovery::Shelf(tunables_.snapshots), keeper_links()),
       desk_(ex_, store_, settings_, form_,
@@ -123,6 +127,7 @@
     links.open = [this] { return keeper_.memory().open_jobs(); };
     reign_ =
         std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled, std::move(links));
+    if (teams_) reign_->overseer().set_teams(*teams_);
     reign_->start(types_);
 }
 
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -56,7 +56,8 @@
     agent::Caretaker caretaker_;
     recovery::Keeper keeper_;
     std::shared_ptr<Reign> reign_;
-    election::Term term_;  // the last that was won
+    std::optional<quota::Table> teams_;  // figures of teams, where they differ from the settings
+    election::Term term_;                // the last that was won
     std::vector<wire::MachineType> types_;
     bool kept_catalog_ = false;  // the machine types are on record, as far as is known
     std::unordered_map<std::string, api::DisplayCount> counts_;
--- a/src/election/members.hpp
+++ b/src/election/members.hpp
@@ -2,6 +2,7 @@
 // it reads; a key stays when its controller dies. So what is known of a form once all keys are there holds for good,
 // for a controller that is down or cut off as well, and nothing is ever concluded from silence.
 #pragma once
+#include "quota/ledger.hpp"
 #include "state/form.hpp"
 #include "state/store.hpp"
 
@@ -13,7 +14,10 @@
 
 class Members {
   public:
-    Members(state::Store& store, const config::Settings& settings, state::Form& form);
+    // `teams` is told the figures that hold now: while controllers with other tables are on record, the strictest of
+    // all.
+    Members(state::Store& store, const config::Settings& settings, state::Form& form,
+            std::function<void(const quota::Table&)> teams = {});
 
     awaitable<void> run();
     // Puts this controller's key in place again, where it may have been lost.
@@ -25,9 +29,12 @@
     awaitable<bool> enroll();
     // Counts the keys; true once all controllers are there.
     awaitable<bool> all_there();
+    void settle_teams(const std::vector<state::Item>& items);
 
     state::Store& store_;
     state::Form& form_;
+    std::function<void(const quota::Table&)> teams_changed_;
+    quota::Table own_teams_, teams_;
     std::string member_;
     std::size_t nodes_;
     std::vector<std::string> names_;  // of all controllers
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -311,6 +311,7 @@
 }
 
 bool before(const Waiting& a, const Waiting& b, double ageing) {
+    if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.rank != b.rank) return a.rank > b.rank;
     if (a.window != b.window) return a.window < b.window;
     const auto la = a.length - ageing * a.waited, lb = b.length - ageing * b.waited;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -179,12 +179,14 @@
     Trial* trial_ = nullptr;
 };
 
-// The order of the queue: rank, then window, then length less what the wait has worn off it.
+// The order of the queue: what a team is guaranteed, then rank, then window, then length less what the wait has worn
+// off it.
 struct Waiting {
     wire::Rank rank = wire::Rank::normal;
     std::int64_t window = 0;
     Seconds length{0}, waited{0};
     std::string_view uid;
+    bool guaranteed = false;
 };
 
 bool before(const Waiting& a, const Waiting& b, double ageing);
--- a/src/quota/ledger.cpp
+++ b/src/quota/ledger.cpp
@@ -134,6 +134,15 @@
     return t->guaranteed.contains(uid);
 }
 
+bool Ledger::may_stop(const std::string& team, const Amount& stopping, const wire::Resources& need) const {
+    const auto* f = figures(team);
+    if (!f) return true;
+    const auto used = use(team);
+    const auto above = [](double left, double guarantee) { return guarantee <= 0 || left + rounding >= guarantee; };
+    return above(used.cpus - stopping.cpus - need.cpus, f->guarantee.cpus) &&
+           above(used.gpus - stopping.gpus - need.gpus, f->guarantee.gpus);
+}
+
 bool Ledger::below_guarantee(const std::string& team) const {
     const auto* t = find(team);
     if (!t) return false;
--- a/src/quota/ledger.hpp
+++ b/src/quota/ledger.hpp
@@ -1,6 +1,6 @@
-// What each team uses, may use and is guaranteed, in CPUs and accelerators. Pure: told of placements and of evidence, asked
-// before each placement. Use is all that *may be* on machines: whatever is told in whichever order, a task counts from its
-// placement until there is evidence that it is gone, so that no order of news makes the use too low.
+// What each team uses, may use and is guaranteed, in CPUs and accelerators. Pure: told of placements and of evidence,
+// asked before each placement. Use is all that *may be* on machines: whatever is told in whichever order, a task counts
+// from its placement until there is evidence that it is gone, so that no order of news makes the use too low.
 #pragma once
 #include <map>
 #include <set>
@@ -28,8 +28,8 @@
 
 Table table_of(const std::vector<config::Team>& teams);
 // What holds while some controllers go by one table and some by the other: of each limit the lower, where one has none
-// the other's; of each guarantee the lower, so that nothing is stopped for what one of them does not know of. A team that
-// only some know keeps the figures that there are.
+// the other's; of each guarantee the lower, so that nothing is stopped for what one of them does not know of. A team
+// that only some know keeps the figures that there are.
 Table strictest(const Table& a, const Table& b);
 
 class Ledger {
@@ -53,9 +53,12 @@
     void over(const wire::JobSpec& spec);
     bool any_guarantee() const;
     // Whether the job fits into its team's guarantee together with all of the team's jobs that were accepted before it
-    // and are not over. Such a job need not wait for other teams, and is never stopped for one. A figure that is not set
-    // does not bind if the other is.
+    // and are not over. Such a job need not wait for other teams, and is never stopped for one. A figure that is not
+    // set does not bind if the other is.
     bool guaranteed(const std::string& team, const std::string& uid) const;
+    // Whether a task of the team that is not guaranteed may be stopped for another's guarantee, with `stopping` of the
+    // team's use on its way out already: nobody is brought below his own.
+    bool may_stop(const std::string& team, const Amount& stopping, const wire::Resources& need) const;
     // Whether the team has work that is guaranteed and not all of it is placed: for the log and for tests.
     bool below_guarantee(const std::string& team) const;
 
@@ -70,7 +73,7 @@
         Amount use;
         std::size_t tasks = 0;
         std::set<Open> open;
-        mutable bool stale = true;                   // the next has to be found anew
+        mutable bool stale = true;  // the next has to be found anew
         mutable std::set<std::string> guaranteed;
         mutable Amount guaranteed_need;
     };
