--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -62,11 +62,16 @@
         r.machines = it->second;
         return r;
     }
+    if (scenario_.capacity) {
+        const auto left = scenario_.capacity - std::min(scenario_.capacity, hosts_.size());
+        count = std::min(count, static_cast<int>(left));
+        if (count == 0) r.outcome = cloud::Rent::no_capacity;
+    }
     for (const auto& t : scenario_.types)
         if (t.name == type)
             for (int i = 0; i < count; ++i)
                 r.machines.push_back(add(t, zone, spot, t.boot * events_.uniform(0.6, 1.5))->name);
-    requests_[request] = r.machines;
+    if (r.outcome == cloud::Rent::granted) requests_[request] = r.machines;
     return r;
 }
 
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -111,6 +111,7 @@
     if (s.members.empty() || s.members.size() != s.member_zones.size())
         throw BadSetting(name + ": world.member_zones: expected one for each of world.members");
     s.length = Seconds(w.number("length_s", 300));
+    s.capacity = static_cast<std::size_t>(w.number("capacity", 0));
     s.warm = static_cast<std::size_t>(w.number("warm", 0));
     s.late = w.number("late", 0);
     s.drawn = w.number("drawn", 0);
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -35,6 +35,7 @@
     std::vector<std::string> members, member_zones;
     Seconds length{300};
     std::vector<wire::MachineType> types;
+    std::size_t capacity = 0;   // machines that the cloud has in all; 0: as many as are asked for
     std::size_t warm = 0;       // machines that are up at the start
     double late = 0;            // share of transactions that are late
     double drawn = 0;           // troubles drawn by the seed, so many on average
