The keeper waits for nothing that may wait long: a scrubbing kept a new leader from beginning

The keeper's loop stood in a read of the lowest urgency, which waits until the share of requests is nearly unused. Digest, scrubbing and payments are bookkeeping now.

--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+// Nothing here may be as patient as leftovers are: whatever this loop waits for keeps a term that was just won from
+// beginning. A scrubbing that waited for spare requests once kept a leader from its workers for 48 s.
 constexpr auto look_gap = 1000ms;     // between two looks at what changed
 constexpr auto check_gap = 5s;        // between two looks at the witness while nothing points to a loss
 constexpr auto try_again = 300ms;     // after a request that was refused or had no answer
@@ -469,7 +471,7 @@
                               {"sum", digest.sum},
                               {"jobs", jobs}};
     txn.changes.push_back({digest_key, std::move(value), 0});
-    const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
+    const auto r = co_await raw_.commit(std::move(txn), Urgency::bookkeeping);
     if (r.outcome == Outcome::ok) digested_ = digest.outcomes + jobs;
     spdlog::debug("event=digest outcomes={} revision={} outcome={}", digest.outcomes, revision,
                   static_cast<int>(r.outcome));
@@ -541,7 +543,7 @@
         if (!txn.changes.empty()) {
             for (const auto& c : leading_conditions(witness))
                 if (c.key == election::term_key) txn.conditions.push_back(c);
-            const auto r = co_await guarded_.commit(std::move(txn), Urgency::leftover);
+            const auto r = co_await guarded_.commit(std::move(txn), Urgency::bookkeeping);
             if (r.outcome == Outcome::conflict) {
                 recheck_ = true;  // somebody else's are there: they are told by the next look
                 co_return;
@@ -555,7 +557,7 @@
     state::Txn txn;
     txn.conditions = leading_conditions(witness);
     txn.changes.push_back({page->first, std::nullopt, 0});
-    const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
+    const auto r = co_await raw_.commit(std::move(txn), Urgency::bookkeeping);
     if (r.outcome == Outcome::ok) owed_.erase(owed_.begin());
     if (owed_.empty()) spdlog::info("event=outcomes_back generation={}", witness.generation);
 }
@@ -576,7 +578,7 @@
 // against what it remembers.
 awaitable<void> Keeper::scrub() {
     const auto from = scrub_at_;
-    const auto page = co_await raw_.range(agent::jobs_prefix, from, Urgency::leftover);
+    const auto page = co_await raw_.range(agent::jobs_prefix, from, Urgency::bookkeeping);
     if (page.outcome != Outcome::ok || doubt_ || !memory_.whole()) co_return;
     scrub_at_ = page.more && !page.items.empty() ? page.items.back().key : std::string();
     const auto missing = memory_.missing_from(from, scrub_at_, page.items);
@@ -991,7 +993,7 @@
         txn.conditions = conditions;
         for (; at < items->size() && txn.changes.size() < std::min(raw_.write_portion(), form_.limits().txn_ops); ++at)
             txn.changes.push_back({(*items)[at].key, std::nullopt, 0});
-        const auto r = co_await raw_.commit(std::move(txn), Urgency::leftover);
+        const auto r = co_await raw_.commit(std::move(txn), Urgency::bookkeeping);
         if (r.outcome != Outcome::ok) co_return;  // the next rebuilding overwrites them
     }
 }
