--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -479,6 +479,10 @@
     outcome_.machines = fleet_.up();
     outcome_.started = fleet_.started;
     outcome_.lease_kills = fleet_.lease_kills;
+    for (const auto& node : nodes_)
+        if (node->life)
+            outcome_.rebuilt = std::max(outcome_.rebuilt, node->life->controller.keeper().memory().generation());
+    if (outcome_.rebuilt) --outcome_.rebuilt;  // the first generation is no rebuilding
     std::map<std::string, std::pair<double, double>> by_class, by_team;
     for (const auto& j : jobs_) {
         if (!j->accepted || j->cancel_after.count() >= 0 ||
--- a/tests/rebuild_story_test.cpp
+++ b/tests/rebuild_story_test.cpp
@@ -162,6 +162,7 @@
 TEST(LossStories, after_a_wipe_placing_goes_on_within_seconds_and_no_task_is_stopped) {
     const auto o = play("kind = \"wipe\"\nat_s = 50", 1);
     EXPECT_EQ(broken(o), "");
+    EXPECT_EQ(o.rebuilt, 1u);
     EXPECT_EQ(o.undisturbed, 1);
     EXPECT_EQ(o.lease_kills, 0u);
     EXPECT_LT(o.placing_after, 20);
