--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -2,6 +2,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <iostream>
@@ -39,6 +41,11 @@
                    "the controllers' log on standard error: off, error, info or debug; plays one at a time");
     cli.add_flag("--only-broken", only_broken, "print the lines of seeds that broke a rule, and a count at the end");
     CLI11_PARSE(cli, argc, argv);
+    // Many worlds in one process: memory that is given back to the system at the end of each request is asked for again
+    // at the next, and that took most of the time.
+    mallopt(M_TRIM_THRESHOLD, 1 << 30);
+    mallopt(M_MMAP_THRESHOLD, 1 << 30);
+    mallopt(M_TOP_PAD, 16 << 20);
     spdlog::set_default_logger(spdlog::stderr_logger_mt("lab"));
     spdlog::set_level(spdlog::level::from_str(log));
     auto pattern = std::make_unique<spdlog::pattern_formatter>();
--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -360,12 +360,38 @@
 
 // With the last placements lost, any task that waits may be on any machine that was not heard. A list names all
 // machines that are older than it lags; younger ones are named by a later one.
-bool Overseer::all_heard(TimePoint now) const {
-    const auto lag = wire::to_clock(settings_.list_lag * 2 + Seconds(2));
-    if (listed_at_ - since_ < lag || !with_strays_.empty() || now - since_ < lag) return false;
-    for (const auto& [name, m] : ledger_.all())
-        if (!m->current) return false;
-    return true;
+// A list may be twice as old as usual: one that came so long after this term began shows what there was in it.
+wire::Clock::duration Overseer::list_age() const { return wire::to_clock(settings_.list_lag * 2 + Seconds(2)); }
+
+// Whether all is known that may be on the machine: it has shown what it holds under this term, or it was still starting
+// after this term had begun, so that no earlier leader's order can have reached it.
+bool Overseer::heard(const Machine& m) const {
+    return (m.current && !with_strays_.contains(m.name)) || m.starting_at - list_age() >= since_;
+}
+
+bool Overseer::all_listed() const { return listed_at_ - since_ >= list_age(); }
+
+bool Overseer::all_heard() const {
+    return all_listed() && std::all_of(ledger_.all().begin(), ledger_.all().end(),
+                                       [&](const auto& entry) { return heard(*entry.second); });
+}
+
+// What is unsettled shrinks with every machine that is heard: a job none of whose tasks can be on one that was not is
+// as certain as ever. What a team may use is certain only in the end.
+std::vector<Job*> Overseer::certain(std::vector<Job*> jobs) const {
+    std::set<placement::Id> unheard;
+    bool anywhere = false;
+    for (const auto& [name, m] : ledger_.all()) {
+        if (heard(*m)) continue;
+        anywhere = anywhere || m->type.empty();  // from a record, and not listed: nobody knows what it is
+        unheard.insert(m->row.pool);
+    }
+    std::erase_if(jobs, [&](const Job* job) {
+        if (anywhere || teams_.limited(job->spec.team)) return true;
+        const auto& ask = ask_of(*job);
+        return std::any_of(unheard.begin(), unheard.end(), [&](placement::Id pool) { return ask.takes(pool); });
+    });
+    return jobs;
 }
 
 std::optional<std::vector<Order>> Overseer::report(const wire::WorkerReport& r, TimePoint now) {
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -2,6 +2,7 @@
 // no I/O and reads no clock; the loops in app/ carry messages between it and the world.
 #pragma once
 #include <array>
+#include <functional>
 #include <unordered_map>
 
 #include "agent/job.hpp"
@@ -54,6 +55,9 @@
     void load(const std::vector<state::Item>& work, TimePoint now, std::int64_t at = 0);
     // A job was accepted, or is over: one of its keys. False if that is no news.
     bool job_changed(const state::Item& item, TimePoint now);
+    // Whether a record of open work shows a task further than this leader knows it to be. Only leaders write where
+    // tasks are, so it was put back after a loss, and this leader has read all without it. `over`: jobs that are.
+    bool older_than(const state::Item& item, const std::function<bool(const std::string&)>& over) const;
     // The job, read as open work, has an outcome. Done or cancelled, it is the same now: what may be left of it must
     // go.
     void ended(const std::string& uid, TimePoint now);
@@ -86,8 +90,9 @@
     // This process stood still for so long: what it did not hear meanwhile says nothing about the machines.
     void stood_still(wire::Clock::duration gap);
 
-    // The records are rebuilt and may lack the last placements. Until every machine has been heard under this term, or
-    // is gone by the cloud's word, nothing is placed, and what workers show beyond the records is taken for true.
+    // The records are rebuilt and may lack the last placements. A job is placed once every machine that its tasks may
+    // be on has been heard under this term, or is gone by the cloud's word, or cannot have been up; and what workers
+    // show beyond the records is taken for true.
     void distrust_records() { unsettled_ = true; }
     bool unsettled() const { return unsettled_; }
     // Whether a worker has shown what cannot be, unless records were lost, since this was last asked.
@@ -174,7 +179,11 @@
     placement::Planner planner(TimePoint now) const;
     std::uint32_t within_limit(const Job& job, std::uint32_t tasks) const;
     bool round_heard(TimePoint now) const;
-    bool all_heard(TimePoint now) const;
+    wire::Clock::duration list_age() const;
+    bool heard(const Machine& m) const;
+    bool all_listed() const;
+    bool all_heard() const;
+    std::vector<Job*> certain(std::vector<Job*> jobs) const;
     bool adopt(Job& job, Machine& m, const wire::TaskReport& r, TimePoint now);
     void place_gang(Job& job, placement::Planner& plan, TimePoint now, bool& any);
     struct Move {
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -144,7 +144,7 @@
 }
 
 std::vector<fleet::Order> Overseer::rent(TimePoint now) {
-    if (!round_heard(now) || hearing(now).deaf()) return {};
+    if (unsettled_ || !round_heard(now) || hearing(now).deaf()) return {};
     auto plan = planner(now);
     Basket basket;
     basket.quiet_zones = quiet_zones(now);
@@ -225,6 +225,7 @@
         auto& m = ledger_.add(l.name, l.type, l.zone, l.spot, now);
         if (fresh) m.known_since = now - wire::to_clock(l.age);
         m.listed_failed = l.status == wire::MachineStatus::failed;
+        if (l.status == wire::MachineStatus::booting) m.starting_at = now;
     }
     // A list may be twice as old as usual, and does not show machines that are younger than that.
     std::set<std::string_view> names;
--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -81,7 +81,7 @@
 Planner Overseer::planner(TimePoint now) const {
     std::vector<Host> hosts;
     for (const auto& [name, m] : ledger_.all())
-        if (usable(*m, now)) hosts.push_back(m->row);
+        if (usable(*m, now) && (!unsettled_ || heard(*m))) hosts.push_back(m->row);
     return Planner(std::move(hosts), rules_.memory_margin);
 }
 
@@ -192,7 +192,7 @@
 // A new leader hears one round of reports first: until then it does not know the load. If no work was on record
 // when it began, there is no load to hear of.
 bool Overseer::round_heard(TimePoint now) const {
-    if (unsettled_) return false;
+    if (unsettled_ && !all_listed()) return false;
     if (!inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms)) return true;
     // Workers hurry to a higher term. Some are gone for good, and the rest need not wait for those.
     double working = 0, heard = 0;
@@ -375,7 +375,7 @@
 
 bool Overseer::place(TimePoint now) {
     mark_due(now);
-    if (unsettled_ && all_heard(now)) {
+    if (unsettled_ && all_heard()) {
         spdlog::info("event=settled term={} seconds={:.1f}", term_, Seconds(now - since_).count());
         unsettled_ = false;
     }
@@ -386,7 +386,8 @@
     waiting_ = false;
     auto plan = planner(now);
     finish_moves(plan, now, any);
-    const auto waiting = queue(now, true);
+    auto waiting = queue(now, true);
+    if (unsettled_) waiting = certain(std::move(waiting));
     gangs_wait_ = std::any_of(waiting.begin(), waiting.end(), [](const Job* job) {
         return job->is(Shape::gang) && !job->spec.spot && job->passed_over && job->placed == 0 && !job->doubtful();
     });
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -94,6 +94,24 @@
     need(*job, job->fresh ? std::vector<std::string>{} : job->spec.prerequisites, now);
 }
 
+bool Overseer::older_than(const state::Item& item, const std::function<bool(const std::string&)>& over) const {
+    const auto key = parse_work_key(item.key);
+    const auto* tasks = key && item.value.is_object() ? item.value.get_object().if_contains("tasks") : nullptr;
+    // Our own writes are seen here as well, those of jobs that are over and forgotten included.
+    if (!tasks || !tasks->is_array() || tasks->get_array().empty() || over(key->uid)) return false;
+    const auto* known = job(key->uid);
+    if (!known) return true;
+    if (known->finished || known->cancelled) return false;
+    try {
+        for (const auto& r : wire::ranges_from_record(tasks->get_array()))
+            for (auto i = r.from; i <= r.to && i < known->spec.tasks; ++i)
+                if (r.attempt > known->tasks[i].attempt) return true;
+    } catch (const std::exception&) {
+        return false;
+    }
+    return false;
+}
+
 // The new job that this record completes, if it does.
 Job* Overseer::assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering) {
     const auto& o = item.value.as_object();
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -72,14 +72,12 @@
 }
 
 // Outcomes come back last after a loss. That there never was such a job, or that it may be taken as a new one, must not
-// be said of one that is remembered here: then the records are not what they were.
+// be said of one that is remembered here. If it was when the service was asked, GuardedStore has not let the answer
+// through; if it is by now, another controller has just accepted it, and whoever asks comes again.
 Desk::Absent Desk::recall(const std::string& uid) {
     const auto remembered = links_.remembered(uid);
     if (!remembered) return links_.certain() ? Absent::none : Absent::missed;
-    if (remembered->state == JobState::open) {
-        links_.missed(uid);
-        return Absent::missed;
-    }
+    if (remembered->state == JobState::open) return Absent::missed;
     known_[uid] = {remembered->state, remembered->size, {}};
     return Absent::over;
 }
@@ -372,6 +370,11 @@
 awaitable<Reply> Desk::cancel(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
     for (int round = 0; round < 3; ++round) {
+        // What was over once stays over, whatever has become of its record.
+        if (const auto r = links_.remembered(uid); r && r->state != JobState::open) {
+            known_[uid] = {r->state, r->size, {}};
+            co_return status_of(uid, true);
+        }
         const auto got = co_await find(uid);
         if (got.outcome != Outcome::ok) break;
         if (!got.item.stamp && !known_.contains(uid)) co_return reply(404, wire::error_body("no such job"));
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -34,8 +34,7 @@
         std::function<DisplayCount(const std::string&)> count;
         std::function<void(const state::Item&)> job_changed;  // a hint for a leader in this process
         std::function<std::optional<Remembered>(const std::string&)> remembered;
-        std::function<void(const std::string&)> missed;  // a job that is remembered to be open is not on record
-        std::function<bool()> certain;                   // what is neither on record nor remembered never was
+        std::function<bool()> certain;  // what is neither on record nor remembered never was
     };
 
     Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links);
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -54,7 +54,13 @@
       ports_(std::move(ports)),
       store_(ports_.state, agent::jobs_prefix,
              {[this](const char* why) { keeper_.doubt(why); },
-              [this](const state::Change& change, std::uint64_t revision) { keeper_.written(change, revision); }}),
+              [this](const state::Change& change, std::uint64_t revision) { keeper_.written(change, revision); },
+              [this](const std::string& key) { return keeper_.memory().expected(key); },
+              [](const std::string& key) {
+                  const auto work = agent::parse_work_key(key);
+                  return work ? agent::outcome_key(work->uid) : std::string();
+              },
+              [this](const std::string& key) { keeper_.missed(key); }}),
       cloud_(ports_.cloud),
       elector_(ex_, store_, settings_.member, tunables_.election_lease,
                {[this](election::Term term) {
@@ -89,7 +95,6 @@
                  if (!outcome) return std::nullopt;
                  return api::Remembered{outcome->state, outcome->size};
              },
-             [this](const std::string& uid) { keeper_.doubt("nothing on record of " + uid); },
              [this] { return keeper_.certain(); }}) {}
 
 recovery::Keeper::Links Controller::keeper_links() {
@@ -122,6 +127,7 @@
         keeper_.doubt(why, beyond_memory ? Loss::beyond_memory : Loss::seen);
     };
     links.over = [this](const std::string& uid) { return keeper_.memory().over(uid); };
+    links.again = [this](const char* why) { elector_.again(why); };
     links.settled = [this] { keeper_.settled(); };
     links.seen = [this](const state::Item& item) { keeper_.told(item); };
     links.open = [this] { return keeper_.memory().open_jobs(); };
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -198,16 +198,13 @@
     co_return co_await check_remembered();
 }
 
-// What is remembered to be open is on record, or over by now; and what is remembered to be over has its outcome, or
-// else it would be run again.
+// What is remembered to be open is on record, or over by now. Where it is neither, the store passes the answer on to
+// the keeper and not here; a job that is remembered to be over and lacks its outcome has been found by the look before.
 awaitable<bool> Reign::check_remembered() {
     std::vector<std::string> asked;
     for (auto& uid : links_.open())
         if (!overseer_.knows(uid)) asked.push_back(std::move(uid));
-    for (auto& uid : overseer_.open_jobs())
-        if (links_.over(uid)) asked.push_back(std::move(uid));
     for (std::size_t at = 0; at < asked.size();) {
-        const auto first = at;
         state::Txn txn;
         for (; at < asked.size() && txn.conditions.size() + 2 <= form_.conditions(); ++at) {
             txn.conditions.push_back({agent::outcome_key(asked[at]), 0});
@@ -215,13 +212,6 @@
         }
         const auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
         if (stopped_ || (result.outcome != Outcome::ok && result.outcome != Outcome::conflict)) co_return false;
-        const std::set<std::string> there(result.failed.begin(), result.failed.end());
-        for (auto i = first; i < at; ++i) {
-            if (there.contains(agent::outcome_key(asked[i]))) continue;
-            if (there.contains(agent::work_key(asked[i], 0)) && !links_.over(asked[i])) continue;
-            links_.loss("the records of a job are not what they were", false);
-            co_return false;
-        }
     }
     co_return true;
 }
@@ -232,6 +222,7 @@
             auto got = co_await store_.get(key, Urgency::leadership);
             if (stopped_) co_return;
             if (got.outcome == Outcome::ok) {
+                if (got.item.stamp) links_.seen(got.item);
                 overseer_.reread(got.item, Clock::now());
                 break;
             }
@@ -261,6 +252,13 @@
         bool news = false;
         for (std::size_t i = 0; i < seen.events.size(); ++i)
             if (!seen.deleted[i]) links_.seen(seen.events[i]);
+        for (std::size_t i = 0; i < seen.events.size(); ++i) {
+            // A record that was gone when this term read all, and was put back since, may name places where tasks are.
+            if (!seen.deleted[i] && overseer_.older_than(seen.events[i], links_.over)) {
+                links_.again("a record came back that this term has not read");
+                co_return;
+            }
+        }
         for (std::size_t i = 0; i < seen.events.size(); ++i)
             news = (!seen.deleted[i] && overseer_.job_changed(seen.events[i], now)) || news;
         if (news) wake();
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -20,6 +20,7 @@
         std::function<std::int64_t()> time_of_day_ms;
         std::function<void(const char* why, bool beyond_memory)> loss;  // something shows that records were lost
         std::function<bool(const std::string&)> over;                   // a job is remembered to be
+        std::function<void(const char* why)> again;                     // this term's mind is older than the records
         std::function<std::vector<std::string>()> open;                 // jobs that are remembered to be
         std::function<void()> settled;                                  // all that may be on machines is known again
         std::function<void(const state::Item&)> seen;                   // a record that was just written by anybody
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -114,6 +114,17 @@
     s.capacity = static_cast<std::size_t>(w.number("capacity", 0));
     s.warm = static_cast<std::size_t>(w.number("warm", 0));
     s.late = w.number("late", 0);
+    s.slow = w.number("slow", 0);
+    s.slowest = Seconds(w.number("slowest_s", 1));
+    if (const auto* restart = (*world)["restart_s"].as_array()) {
+        if (restart->size() != 2) throw BadSetting(name + ": world.restart_s: expected a number, or two");
+        s.restart_from = (*restart)[0].value_or(0.0);
+        s.restart_to = (*restart)[1].value_or(0.0);
+    } else if (world->contains("restart_s")) {
+        s.restart_from = s.restart_to = w.number("restart_s");
+    }
+    if (s.restart_from < 0 || s.restart_to < s.restart_from)
+        throw BadSetting(name + ": world.restart_s: expected seconds from 0 up, the lower first");
     s.drawn = w.number("drawn", 0);
     s.draws_losses = w.flag("draws_losses");
     const Table top(root, name + ": ");
@@ -134,7 +145,7 @@
     top.each("troubles", [&](const Table& t) {
         s.troubles.push_back({t.text("kind"), Seconds(t.number("at_s")), Seconds(t.number("lasts_s", 0)),
                               t.number("share", 1), t.text("node", "leader"), t.text("zone", ""), t.text("prefix", ""),
-                              t.number("seconds", 0)});
+                              t.number("seconds", 0), t.number("times", 1), t.number("every_s", 1)});
     });
     return s;
 }
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -27,7 +27,8 @@
     double share = 1;  // of the machines concerned
     std::string node;  // a controller, "leader" or "all"
     std::string zone, prefix;
-    double seconds = 0;  // set_back
+    double seconds = 0;           // set_back
+    double times = 1, every = 1;  // crash: so often, each so many seconds after the one before
 };
 
 struct Scenario {
@@ -35,11 +36,14 @@
     std::vector<std::string> members, member_zones;
     Seconds length{300};
     std::vector<wire::MachineType> types;
-    std::size_t capacity = 0;   // machines that the cloud has in all; 0: as many as are asked for
-    std::size_t warm = 0;       // machines that are up at the start
-    double late = 0;            // share of transactions that are late
-    double drawn = 0;           // troubles drawn by the seed, so many on average
-    bool draws_losses = false;  // and a loss of data among them
+    std::size_t capacity = 0;                 // machines that the cloud has in all; 0: as many as are asked for
+    std::size_t warm = 0;                     // machines that are up at the start
+    double late = 0;                          // share of transactions that are late
+    double slow = 0;                          // share of requests and of answers of the state service that take long,
+    Seconds slowest{1};                       // up to so long
+    double restart_from = 1, restart_to = 8;  // seconds after which a controller that ended by a drawn trouble is back
+    double drawn = 0;                         // troubles drawn by the seed, so many on average
+    bool draws_losses = false;                // and a loss of data among them
     std::vector<JobClass> jobs;
     std::vector<Trouble> troubles;
 };
--- a/src/emulator/state_service.cpp
+++ b/src/emulator/state_service.cpp
@@ -124,6 +124,11 @@
     for (auto& [id, lease] : leases_) lease.ends = events_.now() + wire::to_clock(lease.life);
 }
 
+void Keys::end_all() {
+    for (auto& [id, lease] : leases_) lease.ends = events_.now();
+    expire();
+}
+
 void Keys::wipe() {
     items_.clear();
     attached_.clear();
@@ -199,6 +204,7 @@
 net::awaitable<bool> StateLink::reach(double writes, state::Urgency urgency, Outcome& seen) {
     co_await gate_.enter(writes, urgency);
     co_await net::sleep_for(wire::to_clock(Seconds(events_.uniform(0.001, 0.008))));
+    co_await dawdle();
     if (cut) {
         co_await net::sleep_for(no_answer);
         seen = Outcome::unknown;
@@ -215,6 +221,12 @@
 
 net::awaitable<void> StateLink::back() {
     co_await net::sleep_for(wire::to_clock(Seconds(events_.uniform(0.001, 0.004))));
+    co_await dawdle();
+}
+
+// Requests and answers overtake one another: what was asked first may be answered last, from what was there long since.
+net::awaitable<void> StateLink::dawdle() {
+    if (slow > 0 && events_.chance(slow)) co_await net::sleep_for(wire::to_clock(slowest * events_.uniform(0.1, 1)));
 }
 
 net::awaitable<state::GetResult> StateLink::get(std::string key, state::Urgency urgency) {
--- a/src/emulator/state_service.hpp
+++ b/src/emulator/state_service.hpp
@@ -25,6 +25,7 @@
     void revoke(std::uint64_t lease);
     void expire();   // leases that have run out, and their keys
     void prolong();  // after an outage: every lease has its full time again
+    void end_all();  // leases, as if nobody had renewed one
     std::uint64_t revision() const { return revision_; }
 
     // Data are lost. Nobody is told.
@@ -64,6 +65,8 @@
     const bool* outage = nullptr;
     bool refused = false, cut = false;
     double late = 0;  // share of transactions that are carried out late, their answers lost
+    double slow = 0;  // share of requests that wait on their way there, and of answers that wait on their way back
+    Seconds slowest{1};
 
     net::awaitable<state::GetResult> get(std::string key, state::Urgency urgency) override;
     net::awaitable<state::RangeResult> range(std::string prefix, std::string after, state::Urgency urgency) override;
@@ -84,6 +87,7 @@
     // The way there: false if the request does not arrive, with what its sender sees.
     net::awaitable<bool> reach(double writes, state::Urgency urgency, state::Outcome& seen);
     net::awaitable<void> back();
+    net::awaitable<void> dawdle();
 
     Events& events_;
     Keys& keys_;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -5,6 +5,8 @@
 
 #include <cmath>
 
+#include "state/witness.hpp"
+
 namespace flintdale::emulator {
 
 using namespace std::chrono_literals;
@@ -71,6 +73,8 @@
                           [&w] { return epoch_ms + std::llround(w.events_.since_start().count() * 1000); }}) {
             state.outage = &w.outage_;
             state.late = w.scenario_.late;
+            state.slow = w.scenario_.slow;
+            state.slowest = w.scenario_.slowest;
             controller.start();
         }
     };
@@ -189,7 +193,7 @@
     if (c.per_minute <= 0) return;
     const Seconds gap(-std::log(1 - events_.uniform(0, 1)) * 60 / c.per_minute);
     events_.after(gap, [this, &c] {
-        new_job(c);
+        for (int i = 0; i < std::lround(burst_); ++i) new_job(c);
         arrivals(c);
     });
 }
@@ -355,9 +359,21 @@
     };
     if (t.kind == "wipe" || t.kind == "set_back" || t.kind == "lose" || t.kind == "age" || t.kind == "garble")
         loses_data(t);
-    else if (t.kind == "crash")
+    else if (t.kind == "crash") {
         for (const auto n : nodes_of(t)) end_node(n, t.lasts);
-    else if (t.kind == "freeze")
+        if (t.times > 1) {
+            auto again = t;
+            again.times = t.times - 1;
+            again.at = t.at + Seconds(t.every);
+            events_.after(Seconds(t.every), [this, again] { trouble(again); });
+        }
+    } else if (t.kind == "end_claims")
+        keys_.end_all();
+    else if (t.kind == "burst") {
+        // Of one class, or of all; each job that comes anyway comes in so many copies.
+        burst_ = std::max(1.0, t.share);
+        until([this] { burst_ = 1; });
+    } else if (t.kind == "freeze")
         for (const auto n : nodes_of(t)) nodes_[n]->frozen_until = events_.now() + wire::to_clock(t.lasts);
     else if (t.kind == "cut_state")
         each(&Node::cut_state, &StateLink::cut);
@@ -404,9 +420,11 @@
 
 // Troubles by luck: several at once, and again while the last is being mended.
 void World::draw_troubles() {
-    static const std::vector<std::string> common{"crash",       "freeze",       "cut_state",     "refused",
-                                                 "cut_workers", "cut_peers",    "outage",        "cut_zone",
-                                                 "cloud_down",  "machines_die", "machines_hang", "machines_cut"};
+    std::vector<std::string> common{"crash",       "freeze",       "cut_state",     "refused",
+                                    "cut_workers", "cut_peers",    "outage",        "cut_zone",
+                                    "cloud_down",  "machines_die", "machines_hang", "machines_cut"};
+    // Only where a scenario asks for it, so that the others stay what they were.
+    if (scenario_.slow > 0) common.insert(common.end(), {"end_claims", "burst", "crash"});
     static const std::vector<std::string> losses{"wipe", "set_back", "lose", "set_back", "wipe"};
     static const std::vector<std::string> nodes{"leader", "all", "follower", "followers", "leader"};
     const double length = scenario_.length.count();
@@ -418,8 +436,13 @@
         t.kind = common[events_.pick(common.size())];
         // Most come close together.
         t.at = Seconds(events_.chance(0.7) ? heart + events_.uniform(-15, 25) : events_.uniform(10, length * 0.7));
-        t.lasts = Seconds(t.kind == "crash" ? events_.uniform(1, 8) : events_.uniform(3, 45));
-        t.share = events_.uniform(0.05, 0.5);
+        t.lasts = Seconds(t.kind == "crash" ? events_.uniform(scenario_.restart_from, scenario_.restart_to)
+                                            : events_.uniform(3, 45));
+        t.share = events_.uniform(0.05, 0.5) * (t.kind == "burst" ? 20 : 1);
+        if (scenario_.slow > 0 && t.kind == "crash" && events_.chance(0.3)) {
+            t.times = std::floor(events_.uniform(2, 6));
+            t.every = events_.uniform(0.3, 3);
+        }
         t.node = nodes[events_.pick(nodes.size())];
         t.zone = settings_[0].zones[events_.pick(settings_[0].zones.size())];
         plan(t);
@@ -441,6 +464,11 @@
 
 void World::look() {
     checker_.look();
+    if (const auto witness = state::parse_witness(keys_.get(state::witness_key));
+        witness && witness->generation > outcome_.rebuilt) {
+        outcome_.rebuilt = witness->generation;
+        declared_at_ = events_.since_start().count();
+    }
     if (lost_at_ && fleet_.last_start > *lost_at_ + wire::to_clock(Seconds(1))) {
         outcome_.placing_after = std::max(outcome_.placing_after, Seconds(fleet_.last_start - *lost_at_).count());
         lost_at_.reset();
@@ -479,10 +507,11 @@
     outcome_.machines = fleet_.up();
     outcome_.started = fleet_.started;
     outcome_.lease_kills = fleet_.lease_kills;
-    for (const auto& node : nodes_)
-        if (node->life)
-            outcome_.rebuilt = std::max(outcome_.rebuilt, node->life->controller.keeper().memory().generation());
     if (outcome_.rebuilt) --outcome_.rebuilt;  // the first generation is no rebuilding
+    if (!outcome_.losses && outcome_.rebuilt) {
+        outcome_.broken["false_alarm"] = static_cast<unsigned>(outcome_.rebuilt);
+        outcome_.first["false_alarm"] = fmt::format("{:.1f}", declared_at_) + " s: a loss declared where none was";
+    }
     std::map<std::string, std::pair<double, double>> by_class, by_team;
     for (const auto& j : jobs_) {
         if (!j->accepted || j->cancel_after.count() >= 0 ||
@@ -520,6 +549,7 @@
                                         {"started", o.started},
                                         {"lease_kills", o.lease_kills},
                                         {"losses", o.losses},
+                                        {"rebuilt", o.rebuilt},
                                         {"undisturbed", rounded(o.undisturbed)},
                                         {"placing_after_s", rounded(o.placing_after)},
                                         {"answers_after_s", rounded(o.answers_after)},
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -75,6 +75,7 @@
     std::uint64_t uids_ = 0;
     Outcome outcome_;
     std::optional<TimePoint> lost_at_, unanswered_since_;
+    double burst_ = 1, declared_at_ = 0;
 };
 
 // One line of JSON.
--- a/src/fleet/ledger.hpp
+++ b/src/fleet/ledger.hpp
@@ -33,11 +33,12 @@
     std::optional<TimePoint> taken_at;  // from a spot notice
 
     bool listed_failed = false;
-    bool unlisted = false;   // old enough to be listed, and missing from the newest list: likely gone, but no evidence
-    bool releasing = false;  // a release was sent, which may be carried out at any time: never used again
-    bool retiring = false;   // its tasks are moved away, and then it is returned
-    bool cordoned = false;   // spare: gets no new work while there is room elsewhere, and goes when it is empty
-    bool suspect = false;    // several jobs failed on it
+    TimePoint starting_at{};  // when a list last came that showed it still starting
+    bool unlisted = false;    // old enough to be listed, and missing from the newest list: likely gone, but no evidence
+    bool releasing = false;   // a release was sent, which may be carried out at any time: never used again
+    bool retiring = false;    // its tasks are moved away, and then it is returned
+    bool cordoned = false;    // spare: gets no new work while there is room elsewhere, and goes when it is empty
+    bool suspect = false;     // several jobs failed on it
 
     placement::Host row;             // of the load table, kept up to date with what follows
     std::set<TaskKey> tasks;         // all that may be on it
--- a/src/quota/ledger.cpp
+++ b/src/quota/ledger.cpp
@@ -94,6 +94,11 @@
     return std::min(left(f->limit.cpus, used.cpus, need.cpus), left(f->limit.gpus, used.gpus, need.gpus));
 }
 
+bool Ledger::limited(const std::string& team) const {
+    const auto* f = figures(team);
+    return !f || f->limit.cpus > 0 || f->limit.gpus > 0;
+}
+
 void Ledger::opened(const wire::JobSpec& spec) {
     auto& t = teams_[spec.team];
     t.stale = t.open.insert({spec.accepted_ms, spec.uid, of(spec.need, spec.tasks)}).second || t.stale;
--- a/src/quota/ledger.hpp
+++ b/src/quota/ledger.hpp
@@ -47,6 +47,9 @@
     // How many more such tasks the team's limit leaves room for, at most `tasks`; none for a team that is not known.
     std::uint32_t room(const std::string& team, const wire::Resources& need, std::uint32_t tasks) const;
 
+    // Whether the team has a limit, or is not known.
+    bool limited(const std::string& team) const;
+
     // --- guarantees ---
     // A job that is not over, in the order of acceptance on record, which every controller knows alike.
     void opened(const wire::JobSpec& spec);
--- /dev/null
+++ b/src/recovery/inquiry.hpp
@@ -0,0 +1,53 @@
+// Asks the state service what this controller remembers to be there, and says what the answer shows. Requests overtake
+// one another, and the memory goes on while one is under way: an answer shows the service as it stood at some moment
+// after the request was sent, so it may be held only against what was known before that and is unchanged since. Every
+// comparison of records goes through here (or through GuardedStore, for what the rest of the process asks): the mark is
+// taken inside, before the request leaves, so that nobody can take it too late.
+// What the first version did instead declared losses on healthy days: docs/incidents/loss-without-a-loss.md.
+#pragma once
+#include <functional>
+
+#include "recovery/memory.hpp"
+
+namespace flintdale::recovery {
+
+using net::awaitable;
+
+class Inquiry {
+  public:
+    // `newest`: the highest revision of this history that anybody has told of.
+    Inquiry(state::Store& store, const Memory& memory, std::function<std::uint64_t()> newest)
+        : store_(store), memory_(memory), newest_(std::move(newest)) {}
+
+    struct Page {
+        state::RangeResult read;
+        bool went_back = false;  // shows a revision below one that was known when it was asked for
+        // Of all records of jobs: remembered then, unchanged since, and absent or older. To be looked at again.
+        std::vector<std::string> missing;
+    };
+    awaitable<Page> page(std::string prefix, std::string after, state::Urgency urgency);
+
+    struct Changes {
+        state::FollowResult seen;
+        bool went_back = false;
+    };
+    awaitable<Changes> changes(std::string prefix);
+
+    // The very record, read again now. Gone: at `revision` it had the stamp `there` (0: absent), which is older than
+    // the one remembered, and nothing that removes records in good order had happened to its job. Whether it is
+    // remembered still, and how, is to be judged by a memory that was told of everything up to that revision.
+    struct Finding {
+        enum class Verdict : std::uint8_t { unclear, sound, gone } verdict = Verdict::unclear;
+        std::string key;
+        std::uint64_t there = 0, remembered = 0, revision = 0;
+        bool damaged = false;  // there, with its stamp, and no longer what was written
+    };
+    awaitable<Finding> look_again(std::string key, state::Urgency urgency);
+
+  private:
+    state::Store& store_;
+    const Memory& memory_;
+    std::function<std::uint64_t()> newest_;
+};
+
+}  // namespace flintdale::recovery
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -19,13 +19,17 @@
 
 // Nothing here may be as patient as leftovers are: whatever this loop waits for keeps a term that was just won from
 // beginning. A scrubbing that waited for spare requests once kept a leader from its workers for 48 s.
-constexpr auto look_gap = 1000ms;     // between two looks at what changed
-constexpr auto check_gap = 5s;        // between two looks at the witness while nothing points to a loss
-constexpr auto try_again = 300ms;     // after a request that was refused or had no answer
-constexpr auto stand_gap = 250ms;     // while somebody else rebuilds
-constexpr auto first_wait = 6s;       // for the peers' word that they know of no witness either
-constexpr auto peer_fresh = 3s;       // a peer that was heard so lately is waited for
-constexpr auto offers_at_least = 3s;  // that all others are waited for, heard or not
+using Verdict = Inquiry::Finding::Verdict;
+constexpr std::size_t most_terms = 8;        // that are remembered to have been about
+constexpr std::size_t most_suspects = 1000;  // keys that are to be looked at again; the rest will be missed again
+constexpr std::size_t most_put_back = 16;    // single records; where more are gone nobody knows how much is
+constexpr auto look_gap = 1000ms;            // between two looks at what changed
+constexpr auto check_gap = 5s;               // between two looks at the witness while nothing points to a loss
+constexpr auto try_again = 300ms;            // after a request that was refused or had no answer
+constexpr auto stand_gap = 250ms;            // while somebody else rebuilds
+constexpr auto first_wait = 6s;              // for the peers' word that they know of no witness either
+constexpr auto peer_fresh = 3s;              // a peer that was heard so lately is waited for
+constexpr auto offers_at_least = 3s;         // that all others are waited for, heard or not
 constexpr auto offers_at_most = 20s;
 constexpr auto shelve_gap = 30s;
 constexpr std::size_t most_offers = 6;  // of one controller's lives, that are kept
@@ -34,17 +38,41 @@
 constexpr auto scrub_gap = 5s;
 constexpr auto former_kept = 60s;
 constexpr auto digest_gap = 10s;
-constexpr auto failed = static_cast<std::size_t>(-1);
 constexpr std::size_t max_shown = 20'000;
 constexpr std::size_t first_page = 256;  // records; fewer where a value cannot hold them
 
 bool is_outcome(const std::string& key) { return key.starts_with(agent::over_prefix); }
+std::string uid_of(const std::string& outcome) { return outcome.substr(std::string_view(agent::over_prefix).size()); }
 
 std::uint64_t number(const boost::json::object& o, std::string_view field) {
     const auto* v = o.if_contains(field);
     return v && v->is_number() ? v->to_number<std::uint64_t>() : 0;
 }
 
+// An outcome as it was written may hold the submission too, which nobody reads again: a memory holds only what counts.
+// To write it again for that would have been most of the writes of a rebuilding after which nothing was missing.
+bool same_outcome(const boost::json::value& a, const boost::json::value& b) {
+    const auto* x = a.if_object();
+    const auto* y = b.if_object();
+    if (!x || !y) return false;
+    try {
+        const auto s = wire::size_from_record(*x), t = wire::size_from_record(*y);
+        return x->at("state") == y->at("state") && s.shape == t.shape && s.tasks == t.tasks;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+std::set<std::uint64_t> terms_in(const boost::json::object& offer) {
+    std::set<std::uint64_t> out;
+    // The version before told the highest only.
+    if (const auto saw = number(offer, "saw")) out.insert(saw);
+    if (const auto* seen = offer.if_contains("seen"); seen && seen->is_array())
+        for (const auto& term : seen->get_array())
+            if (term.is_number()) out.insert(term.to_number<std::uint64_t>());
+    return out;
+}
+
 // What comes back first: cancellations, then work in the order of its rank, then the outcomes of what is done.
 int order_of(const std::string& key, const boost::json::value& value) {
     const auto* o = value.if_object();
@@ -72,7 +100,8 @@
       shelf_(std::move(shelf)),
       links_(std::move(links)),
       wake_(ex),
-      began_(Clock::now()) {}
+      began_(Clock::now()),
+      inquiry_(raw_, memory_, [this] { return newest_remembered(); }) {}
 
 void Keeper::leads(election::Term term) {
     term_ = term;
@@ -89,6 +118,7 @@
 void Keeper::doubt(std::string why, Loss loss) {
     if (rebuilding_) return;
     beyond_memory_ = beyond_memory_ || loss == Loss::beyond_memory;
+    records_only_ = records_only_ && loss == Loss::records;
     guarded_.close();
     if (!doubt_) {
         spdlog::error("event=loss_suspected why=\"{}\"", why);
@@ -97,6 +127,23 @@
     wake_.notify();
 }
 
+void Keeper::saw(std::uint64_t term) {
+    if (term) seen_.insert(term);
+    if (seen_.size() > most_terms) seen_.erase(seen_.begin());
+}
+
+void Keeper::forget_doubt() {
+    doubt_.reset();
+    beyond_memory_ = false;
+    records_only_ = true;
+}
+
+void Keeper::missed(const std::string& key) {
+    if (rebuilding_ || suspects_.size() >= most_suspects) return;
+    if (suspects_.insert(key).second) spdlog::info("event=record_missed key={}", key);
+    wake_.notify();
+}
+
 void Keeper::heard(const std::string& member, PeerWord word) {
     word.heard = Clock::now();
     if (word.rebuilding > (known_ ? known_->generation : 0) && !rebuilding_) {
@@ -129,6 +176,7 @@
                      kept->revision);
     }
     for (;;) {
+        const auto known = histories();
         const auto got = co_await raw_.get(state::witness_key, Urgency::leadership);
         if (got.outcome != Outcome::ok) {
             co_await wake_.wait(try_again);
@@ -138,42 +186,48 @@
         recheck_ = false;
         const auto witness = state::parse_witness(got.item);
         // What was doubted is settled once somebody rebuilds, or has.
-        if (witness && (!witness->whole() || (known_ && witness->generation > known_->generation))) doubt_.reset();
+        if (witness && (!witness->whole() || (known_ && witness->generation > known_->generation))) forget_doubt();
         if (!witness) {
             guarded_.close();
             if (got.item.stamp)
-                co_await declare(got.item.stamp, 0);
+                co_await declare(got.item.stamp, 0, "the witness is damaged");
             else
-                co_await without_witness();
+                co_await without_witness(known);
         } else if (!witness->whole()) {
             co_await stand_by(*witness);
-        } else if (outdated(*witness)) {
-            co_await declare(witness->stamp, witness->generation);
+        } else if (doubt_) {
+            co_await declare(witness->stamp, witness->generation, *doubt_);
+        } else if (outdated(*witness, known)) {
+            co_await declare(witness->stamp, witness->generation, "another history than this was known before");
         } else {
             co_await attend(*witness);
         }
     }
 }
 
+// The histories that anybody is known to have seen.
+std::vector<Keeper::History> Keeper::histories() const {
+    std::vector<History> out;
+    if (known_) out.push_back({known_->generation, known_->id});
+    if (memory_.generation()) out.push_back({memory_.generation(), memory_.id()});
+    for (const auto& [member, word] : peers_)
+        if (word.generation) out.push_back({word.generation, word.id});
+    return out;
+}
+
 std::uint64_t Keeper::newest_generation() const {
-    auto newest = std::max(known_ ? known_->generation : 0, memory_.generation());
-    if (former_) newest = std::max(newest, former_->generation());
-    for (const auto& [member, word] : peers_) newest = std::max(newest, word.generation);
+    std::uint64_t newest = former_ ? former_->generation() : 0;
+    for (const auto& h : histories()) newest = std::max(newest, h.generation);
     return newest;
 }
 
-// Whether somebody remembers a history that this witness, read just now, cannot be of. What was heard may be older than
-// the witness: then it is of an older generation. And whatever is concluded is written on the condition that the
-// witness still stands.
-bool Keeper::outdated(const Witness& w) const {
-    const auto newer = [&](std::uint64_t generation, const std::string& id) {
-        return generation > w.generation || (generation == w.generation && !id.empty() && id != w.id);
-    };
-    if (known_ && newer(known_->generation, known_->id)) return true;
-    if (newer(memory_.generation(), memory_.id())) return true;
-    for (const auto& [member, word] : peers_)
-        if (newer(word.generation, word.id)) return true;
-    return doubt_.has_value();
+// Whether a history was known, when this witness was asked for, that it cannot be of. What became known while its
+// answer was on the way says nothing: the witness may have been made, or replaced, meanwhile. And whatever is concluded
+// is written on the condition that the witness still stands.
+bool Keeper::outdated(const Witness& w, const std::vector<History>& known) {
+    return std::any_of(known.begin(), known.end(), [&](const History& h) {
+        return h.generation > w.generation || (h.generation == w.generation && !h.id.empty() && h.id != w.id);
+    });
 }
 
 // On a service that never had a witness one may be made: at the first start of all, or when the first controller of a
@@ -185,13 +239,12 @@
                        [&](const auto& peer) { return peers_.contains(peer.member); });
 }
 
-awaitable<void> Keeper::without_witness() {
-    if (newest_generation() > 0 || doubt_) {
-        if (!doubt_) doubt_ = "the witness is gone";
-        co_await declare(0, 0);
+awaitable<void> Keeper::without_witness(const std::vector<History>& known) {
+    if (!known.empty() || doubt_) {
+        co_await declare(0, 0, doubt_.value_or("the witness is gone"));
         co_return;
     }
-    if (!may_create()) {
+    if (!may_create() || newest_generation() > 0) {
         co_await wake_.wait(50ms);
         co_return;
     }
@@ -232,7 +285,7 @@
 }
 
 // From now on nobody relies on the records, on this controller or any other, until one has rebuilt them.
-awaitable<void> Keeper::declare(std::uint64_t over, std::uint64_t generation) {
+awaitable<void> Keeper::declare(std::uint64_t over, std::uint64_t generation, std::string why) {
     guarded_.close();
     rebuilding_ = true;
     Witness w;
@@ -240,11 +293,13 @@
     w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
     w.phase = Witness::Phase::merging;
     w.beyond_memory = beyond_memory_;
+    w.keys_only = doubt_ && records_only_;
     w.stamp = over;
     const auto stamp = co_await put(w);
-    if (stamp) doubt_.reset(), beyond_memory_ = false;
+    if (stamp) forget_doubt();
     if (stamp)
-        spdlog::error("event=loss_declared generation={}", w.generation);
+        spdlog::error("event=loss_declared generation={} why=\"{}\" over={} remembers={} revision={}", w.generation,
+                      why, over, memory_.size(), memory_.revision());
     else
         co_await wake_.wait(try_again);
 }
@@ -275,8 +330,10 @@
         fill_at_.reset();
         digested_ = 0;
         settled_ = false;
-        led_ = saw_ = 0;
+        led_ = 0;
+        seen_.clear();
         shown_.clear();
+        suspects_.clear();
         rebuild_began_ = {};
     }
     known_ = w;
@@ -308,6 +365,11 @@
         }
         // If data are lost again just after a rebuilding, this is still the best there is.
         if (former_ && memory_.whole() && Clock::now() >= former_until_) former_.reset();
+        if (!suspects_.empty() && Clock::now() >= next_look_again_) {
+            next_look_again_ = Clock::now() + try_again;
+            co_await examine(w);
+            if (doubt_) break;
+        }
         if (!term_ && memory_.whole() && Clock::now() >= next_scrub_) {
             next_scrub_ = Clock::now() + scrub_gap;
             co_await scrub();
@@ -322,7 +384,8 @@
         }
         if (begun_ && std::exchange(clear_offers_, false)) co_await remove_all(offers_prefix, leading_conditions(w));
         if (term_ && !begun_) continue;
-        const auto rest = std::min(next_look - Clock::now(), Clock::duration(look_gap));
+        auto rest = std::min(next_look - Clock::now(), Clock::duration(look_gap));
+        if (!suspects_.empty()) rest = std::min(rest, Clock::duration(next_look_again_ - Clock::now()));
         if (rest > 0ms) co_await wake_.wait(rest);
     }
 }
@@ -331,7 +394,8 @@
 // stamp with it, or shows in a revision that went back.
 awaitable<bool> Keeper::confirm(const Witness& w) {
     const auto term = *term_;
-    const auto got = co_await raw_.range(state::witness_key, std::string(), Urgency::leadership);
+    const auto asked = co_await inquiry_.page(state::witness_key, std::string(), Urgency::leadership);
+    const auto& got = asked.read;
     if (got.outcome != Outcome::ok) {
         co_await wake_.wait(100ms);
         co_return !doubt_;
@@ -343,14 +407,14 @@
     }
     if (!same) co_return false;
     settled_ = !unsettled;
-    if (got.revision < newest_remembered()) {
-        doubt("its revisions went back");
+    if (asked.went_back) {
+        doubt("its revisions went back to " + std::to_string(got.revision));
         co_return false;
     }
     if (!term_ || term_->number != term.number || doubt_) co_return true;
     begun_ = true;
     led_ = term.number;
-    saw_ = std::max(saw_, led_);
+    saw(led_);
     links_.begin(term, unsettled);
     co_return true;
 }
@@ -373,7 +437,8 @@
             co_await raw_.range(agent::jobs_prefix, std::string(agent::jobs_prefix) + "~", Urgency::bookkeeping);
         if (here.outcome != Outcome::ok) co_return;
         if (here.revision < known_->stamp) {
-            doubt("its revisions went back");
+            doubt("its revisions went back: the witness is of " + std::to_string(known_->stamp) + ", it stands at " +
+                  std::to_string(here.revision));
             co_return;
         }
         const auto so_far = memory_.source("so far");
@@ -386,23 +451,26 @@
         links_.outcomes({}, began, Look::after_a_gap);
         co_return;
     }
-    const auto remembered = newest_remembered();
-    auto seen = co_await raw_.follow(agent::jobs_prefix, memory_.revision(), 0ms);
+    auto asked = co_await inquiry_.changes(agent::jobs_prefix);
+    auto& seen = asked.seen;
     if (seen.outcome == Outcome::too_old) {
         following_ = false;
         co_return;
     }
     if (seen.outcome != Outcome::ok) co_return;
-    if (seen.revision < remembered) {
-        doubt("its revisions went back");
+    if (asked.went_back) {
+        doubt("its revisions went back to " + std::to_string(seen.revision));
         co_return;
     }
-    if (const auto oddity = memory_.told(seen)) {
-        doubt("removed by nobody: " + *oddity);
-        co_return;
+    for (const auto& e : seen.events)
+        if (is_outcome(e.key) && memory_.outcome_of(uid_of(e.key)))
+            digested_ = 0;  // one that was put back has a new stamp
+    for (const auto& key : memory_.told(seen)) {
+        spdlog::error("event=removed_by_nobody key={}", key);
+        missed(key);
     }
-    // The highest term that may have placed anything by these records.
-    saw_ = std::max(saw_, links_.seen_term());
+    // Any of them may have placed something by these records, but for those that rebuilt them.
+    saw(links_.seen_term());
     std::vector<Item> outcomes;
     for (std::size_t i = 0; i < seen.events.size(); ++i)
         if (!seen.deleted[i] && is_outcome(seen.events[i].key)) outcomes.push_back(std::move(seen.events[i]));
@@ -413,11 +481,12 @@
 // it tell whether what there is is what there was. One that knew the former records reads a page each time.
 awaitable<void> Keeper::fill() {
     while (fill_at_) {
-        const auto page = co_await raw_.range(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
+        const auto asked = co_await inquiry_.page(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
+        const auto& page = asked.read;
         if (page.outcome != Outcome::ok || !fill_at_) co_return;
-        if (page.revision < memory_.revision()) {
+        if (asked.went_back) {
             // To take this for all there is would be to forget what was lost.
-            doubt("its revisions went back");
+            doubt("its revisions went back to " + std::to_string(page.revision));
             co_return;
         }
         memory_.page(page.items);
@@ -444,11 +513,16 @@
     if (got.outcome != Outcome::ok) co_return false;
     const auto* o = got.item.stamp ? got.item.value.if_object() : nullptr;
     if (o && number(*o, "generation") == known_->generation) {
+        // It may tell of what ended while the pages were being read: until all changes up to it are known it says
+        // nothing.
+        if (memory_.revision() < number(*o, "revision")) co_await look();
+        if (doubt_ || !following_ || memory_.revision() < number(*o, "revision")) co_return false;
         const auto now = memory_.digest(number(*o, "revision"));
         if (now != Memory::Digest{number(*o, "outcomes"), number(*o, "sum")} || memory_.jobs() < number(*o, "jobs")) {
             doubt(std::to_string(number(*o, "outcomes")) + " outcomes of " + std::to_string(number(*o, "jobs")) +
-                      " jobs were on record, and " + std::to_string(now.outcomes) + " of " +
-                      std::to_string(memory_.jobs()) + " are",
+                      " jobs were on record at " + std::to_string(number(*o, "revision")) + ", and " +
+                      std::to_string(now.outcomes) + " of " + std::to_string(memory_.jobs()) + " are at " +
+                      std::to_string(memory_.revision()),
                   Loss::beyond_memory);
             co_return false;
         }
@@ -461,7 +535,7 @@
 awaitable<void> Keeper::write_digest() {
     const auto revision = memory_.revision();
     const auto digest = memory_.digest(revision);
-    const auto jobs = memory_.jobs();
+    const auto jobs = memory_.jobs_at(revision);
     if (!memory_.whole() || digest.outcomes + jobs == digested_) co_return;
     state::Txn txn;
     txn.conditions = leading_conditions(*known_);
@@ -577,21 +651,101 @@
 // Data can go without any sign. Whoever does not lead reads the records again, a page now and then, and holds them
 // against what it remembers.
 awaitable<void> Keeper::scrub() {
-    const auto from = scrub_at_;
-    const auto page = co_await raw_.range(agent::jobs_prefix, from, Urgency::bookkeeping);
+    const auto asked = co_await inquiry_.page(agent::jobs_prefix, scrub_at_, Urgency::bookkeeping);
+    const auto& page = asked.read;
     if (page.outcome != Outcome::ok || doubt_ || !memory_.whole()) co_return;
+    if (asked.went_back) {
+        doubt("its revisions went back to " + std::to_string(page.revision));
+        co_return;
+    }
     scrub_at_ = page.more && !page.items.empty() ? page.items.back().key : std::string();
-    const auto missing = memory_.missing_from(from, scrub_at_, page.items);
-    for (const auto& key : missing) {
-        // It may have been removed, or its job have ended, since the last look.
-        const auto work = agent::parse_work_key(key);
-        auto outcome = work ? agent::outcome_key(work->uid) : key;
-        const auto got = co_await raw_.get(std::move(outcome), Urgency::bookkeeping);
-        if (got.outcome != Outcome::ok) co_return;
-        if (got.item.stamp) continue;
-        doubt("gone without a sign: " + key);
+    // Most of it was removed, or its job ended, since the mark: each is looked at again before anybody is told.
+    suspects_.insert(asked.missing.begin(), asked.missing.end());
+}
+
+// What looked missing, once more, and judged by a memory that was told of everything up to that second look. If single
+// records are gone that are remembered here, they are put back. Nothing is closed for it, and no term ends: as long as
+// they are gone, GuardedStore passes on no answer that rests on their absence. If more is gone, nobody knows how much.
+awaitable<void> Keeper::examine(const Witness& w) {
+    if (!memory_.whole() || !following_) co_return;
+    std::vector<Inquiry::Finding> gone;
+    bool swept = false;
+    for (;;) {
+        std::set<std::string> later;
+        while (!suspects_.empty() && gone.size() <= most_put_back) {
+            auto key = suspects_.extract(suspects_.begin()).value();
+            auto finding = co_await inquiry_.look_again(std::move(key), Urgency::user);
+            if (doubt_ || !memory_.whole()) co_return;
+            if (finding.verdict == Verdict::unclear) later.insert(finding.key);
+            if (finding.verdict == Verdict::gone) gone.push_back(std::move(finding));
+        }
+        suspects_.merge(later);
+        if (gone.empty()) co_return;
+        if (swept || gone.size() > most_put_back) break;
+        // Where one is gone others may be.
+        swept = co_await sweep();
+        if (!swept || doubt_) co_return;
+    }
+    const auto upto = std::max_element(gone.begin(), gone.end(), [](const auto& a, const auto& b) {
+                          return a.revision < b.revision;
+                      })->revision;
+    if (memory_.revision() < upto) co_await look();
+    if (doubt_ || !memory_.whole() || memory_.revision() < upto) {
+        for (auto& finding : gone) suspects_.insert(std::move(finding.key));
         co_return;
     }
+    std::erase_if(gone, [&](const Inquiry::Finding& f) {
+        const auto now = memory_.expected(f.key);
+        return now == 0 || now > f.revision || (now <= f.there && !f.damaged);
+    });
+    for (const auto& f : gone)
+        spdlog::error("event=record_gone key={} remembers={} there={} revision={} followed={}", f.key,
+                      memory_.expected(f.key), f.there, f.revision, memory_.revision());
+    if (gone.size() > most_put_back)
+        doubt(std::to_string(gone.size()) + " records are gone that are remembered, the first of them " + gone[0].key,
+              Loss::records);
+    else if (!gone.empty())
+        co_await put_back_few(w, std::move(gone));
+}
+
+// All pages at once. False if that was not possible now.
+awaitable<bool> Keeper::sweep() {
+    std::string at;
+    for (;;) {
+        const auto asked = co_await inquiry_.page(agent::jobs_prefix, at, Urgency::user);
+        if (doubt_ || !memory_.whole() || asked.read.outcome != Outcome::ok) co_return false;
+        suspects_.insert(asked.missing.begin(), asked.missing.end());
+        if (!asked.read.more || asked.read.items.empty()) co_return true;
+        at = asked.read.items.back().key;
+    }
+}
+
+// By conditioned writes: on this history, on what was found there, and on no outcome that somebody wrote meanwhile.
+// What is written is the newest that ever was on record, since the memory was told of everything up to the finding, and
+// from then on whoever wrote it conditioned on the stamp that was lost has failed.
+awaitable<void> Keeper::put_back_few(const Witness& w, std::vector<Inquiry::Finding> gone) {
+    for (auto& f : gone) {
+        const auto record = memory_.record(f.key);
+        if (!record) continue;
+        state::Txn txn;
+        txn.conditions.push_back({state::witness_key, w.stamp});
+        txn.conditions.push_back({f.key, f.there});
+        if (const auto work = agent::parse_work_key(f.key))
+            txn.conditions.push_back({agent::outcome_key(work->uid), 0});
+        txn.changes.push_back({f.key, boost::json::parse(record->text), 0});
+        // The digest counts outcomes by stamps; the leader writes another when it sees that one came back.
+        if (is_outcome(f.key)) txn.changes.push_back({digest_key, std::nullopt, 0});
+        auto change = txn.changes[0];
+        const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
+        if (doubt_) co_return;
+        if (r.outcome == Outcome::ok) {
+            memory_.written(change, r.revision);
+            digested_ = 0;
+            spdlog::error("event=record_put_back key={} revision={}", f.key, r.revision);
+        } else {
+            suspects_.insert(std::move(f.key));  // somebody else's may be there, or this write, or it was refused
+        }
+    }
 }
 
 void Keeper::shelve() {
@@ -662,11 +816,12 @@
     const auto before = co_await raw_.get(mine, Urgency::user);
     if (before.outcome != Outcome::ok) co_return false;
     boost::json::array sources;
-    auto led = led_, saw = saw_;
+    auto led = led_;
+    auto seen = seen_;
     if (const auto* header = before.item.stamp ? before.item.value.if_object() : nullptr) {
         if (const auto* list = header->if_contains("sources"); list && list->is_array()) sources = list->get_array();
         if (!led) led = number(*header, "led");
-        saw = std::max(saw, number(*header, "saw"));
+        seen.merge(terms_in(*header));
     }
     if (sources.size() > most_offers) sources.resize(most_offers);
     const bool its_own = w.by == settings_.member;
@@ -692,8 +847,11 @@
     }
     state::Txn txn;
     txn.conditions.push_back({state::witness_key, w.stamp});
-    boost::json::object header{
-        {"for", w.stamp}, {"led", led}, {"saw", saw}, {"unsettled", unsettled()}, {"sources", std::move(sources)}};
+    boost::json::object header{{"for", w.stamp},
+                               {"led", led},
+                               {"seen", boost::json::array(seen.begin(), seen.end())},
+                               {"unsettled", unsettled()},
+                               {"sources", std::move(sources)}};
     txn.changes.push_back({mine, std::move(header), 0});
     const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
     co_return r.outcome == Outcome::ok;
@@ -730,7 +888,7 @@
     out.sources = own_sources({}, 0);
     std::map<std::string, const Item*> by_key;
     for (const auto& item : items) by_key[item.key] = &item;
-    auto saw = saw_;
+    auto seen = seen_;
     bool still_unsettled = unsettled();
     std::set<std::uint64_t> led{led_};
     std::vector<std::string> members{settings_.member};
@@ -746,7 +904,7 @@
         }
         if (!header) continue;
         // An offer that was made to another rebuilder, or by a former life of this one, is as true as it was.
-        saw = std::max(saw, number(*header, "saw"));
+        seen.merge(terms_in(*header));
         led.insert(number(*header, "led"));
         const auto* open = header->if_contains("unsettled");
         still_unsettled = still_unsettled || (open && open->is_bool() && open->get_bool());
@@ -755,7 +913,9 @@
         for (std::size_t k = 0; k < list->get_array().size(); ++k)
             out.sources.push_back(offered(member, k, list->get_array()[k], by_key));
     }
-    out.placements_known = saw > 0 && led.contains(saw) && !still_unsettled;
+    // A term that was won after the loss was declared has begun nothing; whoever noticed late has seen it all the same.
+    for (const auto term : w.rebuilders) seen.erase(term);
+    out.placements_known = !seen.empty() && led.contains(*seen.rbegin()) && !still_unsettled;
     return out;
 }
 
@@ -811,6 +971,7 @@
     w.term = term;
     w.of = memory_.whole() ? memory_.id() : std::string();
     w.remembers = memory_.revision();
+    if (std::find(w.rebuilders.begin(), w.rebuilders.end(), term) == w.rebuilders.end()) w.rebuilders.push_back(term);
     const auto first = co_await put(w);
     if (!first) {
         co_await wake_.wait(try_again);
@@ -849,9 +1010,13 @@
     const auto second = co_await put(w);
     if (!second || !still()) co_return;
     w.stamp = second;
-    for (std::size_t missing = 1; missing > 0;) {
-        missing = co_await restore(w, merged, std::move(*there));
-        if (missing == failed || !still()) co_return;
+    std::size_t restored = 0;
+    for (bool more = true; more;) {
+        const auto missing = co_await restore(w, merged, std::move(*there));
+        if (!missing || !still()) co_return;
+        restored += *missing;
+        more = *missing > 0;
+        if (!more) break;
         // More may have been lost while it was being written.
         there = co_await present();
         if (!there || !still()) co_return;
@@ -867,17 +1032,19 @@
     w.missing = gathered->missing;
     std::vector<state::Change> with;
     with.push_back({digest_key, std::nullopt, 0});
-    w.beyond_memory = w.beyond_memory || !gathered->placements_known;
+    // Where the history went on and nothing at all was missing, nothing was lost: what is on record is all there is.
+    const bool nothing = w.keys_only && restored == 0;
+    w.beyond_memory = !nothing && (w.beyond_memory || !gathered->placements_known);
     if (w.beyond_memory) with.push_back({unsettled_key, boost::json::object{{"generation", w.generation}}, 0});
     const auto last = co_await put_with(w, std::move(with));
     if (!last) co_return;
-    spdlog::info("event=rebuilt generation={} records={} sources={} lost={} placements_known={}", w.generation,
-                 merged.records.size(), gathered->sources.size(), missed + merged.doubts.size(), !w.beyond_memory);
+    spdlog::info("event=rebuilt generation={} records={} restored={} sources={} lost={} placements_known={}",
+                 w.generation, merged.records.size(), restored, gathered->sources.size(), missed + merged.doubts.size(),
+                 !w.beyond_memory);
     clear_offers_ = true;
 }
 
-// How many records were missing, or `failed`.
-awaitable<std::size_t> Keeper::restore(const Witness& w, const Merged& merged, Present there) {
+awaitable<std::optional<std::size_t>> Keeper::restore(const Witness& w, const Merged& merged, Present there) {
     std::vector<std::pair<int, state::Change>> missing;
     Source owed;
     for (const auto& [key, text] : merged.records) {
@@ -885,7 +1052,8 @@
         auto value = boost::json::parse(text);
         if (kept != there.source.records.end()) {
             boost::system::error_code ec;
-            if (const auto now = boost::json::parse(kept->second.text, ec); !ec && now == value) continue;
+            const auto now = boost::json::parse(kept->second.text, ec);
+            if (!ec && (now == value || (is_outcome(key) && same_outcome(now, value)))) continue;
         }
         const auto order = order_of(key, value);
         // An outcome that says done is needed by those who ask for it only: it comes back in pages, and later in its
@@ -909,12 +1077,12 @@
         if (i + 1 < missing.size() && changes.size() < most && bytes < 30'000) continue;
         auto batch = flush();
         const bool put = co_await put_back(w, std::move(batch), there.stamps);
-        if (!put) co_return failed;
+        if (!put) co_return std::nullopt;
     }
-    if (owed.records.empty()) co_return missing.size();
+    if (owed.records.empty()) co_return std::optional(missing.size());
     std::map<std::string, std::uint64_t> stamps;
     const auto former = co_await read_all(owed_prefix);
-    if (!former) co_return failed;
+    if (!former) co_return std::nullopt;
     // Pages of a rebuilding that was interrupted, or of an earlier round of this one, owe some of it already.
     std::size_t number = 0;
     for (const auto& item : *former) {
@@ -934,9 +1102,9 @@
         page.push_back({owed_prefix + std::to_string(number + std::strtoull(key.c_str(), nullptr, 10)),
                         boost::json::string(text), 0});
         const bool put = co_await put_back(w, std::move(page), stamps);
-        if (!put) co_return failed;
+        if (!put) co_return std::nullopt;
     }
-    co_return missing.size() + fresh;
+    co_return std::optional(missing.size() + fresh);
 }
 
 // Until they are on record, or somebody else rebuilds.
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -8,6 +8,7 @@
 
 #include "config/settings.hpp"
 #include "election/elector.hpp"
+#include "recovery/inquiry.hpp"
 #include "recovery/memory.hpp"
 #include "recovery/shelf.hpp"
 #include "state/form.hpp"
@@ -49,10 +50,13 @@
     // This controller has won a term, or lost it.
     void leads(election::Term term);
     void deposed();
-    // Something showed that data were lost, or may have been; `beyond_memory`: more than this controller remembers, so
-    // that nobody may know where tasks were placed last.
-    enum class Loss : std::uint8_t { seen, beyond_memory };
+    // Something showed that data were lost. `records`: single ones that are remembered, while the history went on;
+    // `beyond_memory`: more than this controller remembers, so that nobody may know where tasks were placed last.
+    enum class Loss : std::uint8_t { records, seen, beyond_memory };
     void doubt(std::string why, Loss loss = Loss::seen);
+    // An answer showed this key absent, or older than it was remembered to be. Nothing is concluded from that alone: it
+    // is looked at again, and put back if it and few others are gone.
+    void missed(const std::string& key);
     void written(const state::Change& change, std::uint64_t revision) { memory_.written(change, revision); }
     // All machines have been heard since the records were rebuilt.
     void settled() { settled_ = true; }
@@ -98,15 +102,22 @@
     };
 
     // The witness: made, doubted, replaced.
-    awaitable<void> without_witness();
+    struct History {
+        std::uint64_t generation = 0;
+        std::string id;
+    };
+    std::vector<History> histories() const;
+    awaitable<void> without_witness(const std::vector<History>& known);
     bool may_create() const;
     std::uint64_t newest_generation() const;
     // The records were rebuilt without the last placements, and nobody here has seen that all machines were heard
     // since.
     bool unsettled() const { return known_ && known_->beyond_memory && !settled_; }
     std::uint64_t newest_remembered() const;
-    bool outdated(const Witness& witness) const;
-    awaitable<void> declare(std::uint64_t over, std::uint64_t generation);
+    static bool outdated(const Witness& witness, const std::vector<History>& known);
+    void forget_doubt();
+    void saw(std::uint64_t term);
+    awaitable<void> declare(std::uint64_t over, std::uint64_t generation, std::string why);
     awaitable<std::uint64_t> put(const Witness& witness);
     awaitable<std::uint64_t> put_with(const Witness& witness, std::vector<state::Change> with);
 
@@ -118,6 +129,9 @@
     awaitable<void> fill();
     awaitable<bool> verify();
     awaitable<void> scrub();
+    awaitable<void> examine(const Witness& witness);
+    awaitable<bool> sweep();
+    awaitable<void> put_back_few(const Witness& witness, std::vector<Inquiry::Finding> gone);
     awaitable<void> write_digest();
     awaitable<void> add_late();
     awaitable<void> pay_back();
@@ -133,7 +147,8 @@
                    const std::map<std::string, const Item*>& by_key) const;
     std::optional<Gathered> read_offers(const Witness& witness, const std::vector<Item>& items, bool last_call) const;
     awaitable<std::optional<Present>> present();
-    awaitable<std::size_t> restore(const Witness& witness, const Merged& merged, Present present);
+    // How many records were missing, or nothing if it was interrupted.
+    awaitable<std::optional<std::size_t>> restore(const Witness& witness, const Merged& merged, Present present);
     awaitable<bool> put_back(const Witness& witness, std::vector<state::Change> changes,
                              std::map<std::string, std::uint64_t>& stamps);
     awaitable<std::optional<std::vector<Item>>> read_all(std::string prefix);
@@ -149,14 +164,17 @@
     Links links_;
     net::Wakeup wake_;
 
-    std::optional<Witness> known_;      // the newest that was whole
-    std::optional<std::string> doubt_;  // why it may be so no more
-    bool beyond_memory_ = false;
-    bool recheck_ = false;  // the witness should be read again
+    std::optional<Witness> known_;                      // the newest that was whole
+    std::optional<std::string> doubt_;                  // why it may be so no more
+    bool beyond_memory_ = false, records_only_ = true;  // all that has been doubted
+    bool recheck_ = false;                              // the witness should be read again
     wire::TimePoint began_{}, checked_at_{}, shelved_at_{}, rebuild_began_{};
     std::unordered_map<std::string, PeerWord> peers_;
 
     Memory memory_;
+    Inquiry inquiry_;
+    std::set<std::string> suspects_;  // keys to be looked at again
+    wire::TimePoint next_look_again_{};
     std::optional<Memory> former_;  // of the history before, until what only it holds is on record
     bool following_ = false;
     bool verified_ = false;       // what there was when this controller began is all there should have been
@@ -167,9 +185,10 @@
     std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
 
     std::optional<election::Term> term_;
-    bool begun_ = false;               // the reign of that term
-    bool settled_ = false;             // as far as this controller has seen, since the last rebuilding
-    std::uint64_t led_ = 0, saw_ = 0;  // terms in the history of memory_: the last it reigned in, the highest
+    bool begun_ = false;            // the reign of that term
+    bool settled_ = false;          // as far as this controller has seen, since the last rebuilding
+    std::uint64_t led_ = 0;         // the last term in the history of memory_ that it reigned in,
+    std::set<std::uint64_t> seen_;  // and the highest that were about
     bool rebuilding_ = false, clear_offers_ = false;
     std::string offered_to_;  // the witness, by identity and stamp
     std::set<std::string> shown_;
--- a/src/recovery/memory.cpp
+++ b/src/recovery/memory.cpp
@@ -21,7 +21,9 @@
 }  // namespace
 
 void Memory::begin(std::uint64_t generation, std::string id, std::uint64_t revision) {
+    const auto history = history_ + 1;
     *this = Memory();
+    history_ = history;
     generation_ = generation;
     id_ = std::move(id);
     revision_ = revision;
@@ -80,8 +82,8 @@
     removed_.clear();
 }
 
-std::optional<std::string> Memory::told(const state::FollowResult& changes) {
-    std::optional<std::string> oddity;
+std::vector<std::string> Memory::told(const state::FollowResult& changes) {
+    std::vector<std::string> oddities;
     for (std::size_t i = 0; i < changes.events.size(); ++i) {
         const auto& e = changes.events[i];
         if (!changes.deleted[i]) {
@@ -95,13 +97,13 @@
         // Without its first record a piece is nobody's, and leaders clear such away.
         const bool nobodys = work && !work->first() && !work_.contains(agent::work_key(work->uid, 0));
         if (!ordered && !nobodys) {
-            if (!oddity) oddity = e.key;
+            oddities.push_back(e.key);
             continue;  // it is remembered all the more
         }
         drop(e.key, e.stamp);
     }
     revision_ = std::max(revision_, changes.revision);
-    return oddity;
+    return oddities;
 }
 
 void Memory::written(const state::Change& change, std::uint64_t revision) {
@@ -152,18 +154,44 @@
     return open_jobs().size() + finals_.size() + static_cast<std::size_t>(odd);
 }
 
-std::vector<std::string> Memory::missing_from(const std::string& from, const std::string& to,
+bool Memory::readable(const std::string& key) const {
+    if (is_final(key) && finals_.contains(uid_of_final(key))) return true;
+    const auto it = work_.find(key);
+    return it != work_.end() && it->second.text.starts_with('{');
+}
+
+std::uint64_t Memory::expected(const std::string& key) const {
+    if (const auto work = agent::parse_work_key(key);
+        work && (over(work->uid) || work_.contains(agent::outcome_key(work->uid))))
+        return 0;
+    const auto stamp = stamp_of(key);
+    return stamp <= owed_stamp ? 0 : stamp;
+}
+
+std::size_t Memory::jobs_at(std::uint64_t revision) const {
+    std::size_t n = digest(revision).outcomes;
+    for (const auto& uid : open_jobs()) n += work_.at(agent::work_key(uid, 0)).stamp <= revision;
+    return n;
+}
+
+std::vector<std::string> Memory::missing_from(const Mark& mark, const std::string& from, const std::string& to,
                                               const std::vector<state::Item>& items) const {
+    if (!holds(mark)) return {};
     std::map<std::string_view, const state::Item*> there;
     for (const auto& item : items) there.emplace(item.key, &item);
     std::vector<std::string> out;
+    // What has a later stamp than the mark was written, or became known, while the page was on its way.
     const auto check = [&](const std::string& key, std::uint64_t stamp) {
-        if (key <= from || (!to.empty() && key > to) || stamp <= owed_stamp) return;
+        if (key <= from || (!to.empty() && key > to) || stamp <= owed_stamp || stamp > mark.revision) return;
         const auto it = there.find(key);
-        if (it == there.end() || it->second->stamp < stamp || !it->second->value.is_object()) out.push_back(key);
+        if (it == there.end() || it->second->stamp < stamp || (!it->second->value.is_object() && readable(key)))
+            out.push_back(key);
     };
-    for (const auto& [key, record] : work_) check(key, record.stamp);
-    for (const auto& [uid, f] : finals_) check(agent::outcome_key(uid), f.stamp);
+    for (auto it = work_.upper_bound(from); it != work_.end() && (to.empty() || it->first <= to); ++it)
+        check(it->first, it->second.stamp);
+    // Outcomes are remembered in no order: they are gone through only for pages that reach into them.
+    if (from < agent::work_prefix)
+        for (const auto& [uid, f] : finals_) check(agent::outcome_key(uid), f.stamp);
     return out;
 }
 
--- a/src/recovery/memory.hpp
+++ b/src/recovery/memory.hpp
@@ -24,9 +24,9 @@
     // Part of what is on record, read after begin(); filled() once all has been.
     void page(const std::vector<state::Item>& items);
     void filled();
-    // The changes up to that revision, in their order. What cannot have happened if nothing was lost is told: an
-    // outcome that was removed, or work of a job without one.
-    std::optional<std::string> told(const state::FollowResult& changes);
+    // The changes up to that revision, in their order. Of what cannot have happened if nothing was lost the keys are
+    // told: an outcome that was removed, or work of a job without one.
+    std::vector<std::string> told(const state::FollowResult& changes);
     // A change that this controller itself has had acknowledged, which it may be told of later.
     void written(const state::Change& change, std::uint64_t revision);
 
@@ -47,11 +47,26 @@
     };
     Digest digest(std::uint64_t revision) const;
     std::size_t jobs() const;  // open or over
+    // Of which at least so many were on record at that revision: what was written since may be known already.
+    std::size_t jobs_at(std::uint64_t revision) const;
     std::vector<std::string> open_jobs() const;
-    // Keys after `from` and up to `to` (empty: the last) that are remembered and not among the items read there, or are
-    // there with an older or unreadable value. What is owed has no place yet.
-    std::vector<std::string> missing_from(const std::string& from, const std::string& to,
+    // What is remembered now, for comparing it with the answer to a request that is sent now or later: nothing that
+    // becomes known while that is under way is held against it. Void once another history has begun.
+    struct Mark {
+        std::uint64_t history = 0, revision = 0;
+    };
+    Mark mark() const { return {history_, whole_ ? revision_ : 0}; }
+    bool holds(const Mark& mark) const { return mark.history == history_; }
+    // Keys after `from` and up to `to` (empty: the last) that were remembered at the mark, are unchanged since, and are
+    // not among the items read there, or are there with an older or unreadable value. What is owed has no place yet.
+    // They may have been removed in good order since: an Inquiry looks at each again.
+    std::vector<std::string> missing_from(const Mark& mark, const std::string& from, const std::string& to,
                                           const std::vector<state::Item>& items) const;
+    // The stamp under which the key must be on record, for all that is known; 0: it need not be there, for it is not
+    // remembered, or its job is over and it may be removed, or it is owed.
+    std::uint64_t expected(const std::string& key) const;
+    // Whether it is remembered as it was: a value that was read damaged is kept as it is.
+    bool readable(const std::string& key) const;
     bool whole() const { return whole_; }
     std::uint64_t generation() const { return generation_; }
     const std::string& id() const { return id_; }
@@ -74,7 +89,7 @@
     std::uint64_t stamp_of(const std::string& key) const;
     static std::string text_of(const Final& final);
 
-    std::uint64_t generation_ = 0, revision_ = 0;
+    std::uint64_t generation_ = 0, revision_ = 0, history_ = 0;
     std::string id_;
     bool whole_ = false;
     std::map<std::string, Record> work_;  // and outcomes that a few words cannot hold
--- a/src/state/guarded_store.cpp
+++ b/src/state/guarded_store.cpp
@@ -39,7 +39,9 @@
     if (sent.opening != opening_) return false;
     if (!is_open()) return true;
     if (revision < sent.revision) {
-        doubt("its revisions went back");
+        const auto why =
+            "its revisions went back: " + std::to_string(sent.revision) + " was seen, then " + std::to_string(revision);
+        doubt(why.c_str());
         return false;
     }
     newest_ = std::max(newest_, revision);
@@ -54,17 +56,38 @@
         co_return r;
     }
     const auto sent = opening_;
+    const auto known = guarded ? remembered(key) : 0;
     r = co_await inner_.get(std::move(key), urgency);
     // What was written just after a loss must not be told as an answer, not even by reading it again.
     if (guarded && sent != opening_) r.outcome = Outcome::unknown;
+    if (r.outcome == Outcome::ok && missing(r.item, known)) r.outcome = Outcome::refused;
     co_return r;
 }
 
+// An older value, or none though nothing else explains that.
+bool GuardedStore::missing(const Item& item, std::uint64_t known) {
+    if (item.stamp >= known || (!item.stamp && !events_.explained_by(item.key).empty())) return false;
+    events_.missed(item.key);
+    return true;
+}
+
+std::vector<std::string> GuardedStore::impossible(const Txn& txn) const {
+    std::vector<std::string> out;
+    for (const auto& c : txn.conditions)
+        if (c.stamp == 0 && c.key.starts_with(prefix_) && remembered(c.key)) out.push_back(c.key);
+    return out;
+}
+
 awaitable<RangeResult> GuardedStore::range(std::string prefix, std::string after, Urgency urgency) {
     const bool guarded = prefix.starts_with(prefix_);
     const auto sent = now();
     auto r = co_await inner_.range(std::move(prefix), std::move(after), urgency);
     if (r.outcome == Outcome::ok && !sound(sent, r.revision) && guarded) r.outcome = Outcome::unknown;
+    if (r.outcome != Outcome::ok || !guarded) co_return r;
+    // What has a stamp beyond the revision that had been seen may have been written while this was under way.
+    for (const auto& item : r.items)
+        if (const auto known = remembered(item.key); known <= sent.revision && missing(item, known))
+            r.outcome = Outcome::refused;
     co_return r;
 }
 
@@ -85,6 +108,13 @@
     }
     const auto sent = now();
     std::vector<Change> changes;
+    const auto expected = guarded ? impossible(txn) : std::vector<std::string>();
+    if (!expected.empty() && !txn.changes.empty()) {
+        r.outcome = Outcome::conflict;
+        r.failed = expected;
+        r.revision = newest_;
+        co_return r;
+    }
     if (guarded) {
         Condition witness;
         witness.key = witness_key;
@@ -92,6 +122,7 @@
         txn.conditions.push_back(std::move(witness));
         changes = txn.changes;
     }
+    const auto conditions = expected.empty() ? std::vector<Condition>() : txn.conditions;
     r = co_await inner_.commit(std::move(txn), urgency);
     if (r.outcome != Outcome::ok && r.outcome != Outcome::conflict) co_return r;
     const bool other =
@@ -106,6 +137,21 @@
     } else if (!sound(sent, r.revision)) {
         // It was carried out, but by a service that is not what it was: whoever asked must not take it for an answer.
         r.outcome = r.outcome == Outcome::ok && !changes.empty() ? Outcome::unknown : Outcome::refused;
+    } else if (!expected.empty()) {
+        const auto held = [&](const std::string& key) {
+            return std::find(r.failed.begin(), r.failed.end(), key) == r.failed.end();
+        };
+        bool missed = false;
+        for (const auto& key : expected) {
+            if (!held(key)) continue;
+            const auto other = events_.explained_by(key);
+            const bool beside = std::any_of(conditions.begin(), conditions.end(),
+                                            [&](const auto& c) { return c.key == other && c.stamp == 0; });
+            if (!other.empty() && !(beside && held(other))) continue;
+            events_.missed(key);
+            missed = true;
+        }
+        if (missed) r.outcome = Outcome::refused;
     } else if (r.outcome == Outcome::ok) {
         for (const auto& c : changes)
             if (c.key.starts_with(prefix_)) events_.written(c, r.revision);
--- a/src/state/guarded_store.hpp
+++ b/src/state/guarded_store.hpp
@@ -2,6 +2,9 @@
 // witness, and every answer's revision is held against those seen before: a service that lost data shows a lower one,
 // or another witness, or none. Then the guarded keys are closed, users are told to come back, and the keeper
 // (recovery::Keeper) finds out what happened.
+// What is remembered of a guarded key when a request is sent holds for its answer: one that shows the key absent, or
+// older, is not passed on, and the keeper looks at that key again. What becomes known while a request is under way is
+// never held against its answer: requests overtake one another (docs/incidents/loss-without-a-loss.md).
 #pragma once
 #include <functional>
 
@@ -16,6 +19,12 @@
         std::function<void(const char* why)> doubted;
         // A guarded change was acknowledged under that revision.
         std::function<void(const Change&, std::uint64_t revision)> written;
+        // The stamp under which a guarded key is remembered to be on record, 0 if it need not be there.
+        std::function<std::uint64_t(const std::string& key)> remembered = {};
+        // The key that has to be absent too before this one's absence says anything; empty if there is none.
+        std::function<std::string(const std::string& key)> explained_by = {};
+        // An answer shows a key absent, or older, that was remembered when it was asked for.
+        std::function<void(const std::string& key)> missed = {};
     };
     GuardedStore(Store& inner, std::string guarded_prefix, Events events);
 
@@ -26,7 +35,9 @@
 
     awaitable<GetResult> get(std::string key, Urgency urgency) override;
     awaitable<RangeResult> range(std::string prefix, std::string after, Urgency urgency) override;
-    // On guarded keys: `refused` while closed, or if the witness was another, in which case nothing was carried out.
+    // On guarded keys: `refused` while closed, or if the witness was another, in which case nothing was carried out; or
+    // if its conditions held though one of them cannot, in which case there was nothing to carry out. Changes on a
+    // condition that cannot hold by what is remembered are not sent: `conflict`.
     awaitable<TxnResult> commit(Txn txn, Urgency urgency) override;
     awaitable<FollowResult> follow(std::string prefix, std::uint64_t from, std::chrono::milliseconds hold) override;
     awaitable<LeaseResult> grant(std::chrono::milliseconds life) override { return inner_.grant(life); }
@@ -45,6 +56,10 @@
     bool sound(const Sent& sent, std::uint64_t revision);
     bool is_guarded(const Txn& txn) const;
     void doubt(const char* why);
+    // Those of the keys whose absence is a condition that are remembered to be there.
+    std::vector<std::string> impossible(const Txn& txn) const;
+    std::uint64_t remembered(const std::string& key) const { return events_.remembered ? events_.remembered(key) : 0; }
+    bool missing(const Item& item, std::uint64_t remembered);
 
     Store& inner_;
     std::string prefix_;
--- a/src/state/witness.cpp
+++ b/src/state/witness.cpp
@@ -15,6 +15,11 @@
     return ec ? 0 : n;
 }
 
+bool flag(const json::object& o, std::string_view field) {
+    const auto* v = o.if_contains(field);
+    return v && v->is_bool() && v->get_bool();
+}
+
 std::string text(const json::object& o, std::string_view field) {
     const auto* v = o.if_contains(field);
     return v && v->is_string() ? std::string(v->get_string()) : std::string();
@@ -28,6 +33,8 @@
     if (w.term) o["term"] = w.term;
     o["beyond_memory"] = w.beyond_memory;
     if (w.whole()) return o;
+    if (w.keys_only) o["keys_only"] = true;
+    if (!w.rebuilders.empty()) o["rebuilders"] = json::array(w.rebuilders.begin(), w.rebuilders.end());
     o["by"] = w.by;
     o["of"] = w.of;
     o["remembers"] = w.remembers;
@@ -45,11 +52,14 @@
     w.term = number(o, "term");
     w.remembers = number(o, "remembers");
     w.stamp = item.stamp;
-    const auto* beyond = o.if_contains("beyond_memory");
-    w.beyond_memory = beyond && beyond->is_bool() && beyond->get_bool();
+    w.beyond_memory = flag(o, "beyond_memory");
+    w.keys_only = flag(o, "keys_only");
     if (const auto* missing = o.if_contains("missing"); missing && missing->is_array())
         for (const auto& member : missing->get_array())
             if (member.is_string()) w.missing.emplace_back(member.get_string());
+    if (const auto* rebuilders = o.if_contains("rebuilders"); rebuilders && rebuilders->is_array())
+        for (const auto& term : rebuilders->get_array())
+            if (term.is_number()) w.rebuilders.push_back(term.to_number<std::uint64_t>());
     const auto phase = text(o, "phase");
     for (std::size_t i = 0; i < phases.size(); ++i)
         if (phase == phases[i]) {
--- a/src/state/witness.hpp
+++ b/src/state/witness.hpp
@@ -21,13 +21,15 @@
     std::uint64_t generation = 0;  // rises with every loss
     std::string id;                // tells two histories of the same generation apart
     Phase phase = Phase::whole;
-    std::string by;                    // who rebuilds; empty while nobody does
-    std::uint64_t term = 0;            // of the one who rebuilds
-    std::string of;                    // merging: the history that the rebuilder itself remembers,
-    std::uint64_t remembers = 0;       // and up to which of its revisions; others offer what is newer
-    bool beyond_memory = false;        // more was lost than whoever found it remembers
-    std::vector<std::string> missing;  // whole: controllers that could not be asked when it was rebuilt
-    std::uint64_t stamp = 0;           // of the key, once it is on record
+    std::string by;                         // who rebuilds; empty while nobody does
+    std::uint64_t term = 0;                 // of the one who rebuilds
+    std::string of;                         // merging: the history that the rebuilder itself remembers,
+    std::uint64_t remembers = 0;            // and up to which of its revisions; others offer what is newer
+    bool beyond_memory = false;             // more was lost than whoever found it remembers
+    std::vector<std::uint64_t> rebuilders;  // terms that have rebuilt: none of them has placed anything
+    bool keys_only = false;                 // only records are gone that were remembered; the history itself went on
+    std::vector<std::string> missing;       // whole: controllers that could not be asked when it was rebuilt
+    std::uint64_t stamp = 0;                // of the key, once it is on record
 
     bool whole() const { return phase == Phase::whole; }
 };
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -14,7 +14,6 @@
     std::vector<wire::MachineType> known = types();
     bool types_known = true, certain = true;
     std::map<std::string, api::Remembered> remembered;
-    std::vector<std::string> missed;
     state::Form form{cluster};
     api::Desk one{io.get_executor(), store, cluster, form, links()},
         two{io.get_executor(), store, cluster, form, links()};
@@ -28,7 +27,6 @@
                     const auto it = remembered.find(uid);
                     return it == remembered.end() ? std::nullopt : std::optional(it->second);
                 },
-                [this](const std::string& uid) { missed.push_back(uid); },
                 [this] { return certain; }};
     }
     net::Reply run(net::awaitable<net::Reply> call) {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -158,9 +158,11 @@
 TEST(MemoryStory, it_holds_what_was_told_and_what_was_read_whichever_came_first) {
     Memory m;
     m.begin(1, "a", 10);
-    EXPECT_FALSE(m.told(told(
-        14, {item("jobs/work/run-1", work(2), 12), removed("jobs/work/run-2", 13), item("jobs/over/run-2", done, 11)},
-        {false, true, false})));
+    EXPECT_TRUE(m.told(told(14,
+                            {item("jobs/work/run-1", work(2), 12), removed("jobs/work/run-2", 13),
+                             item("jobs/over/run-2", done, 11)},
+                            {false, true, false}))
+                    .empty());
     m.page({item("jobs/work/run-1", work(1), 9), item("jobs/work/run-2", work(1), 8),
             item("jobs/work/run-3", work(0), 7)});
     m.filled();
@@ -181,12 +183,13 @@
     m.begin(1, "a", 0);
     m.page({item("jobs/work/run-1", work(2), 3), item("jobs/over/run-2", done, 4)});
     m.filled();
-    EXPECT_EQ(m.told(told(9, {removed("jobs/work/run-1", 9)}, {true})), "jobs/work/run-1");
-    EXPECT_EQ(m.told(told(10, {removed("jobs/over/run-2", 10)}, {true})), "jobs/over/run-2");
+    using Keys = std::vector<std::string>;
+    EXPECT_EQ(m.told(told(9, {removed("jobs/work/run-1", 9)}, {true})), Keys{"jobs/work/run-1"});
+    EXPECT_EQ(m.told(told(10, {removed("jobs/over/run-2", 10)}, {true})), Keys{"jobs/over/run-2"});
     EXPECT_TRUE(m.knows("run-1"));
     EXPECT_TRUE(m.over("run-2"));
-    EXPECT_FALSE(
-        m.told(told(12, {item("jobs/over/run-1", cancelled, 11), removed("jobs/work/run-1", 12)}, {false, true})));
+    EXPECT_EQ(m.told(told(12, {item("jobs/over/run-1", cancelled, 11), removed("jobs/work/run-1", 12)}, {false, true})),
+              Keys());
     EXPECT_TRUE(m.open_jobs().empty());
 }
 
@@ -197,7 +200,7 @@
     m.written({"jobs/work/run-1", boost::json::parse(work(0)), 0}, 7);
     EXPECT_TRUE(m.knows("run-1"));
     EXPECT_EQ(m.revision(), 5u);
-    EXPECT_FALSE(m.told(told(7, {item("jobs/work/run-1", work(0), 7)}, {false})));
+    EXPECT_TRUE(m.told(told(7, {item("jobs/work/run-1", work(0), 7)}, {false})).empty());
     EXPECT_EQ(m.size(), 1u);
 }
 
@@ -221,18 +224,39 @@
 
 TEST(MemoryStory, a_reading_shows_what_went_without_a_sign) {
     Memory m;
-    m.begin(1, "a", 0);
+    m.begin(1, "a", 6);
     m.page(
         {item("jobs/over/run-1", done, 4), item("jobs/work/run-2", work(1), 5), item("jobs/work/run-3", work(1), 6)});
     m.written({"jobs/over/run-9", boost::json::parse(done), 0}, recovery::owed_stamp);
     m.filled();
-    EXPECT_TRUE(m.missing_from("", "",
+    const auto mark = m.mark();
+    EXPECT_TRUE(m.missing_from(mark, "", "",
                                {item("jobs/over/run-1", done, 4), item("jobs/work/run-2", work(1), 5),
                                 item("jobs/work/run-3", work(2), 8)})
                     .empty());
-    EXPECT_EQ(m.missing_from("", "jobs/work/run-2", {item("jobs/work/run-2", work(0), 3)}).size(), 2u)
+    EXPECT_EQ(m.missing_from(mark, "", "jobs/work/run-2", {item("jobs/work/run-2", work(0), 3)}).size(), 2u)
         << "one is gone, the other is older than it was; the third is on another page";
-    EXPECT_EQ(m.missing_from("jobs/work/run-2", "", {item("jobs/work/run-3", "7", 6)}).size(), 1u) << "unreadable";
+    EXPECT_EQ(m.missing_from(mark, "jobs/work/run-2", "", {item("jobs/work/run-3", "7", 6)}).size(), 1u)
+        << "unreadable";
+}
+
+// A page that was asked for before a job was accepted cannot show it, however late it comes. The first version took it
+// for lost, and brought the service down for a minute (docs/incidents/loss-without-a-loss.md).
+TEST(MemoryStory, what_became_known_after_a_page_was_asked_for_is_not_missing_from_it) {
+    Memory m;
+    m.begin(1, "a", 10);
+    m.page({item("jobs/work/run-1", work(0), 4), item("jobs/work/run-2", work(0), 5)});
+    m.filled();
+    const auto asked = m.mark();
+    const std::vector<state::Item> page{item("jobs/work/run-1", work(0), 4), item("jobs/work/run-2", work(0), 5)};
+    m.written({"jobs/work/run-3", boost::json::parse(work(0)), 0}, 11);                            // accepted
+    m.told(told(13, {item("jobs/work/run-1", work(1), 12), item("jobs/work/run-4", work(0), 13)},  // placed, accepted
+                {false, false}));
+    EXPECT_TRUE(m.missing_from(asked, "", "", page).empty());
+    EXPECT_EQ(m.missing_from(m.mark(), "", "", page).size(), 3u) << "if it had been asked for now";
+    m.begin(2, "b", 20);
+    m.filled();
+    EXPECT_TRUE(m.missing_from(asked, "", "", page).empty()) << "of another history";
 }
 
 TEST(MemoryStory, a_digest_tells_outcomes_apart_and_does_not_change_with_later_ones) {
@@ -411,6 +435,152 @@
     EXPECT_TRUE(store.is_open());
 }
 
+// What is remembered when something is asked holds for the answer; what becomes known meanwhile does not.
+namespace {
+
+struct MissedStory : GuardStory {
+    std::map<std::string, std::uint64_t> remembered;
+    std::vector<std::string> missed;
+    state::GuardedStore guard{
+        inner,
+        "jobs/",
+        {[this](const char* why) { doubts.push_back(why); }, [](const state::Change&, std::uint64_t) {},
+         [this](const std::string& key) { return remembered[key]; },
+         [](const std::string& key) {
+             const auto work = agent::parse_work_key(key);
+             return work ? agent::outcome_key(work->uid) : std::string();
+         },
+         [this](const std::string& key) { missed.push_back(key); }}};
+    state::TxnResult neither(const std::string& uid, bool at_once = true) {
+        state::Txn txn;
+        txn.conditions.push_back({agent::outcome_key(uid), 0});
+        txn.conditions.push_back({agent::work_key(uid, 0), 0});
+        if (at_once) return run(guard.commit(std::move(txn), state::Urgency::user));
+        // The job is accepted elsewhere, and told here, after this was carried out and before its answer is here.
+        state::TxnResult out;
+        net::asio::co_spawn(io, guard.commit(std::move(txn), state::Urgency::user),
+                            [&](std::exception_ptr, state::TxnResult r) { out = std::move(r); });
+        io.restart();
+        io.run_one();
+        remembered[agent::work_key(uid, 0)] = inner.keys.revision() + 1;
+        io.run();
+        return out;
+    }
+    void SetUp() override { guard.open(make_witness()); }
+};
+
+}  // namespace
+
+TEST_F(MissedStory, that_a_remembered_job_is_not_on_record_is_looked_into_and_told_to_nobody) {
+    EXPECT_EQ(neither("run-1").outcome, Outcome::ok);
+    remembered["jobs/work/run-1"] = 1;
+    EXPECT_EQ(neither("run-1").outcome, Outcome::refused);
+    EXPECT_EQ(missed, std::vector<std::string>{"jobs/work/run-1"});
+    EXPECT_TRUE(doubts.empty());
+    EXPECT_TRUE(guard.is_open()) << "others are served";
+}
+
+TEST_F(MissedStory, that_a_job_is_not_on_record_yet_which_was_accepted_meanwhile_is_no_sign_of_anything) {
+    EXPECT_EQ(neither("run-1", false).outcome, Outcome::ok);
+    EXPECT_TRUE(missed.empty());
+}
+
+TEST_F(MissedStory, work_may_be_removed_where_there_is_an_outcome_and_an_outcome_never) {
+    state::Txn txn;
+    txn.changes.push_back({"jobs/over/run-1", boost::json::parse(done), 0});
+    const auto stamp = inner.keys.commit(txn).revision;
+    remembered["jobs/work/run-1"] = 1;
+    EXPECT_EQ(neither("run-1").outcome, Outcome::conflict);
+    EXPECT_EQ(run(guard.get("jobs/work/run-1", state::Urgency::user)).outcome, Outcome::ok);
+    EXPECT_TRUE(missed.empty());
+    remembered["jobs/over/run-1"] = stamp;
+    EXPECT_EQ(run(guard.get("jobs/over/run-1", state::Urgency::user)).outcome, Outcome::ok);
+    remembered["jobs/over/run-1"] = stamp + 4;
+    EXPECT_EQ(run(guard.get("jobs/over/run-1", state::Urgency::user)).outcome, Outcome::refused) << "older than it was";
+    remembered["jobs/over/run-2"] = stamp;
+    EXPECT_EQ(run(guard.get("jobs/over/run-2", state::Urgency::user)).outcome, Outcome::refused) << "gone";
+    EXPECT_EQ(missed.size(), 2u);
+}
+
+// Else a placement would be written for a job whose cancellation was lost.
+TEST_F(MissedStory, nothing_is_written_on_the_condition_that_something_remembered_be_absent) {
+    remembered["jobs/over/run-1"] = 1;
+    state::Txn txn;
+    txn.conditions.push_back({"jobs/over/run-1", 0});
+    txn.changes.push_back({"jobs/work/run-1", boost::json::object{{"x", 1}}, 0});
+    const auto r = run(guard.commit(std::move(txn), state::Urgency::user));
+    EXPECT_EQ(r.outcome, Outcome::conflict);
+    EXPECT_EQ(r.failed, std::vector<std::string>{"jobs/over/run-1"});
+    EXPECT_EQ(inner.keys.get("jobs/work/run-1").stamp, 0u);
+}
+
+// --- the second look ---
+
+namespace {
+
+struct InquiryStory : ::testing::Test {
+    net::asio::io_context io;
+    FakeStore store;
+    Memory memory;
+    recovery::Inquiry inquiry{store, memory, [this] { return memory.revision(); }};
+    using Verdict = recovery::Inquiry::Finding::Verdict;
+
+    void SetUp() override {
+        put("jobs/work/run-1", work(1));
+        put("jobs/over/run-2", done);
+        memory.begin(1, "a", store.keys.revision());
+        memory.page(store.keys.range("jobs/"));
+        memory.filled();
+    }
+    std::uint64_t put(const std::string& key, const std::string& text) {
+        state::Txn txn;
+        txn.changes.push_back({key, text.empty() ? std::optional<boost::json::value>() : boost::json::parse(text), 0});
+        return store.keys.commit(txn).revision;
+    }
+    recovery::Inquiry::Finding look(const std::string& key) {
+        recovery::Inquiry::Finding out;
+        net::asio::co_spawn(io, inquiry.look_again(key, state::Urgency::user),
+                            [&](std::exception_ptr e, recovery::Inquiry::Finding f) {
+                                EXPECT_FALSE(e);
+                                out = std::move(f);
+                            });
+        io.restart();
+        io.run();
+        return out;
+    }
+};
+
+}  // namespace
+
+TEST_F(InquiryStory, what_is_there_or_newer_or_was_removed_after_its_end_is_sound) {
+    EXPECT_EQ(look("jobs/work/run-1").verdict, Verdict::sound);
+    EXPECT_EQ(look("jobs/over/run-2").verdict, Verdict::sound);
+    EXPECT_EQ(look("jobs/work/run-7").verdict, Verdict::sound) << "nobody remembers it";
+    put("jobs/work/run-1", work(2));
+    EXPECT_EQ(look("jobs/work/run-1").verdict, Verdict::sound);
+    put("jobs/over/run-1", cancelled);
+    put("jobs/work/run-1", "");
+    EXPECT_EQ(look("jobs/work/run-1").verdict, Verdict::sound);
+}
+
+TEST_F(InquiryStory, what_is_gone_or_older_or_damaged_is_found_with_the_stamp_it_has_now) {
+    const auto copy = store.keys;
+    put("jobs/work/run-1", work(5));
+    memory.told(told(store.keys.revision(), store.keys.range("jobs/work/"), {false}));
+    const auto revision = store.keys.revision();
+    store.keys = copy;
+    auto f = look("jobs/work/run-1");
+    EXPECT_EQ(f.verdict, Verdict::gone);
+    EXPECT_EQ(f.remembered, revision);
+    EXPECT_EQ(f.there, copy.get("jobs/work/run-1").stamp);
+    put("jobs/over/run-2", "");
+    f = look("jobs/over/run-2");
+    EXPECT_EQ(f.verdict, Verdict::gone);
+    EXPECT_EQ(f.there, 0u);
+    put("jobs/over/run-2", "7");
+    EXPECT_TRUE(look("jobs/over/run-2").damaged);
+}
+
 // --- what the leader makes of rebuilt records ---
 
 TEST(UnsettledStory, nothing_is_placed_before_every_machine_on_a_young_list_was_heard) {
@@ -438,6 +608,60 @@
     EXPECT_FALSE(w.leader->unsettled());
 }
 
+TEST(UnsettledStory, a_machine_that_is_still_starting_after_this_term_began_can_hold_nothing) {
+    World w;
+    w.elect();
+    w.leader->distrust_records();
+    w.accept(job("run-1", wire::Shape::array, 2));
+    Worker heard;
+    using wire::MachineStatus;
+    const auto list = [&](MachineStatus other) {
+        return std::vector<wire::ListedMachine>{
+            {heard.name, "", heard.type, heard.zone, false, MachineStatus::running, Seconds(60)},
+            {"n-000002", "", heard.type, heard.zone, false, other, Seconds(60)}};
+    };
+    w.beat(heard);
+    w.beat(heard);
+    w.leader->listed(list(MachineStatus::booting), w.now);
+    w.pass(Seconds(3));
+    w.beat(heard);
+    EXPECT_FALSE(w.place()) << "that list may be older than this term, and the machine be up since";
+    w.pass(Seconds(20));
+    w.beat(heard);
+    w.leader->listed(list(MachineStatus::running), w.now);
+    EXPECT_FALSE(w.place()) << "it came up, nobody knows when";
+    w.leader->listed(list(MachineStatus::booting), w.now);
+    EXPECT_TRUE(w.place());
+    EXPECT_FALSE(w.leader->unsettled());
+}
+
+TEST(UnsettledStory, a_job_waits_only_for_machines_that_its_tasks_may_be_on) {
+    World w;
+    w.elect();
+    w.leader->distrust_records();
+    Worker heard, silent;
+    silent.name = "n-000002";
+    silent.type = "large";
+    auto anywhere = job("run-1", wire::Shape::array, 1);
+    auto there = job("run-2", wire::Shape::array, 1);
+    there.types = std::vector<std::string>{heard.type};
+    w.accept(anywhere);
+    w.accept(there);
+    std::vector<wire::ListedMachine> list;
+    for (const auto* m : {&heard, &silent})
+        list.push_back({m->name, "", m->type, m->zone, false, wire::MachineStatus::running, Seconds(60)});
+    w.beat(heard);
+    w.beat(heard);
+    w.pass(Seconds(20));
+    w.beat(heard);
+    w.leader->listed(list, w.now);
+    EXPECT_TRUE(w.place());
+    EXPECT_EQ(w.machine_of("run-2", 0), heard.name);
+    EXPECT_EQ(w.machine_of("run-1", 0), "") << "it may be on the other";
+    EXPECT_TRUE(w.leader->unsettled());
+    EXPECT_TRUE(w.leader->rent(w.now).empty());
+}
+
 TEST(UnsettledStory, ran_twice_a_later_attempt_that_a_worker_shows_is_where_the_task_is) {
     World w;
     w.elect();
