A task that was given up before it ran is not started by the next leader beyond its team's limit

A leader that stops a placement before its `run` was carried out writes so some seconds later, and places others within the limit at once. If it ends in between, the next leader reads of both, and ran what was absent.

Change: where what may be on machines is more than the team's limit, what a worker that has seen the term lacks is given up and not started. It is certain that it is nowhere.

--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -312,8 +312,11 @@
     auto& t = job.tasks[task];
     if (t.seen) {
         lost(job, task, now);
-    } else if (job.cancelled || t.draining || job.finished || (job.is(Shape::gang) && job.gang_failing)) {
-        // Either no `run` was sent, or this report is newer than the answer that carried it.
+    } else if (job.cancelled || t.draining || job.finished || (job.is(Shape::gang) && job.gang_failing) ||
+               teams_.over_limit(job.spec.team)) {
+        // Either no `run` was sent, or this report is newer than the answer that carried it. A task that was given up
+        // before it ran is on record for some seconds after others have taken its part of the limit: the leader that
+        // reads so must not start it again (quota).
         leave(job, task, State::waiting, now);
     } else {
         order_run(job, task, m, orders);
--- a/src/quota/ledger.cpp
+++ b/src/quota/ledger.cpp
@@ -94,6 +94,13 @@
     return std::min(left(f->limit.cpus, used.cpus, need.cpus), left(f->limit.gpus, used.gpus, need.gpus));
 }
 
+bool Ledger::over_limit(const std::string& team) const {
+    const auto* f = figures(team);
+    const auto used = use(team);
+    const auto over = [](double limit, double in_use) { return limit > 0 && in_use > limit + rounding; };
+    return f && (over(f->limit.cpus, used.cpus) || over(f->limit.gpus, used.gpus));
+}
+
 bool Ledger::limited(const std::string& team) const {
     const auto* f = figures(team);
     return !f || f->limit.cpus > 0 || f->limit.gpus > 0;
--- a/src/quota/ledger.hpp
+++ b/src/quota/ledger.hpp
@@ -47,6 +47,9 @@
     // How many more such tasks the team's limit leaves room for, at most `tasks`; none for a team that is not known.
     std::uint32_t room(const std::string& team, const wire::Resources& need, std::uint32_t tasks) const;
 
+    // Whether what may be on machines is more than the limit: a leader that has just begun may read of tasks that never
+    // started beside those that took their place.
+    bool over_limit(const std::string& team) const;
     // Whether the team has a limit, or is not known.
     bool limited(const std::string& team) const;
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -160,6 +160,48 @@
     EXPECT_LE(leader->job("run-1")->placed + leader->job("run-2")->placed, 2u);
 }
 
+// Found by the lab: a leader that gives up a placement before its `run` was carried out tells the record some seconds
+// later, and puts another task in its place at once. If it ends in between, the next one reads of both.
+TEST_F(Story, quota_what_was_given_up_before_it_ran_is_not_started_by_a_leader_that_reads_of_it) {
+    elect();
+    auto first = job("run-1", Shape::array, 2);  // two tasks of 4 fill the limit of 8
+    first.team = "limited";
+    meet(m1);
+    accept(first);
+    settle();
+    beat(m1);
+    ASSERT_TRUE(place());
+    ASSERT_EQ(leader->job("run-1")->placed, 2u);
+    auto second = job("run-2", Shape::array, 2);
+    second.team = "limited";
+    accept(second);
+    // What is on record at that moment of the first job, which is given up, and of the second, which took its place.
+    state::Txn txn;
+    auto record = keys.get("jobs/work/run-2").value.as_object();
+    record["tasks"] = wire::ranges_to_record({{0, 1, 1, m2.name, false}});
+    txn.changes.push_back({"jobs/work/run-2", record, 0});
+    keys.commit(txn);
+    elect();
+    ASSERT_EQ(leader->job("run-1")->placed + leader->job("run-2")->placed, 4u);
+    for (const std::uint32_t i : {0u, 1u}) {
+        wire::TaskReport t;
+        t.id = {"run-2", i};
+        t.attempt = 1;
+        t.status = TaskStatus::running;
+        m2.tasks.push_back(t);
+    }
+    beat(m1);
+    const auto orders = beat(m1);
+    EXPECT_FALSE(ordered(orders, Verb::run, "run-1", 0));
+    EXPECT_FALSE(ordered(orders, Verb::run, "run-1", 1));
+    beat(m2);
+    beat(m2);
+    EXPECT_EQ(leader->job("run-2")->running, 2u);
+    settle();
+    EXPECT_FALSE(place());
+    EXPECT_EQ(leader->job("run-1")->placed + leader->job("run-2")->placed, 2u);
+}
+
 TEST_F(Story, wrong_place_a_spread_job_counts_tasks_that_linger) {
     elect();
     auto third = machine("n-000003", "a");
