Stories: no false alarm when answers come late; single records come back and outlive all memories

Change: eight worlds with late requests and answers; records lost by prefix, a fifth of the machines dead, then all controllers ended, so that only what is on record can answer. records_whole no longer counts from 1970 on a controller that had not noticed.

--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -322,7 +322,7 @@
     lost_at_ = unanswered_since_ = events_.now();
     if (t.kind == "wipe") keys_.wipe();
     if (t.kind == "set_back") keys_.set_back(Seconds(t.seconds));
-    if (t.kind == "lose") keys_.lose(t.prefix);
+    if (t.kind == "lose") outcome_.lost_keys += keys_.lose(t.prefix);
     if (t.kind == "age") keys_.age(t.prefix, 3);
     if (t.kind == "garble") keys_.garble(t.prefix, 3);
     events_.after(disturbed_after, [this, here] {
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -14,6 +14,7 @@
     std::map<std::string, std::string> first;
     std::size_t accepted = 0, done = 0, cancelled = 0, forgotten = 0;
     std::size_t machines = 0, started = 0, lease_kills = 0, losses = 0;
+    std::size_t lost_keys = 0;  // that went without a sign
     std::uint64_t rebuilt = 0;  // times that the records were
     double undisturbed = 1;     // share of what ran when data were lost that went on where it was; the worst loss
     double placing_after = -1;  // seconds from a loss of data to the next start of a task, the longest; -1: none
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -322,8 +322,10 @@
         std::swap(next, memory_);
         if (next.size() && next.id() != w.id) former_ = std::move(next);
         if (known_ || rebuilding_) {
+            // It may not have noticed while they were not.
+            const bool noticed = rebuild_began_ != wire::TimePoint{};
             spdlog::info("event=records_whole generation={} seconds={:.1f}", w.generation,
-                         wire::Seconds(Clock::now() - rebuild_began_).count());
+                         noticed ? wire::Seconds(Clock::now() - rebuild_began_).count() : 0.0);
             links_.rebuilt();
         }
         following_ = false;
--- a/tests/rebuild_story_test.cpp
+++ b/tests/rebuild_story_test.cpp
@@ -191,6 +191,40 @@
     EXPECT_EQ(troubled.rebuilt, 0u);
 }
 
+// With the version that held late answers against what was known when they came, five of these eight worlds declared a
+// loss (docs/incidents/loss-without-a-loss.md).
+TEST(LossStories, no_false_alarm_when_answers_come_late) {
+    std::string text = world;
+    const std::string warm = "warm = 24\n";
+    text.replace(text.find(warm), warm.size(),
+                 warm + "slow = 0.06\nslowest_s = 2.5\nlate = 0.01\ndrawn = 4\nrestart_s = [0.05, 6.0]\n");
+    spdlog::set_level(spdlog::level::off);
+    const auto scenario = emulator::parse_scenario(text, "late");
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        const auto o = emulator::World(scenario, seed).play();
+        EXPECT_EQ(broken(o), "") << seed;
+        EXPECT_EQ(o.rebuilt, 0u) << seed;
+        EXPECT_GT(o.accepted, 15u) << seed;
+    }
+}
+
+// All controllers end after the records came back, so that only what is on record can answer.
+TEST(LossStories, single_records_come_back_without_closing_anything_and_outlive_all_memories) {
+    for (const char* prefix : {"jobs/over/run-0", "jobs/work/run-0"}) {
+        const auto o =
+            play(fmt::format("kind = \"lose\"\nprefix = \"{}\"\nat_s = 50\n[[troubles]]\nkind = \"crash\"\n"
+                             "node = \"all\"\nlasts_s = 0.2\nat_s = 75\n[[troubles]]\nkind = \"machines_die\"\n"
+                             "share = 0.2\nat_s = 60",
+                             prefix),
+                 4);
+        EXPECT_EQ(broken(o), "") << prefix;
+        EXPECT_GT(o.lost_keys, 0u) << prefix;
+        EXPECT_EQ(o.rebuilt, 0u) << prefix << ": nothing was closed";
+        EXPECT_EQ(o.lease_kills, 0u) << prefix;
+        for (const auto& [name, share] : o.served) EXPECT_GE(share, 0.5) << name;
+    }
+}
+
 TEST(LossStories, the_same_seed_gives_the_same_line) {
     const char* troubles =
         "kind = \"set_back\"\nseconds = 9\nat_s = 50\n[[troubles]]\nkind = \"crash\"\nlasts_s = 3\nat_s = 55";
