A life of a controller has an identity: on the wire, in what it offers, in the stories; the lab counts who is left behind

Need: the users start an ended process again within a fraction of a second, before its claim has ended, its peers have missed it, or what it sent has arrived (docs/design.md, "Back before anybody noticed").

Change: beats tell the sender's life, and one of another life on an older connection is dropped; pages offered for a rebuilding bear the life, and their list is conditioned on the one before, so that late writes of a former life take nobody's place.

Damaged records of every kind end no process. Ruled out: telling lives apart by time, for clocks wander back by more than a process needs to return.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,9 +1,8 @@
 // Plays scenarios in an emulated world, one line of JSON a seed.
+#include <malloc.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-#include <malloc.h>
-
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <iostream>
@@ -28,18 +27,22 @@
     using namespace flintdale;
     CLI::App cli{
         "flintdale_lab: plays a scenario with three whole controllers in an emulated world.\n"
-        "Prints a line of JSON a seed; exits with 1 if a rule was broken, with 2 if the scenario is unsound."};
+        "Prints a line of JSON a seed; exits with 1 if a rule was broken or a class or team left behind, with 2 if "
+        "the\n"
+        "scenario is unsound."};
     std::string path, log = "off";
     std::uint64_t seed = 1, seeds = 1;
     unsigned jobs = std::max(1u, std::thread::hardware_concurrency());
-    bool only_broken = false;
+    bool only_broken = false, summary = false;
     cli.add_option("scenario", path, "a TOML file; docs/emulator.md")->required();
     cli.add_option("--seed", seed, "the first seed");
     cli.add_option("--seeds", seeds, "how many, one after the other")->check(CLI::PositiveNumber);
     cli.add_option("--jobs", jobs, "how many at once")->check(CLI::PositiveNumber);
     cli.add_option("--log", log,
                    "the controllers' log on standard error: off, error, info or debug; plays one at a time");
-    cli.add_flag("--only-broken", only_broken, "print the lines of seeds that broke a rule, and a count at the end");
+    cli.add_flag("--only-broken", only_broken,
+                 "print the lines of seeds that broke a rule or left a class or team behind, and a count at the end");
+    cli.add_flag("--summary", summary, "after each line a table for a person, on standard error");
     CLI11_PARSE(cli, argc, argv);
     // Many worlds in one process: memory that is given back to the system at the end of each request is asked for again
     // at the next, and that took most of the time.
@@ -61,7 +64,7 @@
         return 2;
     }
     std::atomic<std::uint64_t> next{0};
-    std::uint64_t broken = 0, printed = 0;
+    std::uint64_t broken = 0, behind = 0, printed = 0;
     std::map<std::uint64_t, std::string> lines;  // that wait for those of seeds before them
     std::mutex mutex;
     const auto work = [&] {
@@ -71,7 +74,10 @@
             const auto line = emulator::to_line(outcome);
             const std::lock_guard lock(mutex);
             broken += !outcome.broken.empty();
-            lines[n] = only_broken && outcome.broken.empty() ? std::string() : line + "\n";
+            behind += !outcome.left_behind.empty();
+            const bool failed = !outcome.broken.empty() || !outcome.left_behind.empty();
+            lines[n] = only_broken && !failed ? std::string() : line + "\n";
+            if (summary) std::cerr << emulator::to_text(outcome);
             for (; !lines.empty() && lines.begin()->first == printed; ++printed) {
                 std::cout << lines.begin()->second << std::flush;
                 lines.erase(lines.begin());
@@ -81,6 +87,7 @@
     std::vector<std::thread> threads;
     for (unsigned i = 0; i < std::min<std::uint64_t>(jobs, seeds); ++i) threads.emplace_back(work);
     for (auto& t : threads) t.join();
-    if (only_broken) std::cerr << seeds << " seeds, " << broken << " broke a rule\n";
-    return broken ? 1 : 0;
+    if (only_broken)
+        std::cerr << seeds << " seeds, " << broken << " broke a rule, " << behind << " left a class or team behind\n";
+    return broken || behind ? 1 : 0;
 }
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -43,6 +43,12 @@
     return out;
 }
 
+// The time of day alone may come twice: clocks wander by some milliseconds, and a process may be back at once.
+std::uint64_t new_life(std::int64_t time_of_day_ms) {
+    const auto now = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
+    return static_cast<std::uint64_t>(time_of_day_ms * 1000 + now % 1000);
+}
+
 }  // namespace
 
 Controller::Controller(net::Executor ex, const config::Settings& settings, const config::Tunables& tunables,
@@ -52,6 +58,7 @@
       tunables_(tunables),
       form_(form),
       ports_(std::move(ports)),
+      life_(new_life(ports_.time_of_day_ms())),
       store_(ports_.state, agent::jobs_prefix,
              {[this](const char* why) { keeper_.doubt(why); },
               [this](const state::Change& change, std::uint64_t revision) { keeper_.written(change, revision); },
@@ -115,6 +122,7 @@
         net::asio::co_spawn(ex_, members_.enroll_again(), net::asio::detached);
     };
     links.seen_term = [this] { return elector_.term(); };
+    links.life = life_;
     return links;
 }
 
@@ -232,6 +240,7 @@
         b.history = word.id;
         b.remembers = word.remembers;
         b.rebuilding = word.rebuilding;
+        b.life = life_;
         ports_.tell_peers(b);
         resign_if_deaf();
         // Until it is known whether anybody knows of a witness, nobody can be served.
@@ -275,6 +284,10 @@
 }
 
 void Controller::received(const peer::Beat& beat) {
+    using From = peer::Lives::From;
+    const auto from = lives_.heard(beat.member, beat.life, beat.connection);
+    if (from == From::former) return;  // held on its way: what it says of itself is true of nobody
+    if (from == From::next) peer_state_.erase(beat.member);
     elector_.heard(beat.term, beat.leader);
     form_.all_read(beat.format);
     keeper_.heard(beat.member, {beat.generation, beat.remembers, beat.history, beat.rebuilding, {}});
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -7,6 +7,7 @@
 #include "cloud/client.hpp"
 #include "election/members.hpp"
 #include "peer/link.hpp"
+#include "peer/lives.hpp"
 #include "recovery/keeper.hpp"
 
 namespace flintdale::app {
@@ -49,6 +50,8 @@
     const config::Tunables& tunables_;
     state::Form& form_;
     Ports ports_;
+    std::uint64_t life_;  // what tells this life of the controller from the one before, which may have ended just now
+    peer::Lives lives_;   // of the others
     state::GuardedStore store_;
     cloud::Cloud& cloud_;
     election::Elector elector_;
--- a/src/emulator/checker.cpp
+++ b/src/emulator/checker.cpp
@@ -18,6 +18,11 @@
     return it == jobs_.end() ? 0 : it->second.ever.size();
 }
 
+std::size_t Checker::on_now(const std::string& uid) const {
+    const auto it = jobs_.find(uid);
+    return it == jobs_.end() ? 0 : it->second.on.size();
+}
+
 void Checker::arrives(const TaskName& task, const Place& place) {
     auto& job = jobs_[task.first];
     const auto name = task.first + "/" + std::to_string(task.second) + " on " + place.machine;
--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -27,6 +27,7 @@
     void completed(const TaskName& task) { jobs_[task.first].done.insert(task.second); }
     bool all_done(const std::string& uid) const;
     std::size_t ever(const std::string& uid) const;  // tasks that were on a machine at some time
+    std::size_t on_now(const std::string& uid) const;
 
     // --- what users are told ---
     void accepted(const std::string& uid) { jobs_[uid].accepted = true; }
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -261,7 +261,7 @@
                     std::max(outcome_.answers_after, Seconds(events_.now() - *unanswered_since_).count());
                 unanswered_since_.reset();
             }
-            if (!job->over && word == "done") ++outcome_.done;
+            if (!job->over && word == "done") ++outcome_.done, job->done = true;
             if (!job->over && word == "aborted") ++outcome_.cancelled;
             job->over = job->over || word == "done" || word == "aborted";
         } else if (status == 404) {
@@ -462,8 +462,31 @@
 
 // --- a run ---
 
+// Who has open work, and whether any of it is on a machine.
+void World::look_at_jobs() {
+    std::map<std::string, bool> going;
+    for (const auto& j : jobs_) {
+        if (!j->accepted || j->over || checker_.all_done(j->spec.uid)) continue;
+        if (!j->waited && checker_.ever(j->spec.uid) == j->spec.tasks) j->waited = events_.now() - j->accepted_at;
+        const bool on = checker_.on_now(j->spec.uid) > 0;
+        for (const auto& name : {"class " + j->spec.job_class, "team " + j->spec.team}) going[name] = going[name] || on;
+    }
+    std::erase_if(idle_since_, [&](const auto& idle) {
+        const auto it = going.find(idle.first);
+        return it == going.end() || it->second;
+    });
+    for (const auto& [name, on] : going) {
+        if (on) continue;
+        const auto since = idle_since_.try_emplace(name, events_.now()).first->second;
+        const bool team = name.starts_with("team ");
+        auto& who = (team ? outcome_.teams : outcome_.classes)[name.substr(name.find(' ') + 1)];
+        who.longest_idle = std::max(who.longest_idle, Seconds(events_.now() - since).count());
+    }
+}
+
 void World::look() {
     checker_.look();
+    look_at_jobs();
     if (const auto witness = state::parse_witness(keys_.get(state::witness_key));
         witness && witness->generation > outcome_.rebuilt) {
         outcome_.rebuilt = witness->generation;
@@ -512,23 +535,63 @@
         outcome_.broken["false_alarm"] = static_cast<unsigned>(outcome_.rebuilt);
         outcome_.first["false_alarm"] = fmt::format("{:.1f}", declared_at_) + " s: a loss declared where none was";
     }
-    std::map<std::string, std::pair<double, double>> by_class, by_team;
+    std::map<Served*, std::size_t> served_jobs;
     for (const auto& j : jobs_) {
-        if (!j->accepted || j->cancel_after.count() >= 0 ||
-            events_.now() - j->accepted_at < wire::to_clock(served_within))
-            continue;
+        if (!j->accepted) continue;
+        const bool counts =
+            j->cancel_after.count() < 0 && events_.now() - j->accepted_at >= wire::to_clock(served_within);
         const bool served = checker_.all_done(j->spec.uid) || checker_.ever(j->spec.uid) == j->spec.tasks;
-        for (auto* count : {&by_class[j->spec.job_class], &by_team[j->spec.team]}) {
-            count->first += served;
-            count->second += 1;
+        for (auto* who : {&outcome_.classes[j->spec.job_class], &outcome_.teams[j->spec.team]}) {
+            ++who->jobs;
+            who->done += j->done;
+            who->cancelled += j->over && !j->done;
+            if (j->waited) who->waits.push_back(j->waited->count());
+            who->counted += counts;
+            served_jobs[who] += counts && served;
         }
     }
-    for (const auto& [name, n] : by_class) outcome_.served[name] = n.first / n.second;
-    for (const auto& [name, n] : by_team) outcome_.team_served[name] = n.first / n.second;
+    const auto judge = [&](const char* kind, std::map<std::string, Served>& all,
+                           std::map<std::string, double>& shares) {
+        for (auto& [name, who] : all) {
+            std::sort(who.waits.begin(), who.waits.end());
+            if (!who.counted) continue;
+            who.share = static_cast<double>(served_jobs[&who]) / static_cast<double>(who.counted);
+            shares[name] = who.share;
+            if (who.behind()) outcome_.left_behind.push_back(std::string(kind) + " " + name);
+        }
+    };
+    judge("class", outcome_.classes, outcome_.served);
+    judge("team", outcome_.teams, outcome_.team_served);
     nodes_.clear();
     return outcome_;
 }
 
+std::string to_text(const Outcome& o) {
+    std::string out = fmt::format(
+        "seed {}: {} jobs accepted, {} done, {} cancelled; {} tasks started, {} killed by their "
+        "lease; {} machines up at the end\n",
+        o.seed, o.accepted, o.done, o.cancelled, o.started, o.lease_kills, o.machines);
+    out += fmt::format("{:<16} {:>5} {:>5} {:>9} {:>7} {:>19} {:>13}\n", "", "jobs", "done", "cancelled", "served",
+                       "wait p50/p90/max s", "longest idle s");
+    const auto row = [&](const std::string& name, const Served& who) {
+        const auto at = [&](double p) {
+            return who.waits.empty()
+                       ? 0.0
+                       : who.waits[std::min(who.waits.size() - 1,
+                                            static_cast<std::size_t>(p * static_cast<double>(who.waits.size())))];
+        };
+        out += fmt::format("{:<16} {:>5} {:>5} {:>9} {:>7.2f} {:>19} {:>13.1f}{}\n", name, who.jobs, who.done,
+                           who.cancelled, who.share, fmt::format("{:.1f}/{:.1f}/{:.1f}", at(0.5), at(0.9), at(1)),
+                           who.longest_idle, who.behind() ? "  LEFT BEHIND" : "");
+    };
+    for (const auto& [name, who] : o.classes) row("class " + name, who);
+    for (const auto& [name, who] : o.teams) row("team " + name, who);
+    for (const auto& t : o.troubles) out += "trouble at " + t + "\n";
+    out += o.first.empty() ? "rules: none broken\n" : "";
+    for (const auto& [rule, what] : o.first) out += "RULE BROKEN: " + rule + " at " + what + "\n";
+    return out;
+}
+
 std::string to_line(const Outcome& o) {
     const auto rounded = [](double v) { return std::round(v * 1000) / 1000; };
     json::object broken, first, served, team_served;
@@ -538,6 +601,9 @@
     for (const auto& [name, share] : o.team_served) team_served[name] = rounded(share);
     json::array troubles;
     for (const auto& t : o.troubles) troubles.emplace_back(t);
+    json::object idle;
+    for (const auto& [name, who] : o.classes) idle["class " + name] = rounded(who.longest_idle);
+    for (const auto& [name, who] : o.teams) idle["team " + name] = rounded(who.longest_idle);
     return json::serialize(json::object{{"seed", o.seed},
                                         {"broken", broken},
                                         {"first", first},
@@ -555,6 +621,8 @@
                                         {"answers_after_s", rounded(o.answers_after)},
                                         {"served", served},
                                         {"team_served", team_served},
+                                        {"left_behind", json::array(o.left_behind.begin(), o.left_behind.end())},
+                                        {"longest_idle_s", idle},
                                         {"troubles", troubles}});
 }
 
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -7,6 +7,16 @@
 
 namespace flintdale::emulator {
 
+// What one class or team had of a run.
+struct Served {
+    std::size_t jobs = 0, done = 0, cancelled = 0;  // accepted ones
+    std::vector<double> waits;                      // seconds until every task of a job had been on a machine
+    double longest_idle = 0;                        // seconds with open work and nothing of it on any machine
+    double share = 1;  // of the jobs that were not cancelled and could be: every task on a machine within 90 s
+    std::size_t counted = 0;
+    bool behind() const { return counted >= 4 && share < 0.5; }
+};
+
 // What came of a run; the same for the same scenario and seed, on any machine.
 struct Outcome {
     std::uint64_t seed = 0;
@@ -21,6 +31,8 @@
     double answers_after = -1;  // to the next answer to a poll
     std::map<std::string, double> served;  // class -> share of its tasks that started in time
     std::map<std::string, double> team_served;
+    std::map<std::string, Served> classes, teams;
+    std::vector<std::string> left_behind;  // classes and teams of which less than half was served: a failed day
     std::vector<std::string> troubles;
 };
 
@@ -36,8 +48,9 @@
     struct UserJob {
         wire::JobSpec spec;
         TimePoint submitted{}, accepted_at{};
-        bool accepted = false, over = false, cancelling = false;
+        bool accepted = false, over = false, cancelling = false, done = false;
         Seconds cancel_after{-1};
+        std::optional<Seconds> waited;  // from acceptance until every task had been on a machine
     };
     void start_node(std::size_t n);
     void end_node(std::size_t n, Seconds back_after);
@@ -60,6 +73,7 @@
     void loses_data(const Trouble& t);
     std::vector<std::size_t> nodes_of(const Trouble& t) const;
     void look();
+    void look_at_jobs();
     std::string settings_text(std::size_t n) const;
 
     const Scenario& scenario_;
@@ -76,10 +90,13 @@
     std::uint64_t uids_ = 0;
     Outcome outcome_;
     std::optional<TimePoint> lost_at_, unanswered_since_;
+    std::map<std::string, TimePoint> idle_since_;  // "class x" or "team x" with open work and nothing on machines
     double burst_ = 1, declared_at_ = 0;
 };
 
 // One line of JSON.
 std::string to_line(const Outcome& outcome);
+// The same for a person.
+std::string to_text(const Outcome& outcome);
 
 }  // namespace flintdale::emulator
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "net/listen.hpp"
+
 namespace flintdale::net {
 
 namespace {
@@ -25,11 +27,7 @@
 
 HttpServer::HttpServer(Executor ex, std::string host, std::uint16_t port, std::size_t max_connections, Handler handler)
     : ex_(ex), acceptor_(ex), max_connections_(max_connections), handler_(std::move(handler)) {
-    const tcp::endpoint endpoint(asio::ip::make_address(host), port);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen(1024);
+    listen_when_free(acceptor_, host, port, 1024);
 }
 
 void HttpServer::start() { asio::co_spawn(ex_, accept_loop(), asio::detached); }
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -5,6 +5,7 @@
 #include <kj/exception.h>
 #include <spdlog/spdlog.h>
 
+#include "net/listen.hpp"
 #include "wire/peer.capnp.h"
 
 namespace flintdale::peer {
@@ -35,6 +36,7 @@
     b.setHistory(beat.history);
     b.setRemembers(beat.remembers);
     b.setRebuilding(beat.rebuilding);
+    b.setLife(beat.life);
     const auto n = std::min(beat.counts.size(), max_counts);
     auto counts = b.initCounts(static_cast<unsigned>(n));
     for (unsigned i = 0; i < n; ++i) {
@@ -66,6 +68,7 @@
         beat.history = b.getHistory().cStr();
         beat.remembers = b.getRemembers();
         beat.rebuilding = b.getRebuilding();
+        beat.life = b.getLife();
         for (const auto c : b.getCounts()) beat.counts.push_back({c.getUid().cStr(), c.getDone(), c.getRunning()});
         return beat;
     } catch (const kj::Exception& e) {
@@ -75,11 +78,7 @@
 
 Links::Links(net::Executor ex, const config::Settings& settings, Receive receive)
     : ex_(ex), acceptor_(ex), settings_(settings), receive_(std::move(receive)) {
-    const net::tcp::endpoint endpoint(asio::ip::make_address(settings.peer_listen.host), settings.peer_listen.port);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen(64);
+    net::listen_when_free(acceptor_, settings.peer_listen.host, settings.peer_listen.port, 64);
 }
 
 void Links::start() {
@@ -154,6 +153,7 @@
 
 awaitable<void> Links::session(net::tcp::socket socket) {
     ++sessions_;
+    const auto connection = ++accepted_;
     beast::tcp_stream stream(std::move(socket));
     std::string body;
     for (;;) {
@@ -167,7 +167,9 @@
         auto [bec, bn] = co_await asio::async_read(stream, asio::buffer(body), net::quietly);
         if (bec) break;
         try {
-            receive_(decode(body));
+            auto beat = decode(body);
+            beat.connection = connection;
+            receive_(beat);
         } catch (const std::exception& e) {
             spdlog::error("event=peer_nonsense why=\"{}\"", e.what());
             break;
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -26,6 +26,8 @@
     std::uint64_t generation = 0, remembers = 0, rebuilding = 0;
     std::string history;
     std::vector<Count> counts;
+    std::uint64_t life = 0;        // of the sender: each time that it is started another; 0 from versions without
+    std::uint64_t connection = 0;  // not on the wire: which of those accepted here it came on
 };
 
 std::string encode(const Beat& beat);
@@ -57,6 +59,7 @@
     Receive receive_;
     std::vector<std::shared_ptr<Out>> outs_;
     std::size_t sessions_ = 0;
+    std::uint64_t accepted_ = 0;
 };
 
 }  // namespace flintdale::peer
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -829,7 +829,8 @@
     const bool its_own = w.by == settings_.member;
     for (const auto& source : own_sources(its_own ? std::string() : w.of, w.remembers)) {
         if (source.records.empty() && !source.whole) continue;
-        const auto prefix = mine + "/" + std::to_string(sources.size()) + ".";
+        // Pages of a former life may still be on their way, and must not take the place of these.
+        const auto prefix = mine + "/" + std::to_string(links_.life) + "." + std::to_string(sources.size()) + ".";
         const auto all = pages(prefix, source);
         for (const auto& [key, text] : all) {
             state::Txn txn;
@@ -838,17 +839,16 @@
             const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
             if (r.outcome != Outcome::ok) co_return false;
         }
-        boost::json::object entry{{"generation", source.generation},
-                                  {"id", source.id},
-                                  {"revision", source.revision},
-                                  {"whole", source.whole},
-                                  {"pages", all.size()}};
+        boost::json::object entry{
+            {"generation", source.generation}, {"id", source.id},     {"revision", source.revision},
+            {"whole", source.whole},           {"pages", all.size()}, {"at", prefix}};
         sources.push_back(std::move(entry));
         spdlog::info("event=offered records={} pages={} revision={}", source.records.size(), all.size(),
                      source.revision);
     }
     state::Txn txn;
     txn.conditions.push_back({state::witness_key, w.stamp});
+    txn.conditions.push_back({mine, before.item.stamp});  // nor must a former life's list, or an earlier one
     boost::json::object header{{"for", w.stamp},
                                {"led", led},
                                {"seen", boost::json::array(seen.begin(), seen.end())},
@@ -869,8 +869,10 @@
     s.revision = number(*o, "revision");
     if (const auto* id = o->if_contains("id"); id && id->is_string()) s.id = std::string(id->get_string());
     if (const auto* whole = o->if_contains("whole")) s.whole = whole->is_bool() && whole->get_bool();
+    auto prefix = offers_prefix + member + "/" + std::to_string(k) + ".";  // from the version before
+    if (const auto* at = o->if_contains("at"); at && at->is_string()) prefix = std::string(at->get_string());
     for (std::uint64_t n = 0; n < number(*o, "pages"); ++n) {
-        const auto page = by_key.find(offers_prefix + member + "/" + std::to_string(k) + "." + std::to_string(n));
+        const auto page = by_key.find(prefix + std::to_string(n));
         try {
             if (page == by_key.end()) throw wire::BadBody("missing");
             for (auto& r : wire::decode_archive_text(std::string_view(page->second->value.as_string())))
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -39,6 +39,7 @@
         std::function<void(const std::vector<state::Item>&, wire::TimePoint began, Look look)> outcomes;
         std::function<void()> rebuilt;  // the records are whole again, and may be others
         std::function<std::uint64_t()> seen_term;
+        std::uint64_t life = 0;  // of this controller: another one each time that it is started
     };
 
     // `raw` is the service itself, `guarded` what the rest of the process uses.
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -22,5 +22,6 @@
     history @10 :Text;
     remembers @11 :UInt64;    # the revision up to which it does
     rebuilding @12 :UInt64;   # the generation that it sees being rebuilt; 0: none
+    life @13 :UInt64;         # of the sender: another one each time that it is started; 0: a version without
     format @8 :UInt32;        # that the sender knows every controller to read; 0 from versions that do not tell
 }
--- /dev/null
+++ b/tests/lives_test.cpp
@@ -0,0 +1,50 @@
+// A process that is back before anybody noticed: what its former life left behind is not taken for its own.
+#include "peer/lives.hpp"
+
+#include <gtest/gtest.h>
+
+#include "emulator/world.hpp"
+#include "net/listen.hpp"
+#include "peer/link.hpp"
+
+namespace flintdale::test {
+
+using From = peer::Lives::From;
+
+TEST(LivesStory, a_message_that_was_held_does_not_speak_for_the_life_after_it) {
+    peer::Lives lives;
+    EXPECT_EQ(lives.heard("one", 70, 1), From::next);
+    EXPECT_EQ(lives.heard("one", 70, 1), From::present);
+    EXPECT_EQ(lives.heard("one", 65, 4), From::next)
+        << "the clock may have wandered back: what counts is the connection";
+    EXPECT_EQ(lives.heard("one", 70, 1), From::former);
+    EXPECT_EQ(lives.heard("one", 65, 6), From::present) << "it has dialled again";
+    EXPECT_EQ(lives.heard("one", 70, 3), From::former);
+    EXPECT_EQ(lives.heard("one", 65, 4), From::present) << "its own, held a little";
+    EXPECT_EQ(lives.heard("two", 0, 2), From::next) << "a version that does not tell";
+    EXPECT_EQ(lives.heard("two", 0, 5), From::present);
+}
+
+TEST(LivesStory, a_life_travels_with_every_message) {
+    peer::Beat beat;
+    beat.member = "one";
+    beat.life = 1'700'000'000'000'123;
+    EXPECT_EQ(peer::decode(peer::encode(beat)).life, beat.life);
+}
+
+TEST(PortStory, a_port_that_is_taken_is_named_and_a_free_one_is_had) {
+    net::asio::io_context io;
+    net::tcp::acceptor first(io), second(io), third(io);
+    net::listen_when_free(first, "127.0.0.1", 0, 8);
+    const auto port = first.local_endpoint().port();
+    try {
+        net::listen_when_free(second, "127.0.0.1", port, 8, std::chrono::milliseconds(0));
+        FAIL() << "two cannot listen there";
+    } catch (const std::runtime_error& e) {
+        EXPECT_NE(std::string(e.what()).find("127.0.0.1:" + std::to_string(port)), std::string::npos) << e.what();
+    }
+    net::listen_when_free(third, "127.0.0.1", 0, 8, std::chrono::milliseconds(0));
+    EXPECT_NE(third.local_endpoint().port(), port);
+}
+
+}  // namespace flintdale::test
--- a/tests/rebuild_story_test.cpp
+++ b/tests/rebuild_story_test.cpp
@@ -191,6 +191,72 @@
     EXPECT_EQ(troubled.rebuilt, 0u);
 }
 
+// --- controllers that are back before anybody noticed ---
+
+namespace {
+
+constexpr Kind back_at_once[] = {
+    {"the_leader_ends", "kind = \"crash\"\nlasts_s = 0.05\nat_s = 50"},
+    {"all_end_in_one_tenth_of_a_second", "kind = \"crash\"\nnode = \"all\"\nlasts_s = 0.05\nat_s = 50"},
+    {"each_ends_five_times_in_ten_seconds",
+     "kind = \"crash\"\nnode = \"all\"\nlasts_s = 0.05\nat_s = 50\ntimes = 5\nevery_s = 2"},
+    {"the_leader_ends_at_every_hand_over", "kind = \"crash\"\nlasts_s = 0.05\nat_s = 50\ntimes = 20\nevery_s = 0.13"},
+    {"all_end_in_an_outage",
+     "kind = \"crash\"\nnode = \"all\"\nlasts_s = 0.2\nat_s = 52\n[[troubles]]\nkind = \"outage\"\nlasts_s = 8\n"
+     "at_s = 48"},
+    {"the_rebuilder_ends",
+     "kind = \"wipe\"\nat_s = 50\n[[troubles]]\nkind = \"crash\"\nlasts_s = 0.05\nat_s = 50.4\ntimes = 3\nevery_s = "
+     "0.9"},
+    {"claims_end_and_the_leader_with_them",
+     "kind = \"end_claims\"\nat_s = 50\n[[troubles]]\nkind = \"crash\"\nlasts_s = 0\nat_s = 50.02"},
+};
+
+struct BackAtOnceStory : ::testing::TestWithParam<std::tuple<Kind, double>> {};
+
+}  // namespace
+
+// What the former life had under way arrives late, a third of the machines dies a moment later.
+TEST_P(BackAtOnceStory, every_rule_holds_and_nobody_is_left_behind) {
+    const auto& [ends, late] = GetParam();
+    std::string text = world;
+    const std::string warm = "warm = 24\n";
+    text.replace(text.find(warm), warm.size(), warm + fmt::format("late = {}\n", late));
+    text += std::string("[[troubles]]\n") + ends.trouble +
+            "\n[[troubles]]\nkind = \"machines_die\"\nshare = 0.33\nat_s = 56\n";
+    spdlog::set_level(spdlog::level::off);
+    const auto scenario = emulator::parse_scenario(text, "back at once");
+    const auto o = emulator::World(scenario, 7).play();
+    EXPECT_EQ(broken(o), "");
+    EXPECT_GT(o.accepted, 20u);
+    EXPECT_TRUE(o.left_behind.empty()) << o.left_behind.front();
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, BackAtOnceStory,
+                         ::testing::Combine(::testing::ValuesIn(back_at_once), ::testing::Values(0.0, 0.2)),
+                         [](const auto& p) {
+                             return std::string(std::get<0>(p.param).name) +
+                                    (std::get<1>(p.param) > 0 ? "_with_late_requests" : "");
+                         });
+
+TEST(BackAtOnceStories, work_goes_on_where_it_is_when_all_controllers_are_back_at_once) {
+    const auto o = play("kind = \"crash\"\nnode = \"all\"\nlasts_s = 0.05\nat_s = 50", 3);
+    EXPECT_EQ(broken(o), "");
+    EXPECT_EQ(o.lease_kills, 0u);
+    for (const auto& [name, who] : o.classes) EXPECT_LT(who.longest_idle, 15) << name;
+}
+
+// What is damaged ends no process: it is set aside, or put back, wherever it is read, and a controller that begins anew
+// does not come into the same end.
+TEST(LossStories, damaged_records_of_every_kind_end_no_controller) {
+    std::string troubles = "kind = \"crash\"\nnode = \"all\"\nlasts_s = 0.2\nat_s = 72";
+    double at = 30;
+    for (const char* prefix : {"jobs/work/", "jobs/over/", "members/", "lead/", "notes/", "fleet/", "recovery/"})
+        troubles += fmt::format("\n[[troubles]]\nkind = \"garble\"\nprefix = \"{}\"\nat_s = {}", prefix, at += 6);
+    const auto o = play(troubles, 6);
+    EXPECT_EQ(broken(o), "");
+    EXPECT_GT(o.done, 5u);
+}
+
 // With the version that held late answers against what was known when they came, five of these eight worlds declared a
 // loss (docs/incidents/loss-without-a-loss.md).
 TEST(LossStories, no_false_alarm_when_answers_come_late) {
