What is cancelled on a machine that hangs is gone in time, over hand-overs and through outages

A machine that hangs does not end its work when its lease runs out; it was to be returned after half of cancel_s, but in an outage of the state service no leader returns anything, and a leader that comes later counted from its own first second.

Change: outcomes of cancelled jobs tell when; a new leader counts from then, and near the end of the time gives a machine up as soon as its report is overdue. In an outage a leader returns such machines, and no others, unless a peer reaches the state service and may lead: if somebody does, work is lost and no rule broken.

Ruled out: treating jobs that are done alike, for leftovers of long ago would have cost machines of a cut zone.

--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -72,15 +72,18 @@
     return ref;
 }
 
-void Overseer::cancel(Job& job, TimePoint now) {
-    if (job.cancelled) return;
+void Overseer::cancel(Job& job, TimePoint at) {
+    if (job.cancelled) {
+        job.cancelled_at = std::min(job.cancelled_at, at);
+        return;
+    }
     spdlog::info("event=job_cancelled job={} placed={}", job.spec.uid, job.placed);
     job.cancelled = true;
-    job.cancelled_at = now;
+    job.cancelled_at = at;
     teams_.over(job.spec);
     for (std::uint32_t i = 0; i < job.spec.tasks && job.placed; ++i)
         // What no `run` was sent for is nowhere; the rest must be seen to go.
-        if (auto& t = job.tasks[i]; t.state == State::placed && !t.sent) leave(job, i, State::waiting, now);
+        if (auto& t = job.tasks[i]; t.state == State::placed && !t.sent) leave(job, i, State::waiting, at);
     mark_dirty(job.spec.uid);
 }
 
--- a/src/agent/overseer.hpp
+++ b/src/agent/overseer.hpp
@@ -30,6 +30,9 @@
     std::string machine;
     const char* why;
 };
+// The reason that a rule gives, and not economy: such a machine is returned though nobody can tell whether the term is
+// still this leader's.
+inline constexpr const char* cancelled_work = "cancelled";
 
 // How many of the machines that should report have lately done so.
 struct Hearing {
@@ -58,9 +61,9 @@
     // Whether a record of open work shows a task further than this leader knows it to be. Only leaders write where
     // tasks are, so it was put back after a loss, and this leader has read all without it. `over`: jobs that are.
     bool older_than(const state::Item& item, const std::function<bool(const std::string&)>& over) const;
-    // The job, read as open work, has an outcome. Done or cancelled, it is the same now: what may be left of it must
-    // go.
-    void ended(const std::string& uid, TimePoint now);
+    // The job, read as open work, has had an outcome for so long. Done or cancelled, it is the same now: what may be
+    // left of it must go.
+    void ended(const std::string& uid, TimePoint now, Seconds ago = Seconds(0));
     // A report, and the orders that answer it; nothing if it is older than what is known or must not be answered.
     std::optional<std::vector<wire::Order>> report(const wire::WorkerReport& r, TimePoint now);
     // What to expect for a worker whose report was just heard and is not answered yet.
@@ -150,7 +153,8 @@
     boost::json::object outcome(const Job& job, wire::JobState state, std::int64_t at) const;
     // The records of the job that have to be written, each within the limit on values.
     std::vector<std::pair<std::uint32_t, boost::json::object>> changed_records(Job& job);
-    void cancel(Job& job, TimePoint now);
+    void cancel(Job& job, TimePoint at);
+    bool must_go(const Machine& m, Seconds unheard, TimePoint now) const;
     void forget(const std::string& uid);
     // The record must follow: at once, or some time, where only a later leader would do without it.
     enum class Write : std::uint8_t { at_once, some_time };
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -266,6 +266,20 @@
     return out;
 }
 
+// Cancelled work must be gone in time, whatever else is out of reach: a machine that hangs does not even end it when
+// its lease has run out. After half of the time it is given up once it has missed three reports, and where the time is
+// nearly over, for a leader that came late, as soon as its report is overdue.
+bool Overseer::must_go(const Machine& m, Seconds unheard, TimePoint now) const {
+    if (unheard <= overdue()) return false;
+    for (const auto& [uid, i] : m.tasks) {
+        const auto* j = job(uid);
+        if (!j || !j->cancelled) continue;
+        if (unheard > settings_.report * 3 && now > after(j->cancelled_at, settings_.cancel * 0.5)) return true;
+        if (now > after(j->cancelled_at, settings_.cancel - settings_.report * 1.25 - Seconds(5))) return true;
+    }
+    return false;
+}
+
 std::vector<Release> Overseer::release(TimePoint now) const {
     // Many machines silent at once more likely means that this controller is cut off than that all have died.
     std::map<bool, std::pair<int, int>> silent;  // by spot: silent, all
@@ -308,14 +322,9 @@
             // long as it takes to have it again. Those that died are listed as such before.
             if (!m->unlisted && m->row.zone < quiet.size() && quiet[m->row.zone])
                 patience = std::max(patience, settings_.lease + boot * zone_boots);
-            // Cancelled work must be gone in time, whatever else is out of reach.
-            if (unheard > settings_.report * 3)
-                for (const auto& [uid, i] : m->tasks)
-                    if (const auto* j = job(uid);
-                        j && j->cancelled && now > after(j->cancelled_at, settings_.cancel * 0.5))
-                        patience = Seconds(0);
             if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease)))
                 why = "silent";
+            if (must_go(*m, unheard, now)) why = cancelled_work;
             const Seconds idle = now - m->idle_since;
             if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
                 (m->suspect || m->retiring || m->cordoned || idle > m->again(boot) * tunables_.idle_boots))
--- a/src/agent/overseer_records.cpp
+++ b/src/agent/overseer_records.cpp
@@ -179,10 +179,10 @@
     return false;
 }
 
-void Overseer::ended(const std::string& uid, TimePoint now) {
+void Overseer::ended(const std::string& uid, TimePoint now, Seconds ago) {
     if (auto* job = find(uid); job && !job->finished) {
         prerequisites_.over_somehow(uid);
-        cancel(*job, now);
+        cancel(*job, now - wire::to_clock(ago));
     }
 }
 
--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -383,8 +383,9 @@
         item.key = agent::outcome_key(uid);
         const auto& record = got.item.value.as_object();
         const auto* spec = record.if_contains("spec");
-        item.value = agent::outcome_record(form_, JobState::cancelled, 0, spec ? &spec->as_object() : nullptr,
-                                           wire::size_from_record(record));
+        // With the time, for a leader that comes later: what is cancelled must be gone by then.
+        item.value = agent::outcome_record(form_, JobState::cancelled, links_.time_of_day_ms(),
+                                           spec ? &spec->as_object() : nullptr, wire::size_from_record(record));
         state::Txn txn;
         txn.conditions.push_back({item.key, 0});
         txn.changes.push_back({item.key, item.value, 0});
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -135,6 +135,19 @@
         keeper_.doubt(why, beyond_memory ? Loss::beyond_memory : Loss::seen);
     };
     links.over = [this](const std::string& uid) { return keeper_.memory().over(uid); };
+    links.cancelled_for = [this](const std::string& uid) {
+        const auto outcome = keeper_.outcome_of(uid);
+        if (!outcome || outcome->state != wire::JobState::cancelled) return wire::Seconds(0);
+        // Former versions did not put down when: it may be for long.
+        const auto at = keeper_.memory().over_since_ms(uid);
+        return at ? std::max(wire::Seconds(0), wire::Seconds(std::chrono::milliseconds(ports_.time_of_day_ms() - *at)))
+                  : settings_.cancel * 0.5;
+    };
+    links.others_reach_state = [this] {
+        const auto now = Clock::now();
+        return std::any_of(peer_state_.begin(), peer_state_.end(),
+                           [&](const auto& entry) { return entry.second.state_ok && now - entry.second.heard < 3s; });
+    };
     links.again = [this](const char* why) { elector_.again(why); };
     links.settled = [this] { keeper_.settled(); };
     links.seen = [this](const state::Item& item) { keeper_.told(item); };
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -193,7 +193,7 @@
         for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
             if (std::find(result.failed.begin(), result.failed.end(), agent::outcome_key(open[i])) !=
                 result.failed.end())
-                overseer_.ended(open[i], Clock::now());
+                overseer_.ended(open[i], Clock::now(), links_.cancelled_for(open[i]));
     }
     co_return co_await check_remembered();
 }
@@ -385,12 +385,13 @@
 
 // A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
 // remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
-awaitable<bool> Reign::still_leading() {
+awaitable<Reign::Leads> Reign::still_leading() {
     state::Txn txn;
     txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
     const auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
     if (result.outcome == Outcome::conflict) links_.doubt();
-    co_return result.outcome == Outcome::ok && !stopped_;
+    if (result.outcome == Outcome::conflict || stopped_) co_return Leads::no;
+    co_return result.outcome == Outcome::ok ? Leads::yes : Leads::unknown;
 }
 
 // Plans when something changed, at most every plan_gap, and when a window closes.
@@ -442,9 +443,15 @@
 
 awaitable<void> Reign::return_machines() {
     if (overseer_.release(awake()).empty()) co_return;
-    const bool leading = co_await still_leading();
-    if (!leading) co_return;
-    const auto leaving = overseer_.release(awake());
+    const auto leading = co_await still_leading();
+    if (leading == Leads::no) co_return;
+    auto leaving = overseer_.release(awake());
+    // In an outage nobody else can win a term, and cancelled work on a machine that hangs must be gone in time all the
+    // same. If somebody could after all, a machine is returned that he uses: work is lost, and no rule broken.
+    if (leading == Leads::unknown) {
+        if (links_.others_reach_state()) co_return;
+        std::erase_if(leaving, [](const agent::Release& r) { return r.why != agent::cancelled_work; });
+    }
     overseer_.releasing(leaving);
     std::vector<std::string> names;
     for (const auto& r : leaving) names.push_back(r.machine);
@@ -464,7 +471,7 @@
             unclear_.push_back({order, std::to_string(term_) + "-" + std::to_string(++rents_), 0});
         }
     if (unclear_.empty()) co_return false;
-    const bool leading = co_await still_leading();
+    const bool leading = co_await still_leading() == Leads::yes;
     std::deque<Rental> due;
     due.swap(unclear_);
     bool again = false;
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -20,10 +20,13 @@
         std::function<std::int64_t()> time_of_day_ms;
         std::function<void(const char* why, bool beyond_memory)> loss;  // something shows that records were lost
         std::function<bool(const std::string&)> over;                   // a job is remembered to be
-        std::function<void(const char* why)> again;                     // this term's mind is older than the records
-        std::function<std::vector<std::string>()> open;                 // jobs that are remembered to be
-        std::function<void()> settled;                                  // all that may be on machines is known again
-        std::function<void(const state::Item&)> seen;                   // a record that was just written by anybody
+        // For how long a job that is over has been cancelled, by the time of day on record; 0 if it is done.
+        std::function<wire::Seconds(const std::string&)> cancelled_for;
+        std::function<bool()> others_reach_state;        // so that one of them may lead
+        std::function<void(const char* why)> again;      // this term's mind is older than the records
+        std::function<std::vector<std::string>()> open;  // jobs that are remembered to be
+        std::function<void()> settled;                   // all that may be on machines is known again
+        std::function<void(const state::Item&)> seen;    // a record that was just written by anybody
     };
 
     Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
@@ -70,7 +73,8 @@
     bool entitled(TimePoint now) const;
     TimePoint awake();
     void wake();
-    awaitable<bool> still_leading();
+    enum class Leads : std::uint8_t { yes, no, unknown };
+    awaitable<Leads> still_leading();
 
     net::Executor ex_;
     state::Store& store_;
--- a/src/recovery/memory.hpp
+++ b/src/recovery/memory.hpp
@@ -33,6 +33,11 @@
     bool knows(const std::string& uid) const;
     // Whether it is over, as far as is known.
     bool over(const std::string& uid) const { return finals_.contains(uid); }
+    // Since when, by the time of day on record; nothing if that is not known.
+    std::optional<std::int64_t> over_since_ms(const std::string& uid) const {
+        const auto it = finals_.find(uid);
+        return it == finals_.end() || !it->second.at ? std::nullopt : std::optional(it->second.at);
+    }
     struct Outcome {
         wire::JobState state = wire::JobState::open;
         wire::JobSize size;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -286,6 +286,22 @@
     EXPECT_FALSE(agent::may_answer(settings, known + wire::to_clock(room - Seconds(3)), known));
 }
 
+// Found by the lab: a machine hung, the state service was away, and the leader that came after the outage counted the
+// time from its own first second. A machine that hangs does not end its work when its lease has run out.
+TEST_F(Story, ran_cancelled_a_late_leader_gives_up_a_hanging_machine_before_the_time_of_the_one_before_is_over) {
+    elect();
+    start(job("run-1", Shape::array, 2), {&m1});
+    ASSERT_TRUE(cancel("run-1"));
+    pass(settings.cancel - 9s);
+    elect();
+    leader->ended("run-1", now, settings.cancel - 9s);
+    beat(m2);
+    EXPECT_TRUE(returns().empty()) << "it may only be late";
+    pass(settings.report * 1.25 + 1100ms);
+    beat(m2);
+    EXPECT_EQ(returns(), std::vector<std::string>{m1.name});
+}
+
 TEST_F(Story, ran_cancelled_an_unreachable_machine_with_cancelled_work_is_released_in_time) {
     elect();
     start(job("run-1", Shape::array, 1), {&m1});
