A gang of which one member is known to be done places only the others again

One member was heard to be done, the other was lost with its worker's session before it could tell. The gang was placed as a whole: one task counted as done and as placed, what waited wrapped around, and the next pass wrote beyond the tasks.

Change: only members that wait are placed; the worker keeps the result, and the other exits as done.

--- a/src/agent/overseer_place.cpp
+++ b/src/agent/overseer_place.cpp
@@ -117,21 +117,27 @@
         }
         return;
     }
-    if (within_limit(job, job.spec.tasks) < job.spec.tasks) return;
+    // Members complete together, but one may have been heard to be done whose fellow was lost with its machine before
+    // it could tell. It is not placed again; the fellow is, and exits as done. To place all was to count one task as
+    // done and as placed, and the next pass placed four thousand million more: the process ended.
+    const auto missing = job.waiting();
+    if (within_limit(job, missing) < missing) return;
     auto hosts = hosts_of(job);
-    const auto places = plan.place_together(ask, hosts, job.spec.tasks);
+    const auto places = plan.place_together(ask, hosts, missing);
     if (places.empty()) {
         // Room for a whole gang seldom comes about by itself while smaller tasks take all that frees.
         // Each looks at every machine, so a long queue of gangs has it done for those whose turn may come.
-        if (!job.doubtful() && holds_++ < max_holds) plan.hold_for(ask, job.spec.tasks);
+        if (!job.doubtful() && holds_++ < max_holds) plan.hold_for(ask, missing);
         return;
     }
     ++job.gang_attempt;
     job.gang_started = job.gang_failing = false;
     job.again.clear();
     job.fresh = job.spec.tasks;
+    std::size_t next = 0;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
-        set_placed(job, i, *ledger_.at(plan.host(places[i]).slot), job.gang_attempt, now);
+        if (job.tasks[i].state != State::waiting) continue;
+        set_placed(job, i, *ledger_.at(plan.host(places[next++]).slot), job.gang_attempt, now);
         touch(job, i, Write::at_once, now);
     }
     any = true;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -202,6 +202,30 @@
     EXPECT_EQ(leader->job("run-1")->placed + leader->job("run-2")->placed, 2u);
 }
 
+// Found by the lab, seed 6027: the process ended. One member of a gang was heard to be done, the other was lost with
+// its worker's session before it could tell.
+TEST_F(Story, a_gang_of_which_one_member_is_known_to_be_done_places_only_the_others_again) {
+    elect();
+    accept(job("run-1", Shape::gang, 2));
+    state::Txn txn;
+    auto record = keys.get("jobs/work/run-1").value.as_object();
+    record["tasks"] = wire::ranges_to_record({{0, 0, 1, "", false}, {1, 1, 1, "", true}});
+    txn.changes.push_back({"jobs/work/run-1", record, 0});
+    keys.commit(txn);
+    elect();
+    meet(m1);
+    for (int i = 0; i < 3; ++i) {
+        settle();
+        beat(m1);
+        place();
+        const auto* gang = leader->job("run-1");
+        if (!gang) break;  // done, and on record
+        EXPECT_EQ(gang->placed + gang->done, 2u);
+        EXPECT_EQ(gang->waiting(), 0u);
+        EXPECT_GE(gang->done, 1u);
+    }
+}
+
 TEST_F(Story, wrong_place_a_spread_job_counts_tasks_that_linger) {
     elect();
     auto third = machine("n-000003", "a");
