Emulated world: troubles that begin at a seen step, deaf machines, late writes, old reports, held answers, the first meeting

Change: a trouble's time and length may be drawn, it may come after a step (begun, elected, cancelled) of the one before; kinds isolate, machines_deaf, late_reports, late_writes (2 to 12 s, after newer ones), held.

--- a/src/emulator/checker.cpp
+++ b/src/emulator/checker.cpp
@@ -60,6 +60,7 @@
     if (it == job.on.end() || it->second.machine != machine) return;
     job.on.erase(it);
     placement::take(use_[job.spec.team], job.spec.need);
+    if (job.final_word == "aborted") longest_gone_ = std::max(longest_gone_, Seconds(events_.now() - job.told_at));
 }
 
 void Checker::told(const std::string& uid, const std::string& status, TimePoint asked) {
@@ -74,6 +75,7 @@
     if (job.final_word.empty()) {
         job.final_word = status;
         job.told_at = events_.now();
+        cancelled_running_ += status == "aborted" && !job.on.empty();
     }
 }
 
@@ -84,6 +86,10 @@
     breaks("forgotten", uid);
 }
 
+void Checker::unanswered(const std::string& uid) {
+    if (forgotten_.insert(uid).second) breaks("forgotten", uid + " is not answered for");
+}
+
 void Checker::look() {
     for (const auto& [uid, job] : jobs_)
         if (job.final_word == "aborted" && !job.on.empty() &&
--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -35,6 +35,7 @@
     // older.
     void told(const std::string& uid, const std::string& status, TimePoint asked);
     void told_unknown(const std::string& uid);  // 404, or 400 or 422 to a repetition
+    void unanswered(const std::string& uid);    // no question about it for long after all troubles
     void asked_to_cancel(const std::string& uid) { jobs_[uid].cancel_asked = true; }
 
     void look();  // now and then: what may not last too long
@@ -43,6 +44,10 @@
     const std::map<std::string, unsigned>& broken() const { return broken_; }
     const std::map<std::string, std::string>& first() const { return first_; }
     std::size_t forgotten() const { return forgotten_.size(); }  // jobs
+    // Jobs of which tasks were on machines when their users were told that they are cancelled, and the longest time
+    // until the last such task was gone.
+    std::size_t cancelled_running() const { return cancelled_running_; }
+    Seconds longest_gone() const { return longest_gone_; }
 
   private:
     struct Job {
@@ -62,6 +67,8 @@
     std::map<std::string, unsigned> broken_;
     std::map<std::string, std::string> first_;
     std::set<std::string> forgotten_;
+    std::size_t cancelled_running_ = 0;
+    Seconds longest_gone_{0};
 };
 
 }  // namespace flintdale::emulator
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-constexpr Seconds least_gap{0.5};   // between two reports
-constexpr Seconds patience{4};      // of a worker
-constexpr Seconds listed_dead{30};  // after which the list tells that a machine has died
+constexpr Seconds least_gap{0.5};    // between two reports
+constexpr Seconds patience{4};       // of a worker
+constexpr double latest_copy = 1.5;  // leases that a copy of a report is late
+constexpr Seconds listed_dead{30};   // after which the list tells that a machine has died
 
 const char* name_of(TaskStatus s) {
     constexpr const char* names[] = {"pulling", "waiting", "running", "saving", "ended"};
@@ -162,6 +163,11 @@
         events_.after(patience, [this, host, tenure, sent] { answered(host, tenure, sent, 0, ""); });
         return;
     }
+    if (late_reports > 0 && events_.chance(late_reports))
+        events_.after(Seconds(events_.uniform(2, settings_.lease.count() * latest_copy)),
+                      [this, node = h.node, zone = h.zone, request] {
+                          ask_(node, zone, request, patience, [](unsigned, const std::string&) {});
+                      });
     ask_(h.node, h.zone, std::move(request), patience,
          [this, host, tenure, sent](unsigned status, const std::string& body) {
              answered(host, tenure, sent, status, body);
@@ -171,6 +177,11 @@
 void Fleet::answered(const HostPtr& host, std::uint64_t tenure, TimePoint sent, unsigned status,
                      const std::string& body) {
     auto& h = *host;
+    if (events_.now() < h.deaf_until && status != 0) {
+        events_.after(std::max(Seconds(0), patience - Seconds(events_.now() - sent)),
+                      [this, host, tenure, sent] { answered(host, tenure, sent, 0, ""); });
+        return;
+    }
     h.in_flight = false;
     if (h.dead) return;
     if (events_.now() < h.hangs_until || events_.now() < h.cut_until) status = 0;
@@ -196,6 +207,7 @@
         if (token > h.token) h.changed = true;
         h.token = token;
         h.lease_from = std::max(h.lease_from, sent);
+        last_answer[h.node] = events_.now();
         obey(host, o.at("orders").as_array());
     }
     if (h.changed)
@@ -418,6 +430,17 @@
     for (const auto& h : some(share)) h->cut_until = events_.now() + wire::to_clock(lasts);
 }
 
+void Fleet::deafen(double share, Seconds lasts) {
+    for (const auto& h : some(share)) h->deaf_until = events_.now() + wire::to_clock(lasts);
+}
+
+std::size_t Fleet::answered_by(std::size_t node, Seconds within) const {
+    return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& h) {
+        return h.second->up && !h.second->dead && h.second->node == node &&
+               events_.now() - h.second->lease_from < wire::to_clock(within);
+    }));
+}
+
 std::map<TaskName, std::string> Fleet::running() const {
     std::map<TaskName, std::string> out;
     for (const auto& [name, h] : hosts_)
--- a/src/emulator/fleet.hpp
+++ b/src/emulator/fleet.hpp
@@ -35,6 +35,13 @@
     void die(double share);
     void hang(double share, Seconds lasts);
     void cut(double share, Seconds lasts);
+    void deafen(double share, Seconds lasts);  // reports arrive, answers do not
+    double late_reports = 0;                   // share of the reports of which a copy arrives again
+
+    // Workers of which the last answer that counted came from that controller.
+    std::size_t answered_by(std::size_t node, Seconds within) const;
+    // When the last one came.
+    std::map<std::size_t, TimePoint> last_answer;
 
     // Tasks on machines that live, and where.
     std::map<TaskName, std::string> running() const;
@@ -59,7 +66,7 @@
         const wire::MachineType* type = nullptr;
         std::string zone;
         bool spot = false, up = false, dead = false, in_flight = false, changed = false;
-        TimePoint rented{}, died{}, lease_from{}, last_sent{}, hangs_until{}, cut_until{};
+        TimePoint rented{}, died{}, lease_from{}, last_sent{}, hangs_until{}, cut_until{}, deaf_until{};
         std::uint64_t tenure = 1, tick = 0, token = 0, timer = 0;
         std::size_t node = 0;
         std::map<TaskName, Task> tasks;
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -143,9 +144,26 @@
     if (s.types.empty()) throw BadSetting(name + ": machines: expected at least one type");
     top.each("jobs", [&](const Table& t) { s.jobs.push_back(job_class(t, name + ": jobs")); });
     top.each("troubles", [&](const Table& t) {
-        s.troubles.push_back({t.text("kind"), Seconds(t.number("at_s")), Seconds(t.number("lasts_s", 0)),
-                              t.number("share", 1), t.text("node", "leader"), t.text("zone", ""), t.text("prefix", ""),
-                              t.number("seconds", 0), t.number("times", 1), t.number("every_s", 1)});
+        Trouble trouble{t.text("kind"),
+                        Seconds(t.number("at_s")),
+                        Seconds(t.number("lasts_s", 0)),
+                        t.number("share", 1),
+                        t.text("node", "leader"),
+                        t.text("zone", ""),
+                        t.text("prefix", ""),
+                        t.number("seconds", 0),
+                        t.number("times", 1),
+                        t.number("every_s", 1),
+                        Seconds(t.number("at_to_s", 0)),
+                        Seconds(t.number("lasts_to_s", 0)),
+                        t.number("chance", 1),
+                        t.text("after", "")};
+        const std::string steps[] = {"", "begun", "elected", "cancelled"};
+        if (std::find(std::begin(steps), std::end(steps), trouble.after) == std::end(steps))
+            throw BadSetting(name + ": troubles: unknown step \"" + trouble.after + "\"");
+        if (!trouble.after.empty() && s.troubles.empty())
+            throw BadSetting(name + ": troubles: the first one comes after nothing");
+        s.troubles.push_back(std::move(trouble));
     });
     return s;
 }
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -29,6 +29,11 @@
     std::string zone, prefix;
     double seconds = 0;           // set_back
     double times = 1, every = 1;  // crash: so often, each so many seconds after the one before
+    // The seed draws between `at` and `at_to`, `lasts` and `lasts_to`, and whether it happens at all. `after`: a step
+    // that has to be seen first, since the trouble before it in the list has begun; `at` counts from then.
+    Seconds at_to{0}, lasts_to{0};
+    double chance = 1;
+    std::string after;
 };
 
 struct Scenario {
--- a/src/emulator/state_service.cpp
+++ b/src/emulator/state_service.cpp
@@ -254,10 +254,12 @@
     state::TxnResult r;
     const bool there = co_await reach(static_cast<double>(txn.changes.size()), urgency, r.outcome);
     if (!there) co_return r;
-    if (late > 0 && events_.chance(late)) {
+    const bool held = late > 0 && events_.chance(late);
+    if (held || (late_now && *late_now > 0 && events_.chance(*late_now))) {
         // Held on its way, and carried out when nobody waits for it any more.
         auto* keys = &keys_;
-        events_.after(Seconds(events_.uniform(0.1, 20)), [keys, txn] { keys->commit(txn); });
+        events_.after(held ? Seconds(events_.uniform(0.1, 20)) : Seconds(events_.uniform(2, 12)),
+                      [keys, txn] { keys->commit(txn); });
         co_await net::sleep_for(no_answer);
         co_return r;
     }
--- a/src/emulator/state_service.hpp
+++ b/src/emulator/state_service.hpp
@@ -63,6 +63,7 @@
 
     // Everyone's outage, or this controller's alone; a cut lets requests vanish instead.
     const bool* outage = nullptr;
+    const double* late_now = nullptr;  // share of transactions that are late while that trouble lasts
     bool refused = false, cut = false;
     double late = 0;  // share of transactions that are carried out late, their answers lost
     double slow = 0;  // share of requests that wait on their way there, and of answers that wait on their way back
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -15,7 +15,9 @@
 namespace {
 constexpr auto step = 5ms;  // of virtual time
 constexpr std::int64_t epoch_ms = 1'700'000'000'000;
-constexpr Seconds user_patience{5}, poll_patience{2}, poll_gap{5}, served_within{90}, disturbed_after{45};
+constexpr Seconds user_patience{5}, poll_patience{2}, poll_gap{5}, served_within{90}, disturbed_after{45},
+    forgotten_after{75}, largest_within{240};
+constexpr double large = 0.75;  // of the greatest number of tasks
 }  // namespace
 
 class World::CloudLink : public cloud::Cloud {
@@ -73,6 +75,7 @@
                           [&w] { return epoch_ms + std::llround(w.events_.since_start().count() * 1000); }}) {
             state.outage = &w.outage_;
             state.late = w.scenario_.late;
+            state.late_now = &w.late_writes_;
             state.slow = w.scenario_.slow;
             state.slowest = w.scenario_.slowest;
             controller.start();
@@ -158,19 +161,22 @@
         return;
     }
     // What is held on its way may come much later, when nobody waits for the answer.
-    const auto way = open ? events_.uniform(0.001, 0.02) : events_.uniform(5, 60);
+    const auto held = [this, worker] {
+        return worker && held_ > 0 && events_.chance(held_) ? events_.uniform(0.5, held_most_.count()) : 0.0;
+    };
+    const auto way = open ? events_.uniform(0.001, 0.02) + held() : events_.uniform(5, 60);
     if (!open && events_.chance(0.7)) return;
-    events_.after(Seconds(way), [this, n, call, zone, worker, request = std::move(request)]() mutable {
+    events_.after(Seconds(way), [this, n, call, zone, worker, held, request = std::move(request)]() mutable {
         auto& life = nodes_[n]->life;
         nodes_[n]->told = true;
         if (!life || !reaches(zone, n) || (worker && nodes_[n]->cut_workers)) return;
         net::asio::co_spawn(life->io, life->controller.handle(std::move(request)),
-                            [this, call, n, zone](std::exception_ptr error, net::Reply reply) {
+                            [this, call, n, zone, held](std::exception_ptr error, net::Reply reply) {
                                 if (error) std::rethrow_exception(error);
                                 if (!reaches(zone, n)) return;
-                                events_.after(Seconds(events_.uniform(0.001, 0.02)), [call, reply = std::move(reply)] {
-                                    call->end(reply.status, reply.body);
-                                });
+                                events_.after(
+                                    Seconds(events_.uniform(0.001, 0.02) + held()),
+                                    [call, reply = std::move(reply)] { call->end(reply.status, reply.body); });
                             });
     });
 }
@@ -252,10 +258,12 @@
     net::Request r;
     r.target = "/submissions/" + job->spec.uid;
     const auto asked = events_.now();
-    ask(any_node(), "", std::move(r), poll_patience, [this, job, asked](unsigned status, const std::string& body) {
+    const auto n = any_node();
+    ask(n, "", std::move(r), poll_patience, [this, job, asked, n](unsigned status, const std::string& body) {
         if (status == 200) {
             const std::string word(wire::parse_object(body).at("status").as_string());
-            checker_.told(job->spec.uid, word, asked);
+            told(job->spec.uid, word, asked, n);
+            job->answered = events_.now();
             if (unanswered_since_) {
                 outcome_.answers_after =
                     std::max(outcome_.answers_after, Seconds(events_.now() - *unanswered_since_).count());
@@ -279,10 +287,12 @@
     r.verb = net::http::verb::post;
     r.target = "/submissions/" + job->spec.uid + "/cancel";
     const auto asked = events_.now();
-    ask(any_node(), "", std::move(r), user_patience, [this, job, asked](unsigned status, const std::string& body) {
+    const auto n = any_node();
+    ask(n, "", std::move(r), user_patience, [this, job, asked, n](unsigned status, const std::string& body) {
         if (status == 200) {
             const std::string word(wire::parse_object(body).at("status").as_string());
-            checker_.told(job->spec.uid, word, asked);
+            told(job->spec.uid, word, asked, n);
+            job->answered = events_.now();
             if (!job->over && word == "aborted") ++outcome_.cancelled;
             job->over = true;
             return;
@@ -292,6 +302,15 @@
     });
 }
 
+void World::told(const std::string& uid, const std::string& word, TimePoint asked, std::size_t node) {
+    const auto before = checker_.cancelled_running();
+    checker_.told(uid, word, asked);
+    if (checker_.cancelled_running() == before) return;
+    // Only what the old leader cannot read of counts: told by another, since the state service was taken from it.
+    if (alone_ && *alone_ != node) ++outcome_.met_cancelled;
+    step_seen("cancelled");
+}
+
 void World::ask_of_nobody() {
     net::Request r;
     const auto uid = fmt::format("run-{:07}", 2'000'000 + events_.pick(1'000'000));
@@ -345,7 +364,18 @@
 void World::trouble(const Trouble& t) {
     outcome_.troubles.push_back(fmt::format("{:.1f} {} {}{}{} {:.1f}", t.at.count(), t.kind, t.node, t.zone, t.prefix,
                                             t.kind == "set_back" ? t.seconds : t.lasts.count()));
-    spdlog::info("event=trouble at={:.1f} kind={}", t.at.count(), t.kind);
+    spdlog::info("event=trouble at={:.1f} kind={}", events_.since_start().count(), t.kind);
+    if (t.kind == "refused" || t.kind == "cut_state" || t.kind == "isolate")
+        for (const auto n : nodes_of(t))
+            if (!alone_ && nodes_[n]->life->controller.leading()) {
+                alone_ = n;
+                alone_since_ = events_.now();
+                events_.after(t.lasts, [this] { alone_.reset(); });
+            }
+    if (t.kind == "outage" && alone_ && t.lasts > settings_[0].cancel) {
+        outcome_.met_workers = fleet_.answered_by(*alone_, settings_[0].report * 1.5);
+        outcome_.met_answers = fleet_.last_answer[*alone_] > alone_since_ + 100ms;
+    }
     const auto until = [&](std::function<void()> end) { events_.after(t.lasts, std::move(end)); };
     const auto each = [&](bool Node::*flag, bool StateLink::*link) {
         for (const auto n : nodes_of(t)) {
@@ -377,7 +407,11 @@
         for (const auto n : nodes_of(t)) nodes_[n]->frozen_until = events_.now() + wire::to_clock(t.lasts);
     else if (t.kind == "cut_state")
         each(&Node::cut_state, &StateLink::cut);
-    else if (t.kind == "refused")
+    else if (t.kind == "isolate") {
+        // From the state service and the other controllers, not from workers and users.
+        each(&Node::cut_state, &StateLink::cut);
+        each(&Node::cut_peers, nullptr);
+    } else if (t.kind == "refused")
         each(&Node::refused, &StateLink::refused);
     else if (t.kind == "cut_workers")
         each(&Node::cut_workers, nullptr);
@@ -408,6 +442,18 @@
     } else if (t.kind == "cloud_down") {
         fleet_.down = true;
         until([this] { fleet_.down = false; });
+    } else if (t.kind == "machines_deaf")
+        fleet_.deafen(t.share, t.lasts);
+    else if (t.kind == "late_reports") {
+        fleet_.late_reports = t.share;
+        until([this] { fleet_.late_reports = 0; });
+    } else if (t.kind == "late_writes") {
+        late_writes_ = t.share;
+        until([this] { late_writes_ = 0; });
+    } else if (t.kind == "held") {
+        held_ = t.share;
+        held_most_ = Seconds(std::max(0.5, t.seconds));
+        until([this] { held_ = 0; });
     } else if (t.kind == "machines_die")
         fleet_.die(t.share);
     else if (t.kind == "machines_hang")
@@ -418,6 +464,32 @@
         throw config::BadSetting(scenario_.name + ": troubles: unknown kind \"" + t.kind + "\"");
 }
 
+// The n-th trouble of the scenario comes now, or so long after; and then those that come after it.
+void World::plan(std::size_t n) {
+    auto t = scenario_.troubles[n];
+    if (t.at_to > t.at) t.at = Seconds(events_.uniform(t.at.count(), t.at_to.count()));
+    if (t.lasts_to > t.lasts) t.lasts = Seconds(events_.uniform(t.lasts.count(), t.lasts_to.count()));
+    const bool happens = t.chance >= 1 || events_.chance(t.chance);
+    if (happens) troubles_over_ = std::max(troubles_over_, events_.now() + wire::to_clock(t.at + t.lasts));
+    events_.after(t.at, [this, n, t, happens] {
+        if (happens) trouble(t);
+        if (n + 1 >= scenario_.troubles.size() || scenario_.troubles[n + 1].after.empty()) return;
+        if (scenario_.troubles[n + 1].after == "begun")
+            plan(n + 1);
+        else
+            awaited_.push_back(n + 1);
+    });
+}
+
+void World::step_seen(const std::string& step) {
+    const auto waiting = std::exchange(awaited_, {});
+    for (const auto n : waiting)
+        if (scenario_.troubles[n].after == step)
+            plan(n);
+        else
+            awaited_.push_back(n);
+}
+
 // Troubles by luck: several at once, and again while the last is being mended.
 void World::draw_troubles() {
     std::vector<std::string> common{"crash",       "freeze",       "cut_state",     "refused",
@@ -430,7 +502,10 @@
     const double length = scenario_.length.count();
     const auto n = static_cast<std::size_t>(std::llround(events_.uniform(0.5, 1.5) * scenario_.drawn));
     const double heart = events_.uniform(0.25, 0.5) * length;
-    const auto plan = [&](Trouble t) { events_.after(t.at, [this, t] { trouble(t); }); };
+    const auto plan = [&](Trouble t) {
+        troubles_over_ = std::max(troubles_over_, events_.now() + wire::to_clock(t.at + t.lasts));
+        events_.after(t.at, [this, t] { trouble(t); });
+    };
     for (std::size_t i = 0; i < n; ++i) {
         Trouble t;
         t.kind = common[events_.pick(common.size())];
@@ -484,9 +559,31 @@
     }
 }
 
+void World::look_at_leaders() {
+    std::set<std::size_t> now;
+    bool news = false;
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+        if (nodes_[n]->life && nodes_[n]->life->controller.leading()) {
+            now.insert(n);
+            news = news || !leading_.contains(n);
+        }
+    leading_ = std::move(now);
+    if (news) step_seen("elected");
+}
+
+void World::look_for_forgotten() {
+    if (!awaited_.empty()) return;
+    for (const auto& j : jobs_)
+        if (j->accepted &&
+            events_.now() - std::max({j->answered, j->accepted_at, troubles_over_}) > wire::to_clock(forgotten_after))
+            checker_.unanswered(j->spec.uid);
+}
+
 void World::look() {
     checker_.look();
     look_at_jobs();
+    look_at_leaders();
+    look_for_forgotten();
     if (const auto witness = state::parse_witness(keys_.get(state::witness_key));
         witness && witness->generation > outcome_.rebuilt) {
         outcome_.rebuilt = witness->generation;
@@ -509,7 +606,8 @@
         for (int i = 0; i < c.initial; ++i) events_.after(Seconds(events_.uniform(0.5, 4)), [this, &c] { new_job(c); });
         arrivals(c);
     }
-    for (const auto& t : scenario_.troubles) events_.after(t.at, [this, t] { trouble(t); });
+    for (std::size_t n = 0; n < scenario_.troubles.size(); ++n)
+        if (scenario_.troubles[n].after.empty()) plan(n);
     draw_troubles();
     ask_of_nobody();
     look();
@@ -530,17 +628,29 @@
     outcome_.machines = fleet_.up();
     outcome_.started = fleet_.started;
     outcome_.lease_kills = fleet_.lease_kills;
+    outcome_.cancelled_running = checker_.cancelled_running();
+    outcome_.longest_gone = checker_.longest_gone().count();
     if (outcome_.rebuilt) --outcome_.rebuilt;  // the first generation is no rebuilding
     if (!outcome_.losses && outcome_.rebuilt) {
         outcome_.broken["false_alarm"] = static_cast<unsigned>(outcome_.rebuilt);
         outcome_.first["false_alarm"] = fmt::format("{:.1f}", declared_at_) + " s: a loss declared where none was";
     }
     std::map<Served*, std::size_t> served_jobs;
+    std::map<std::string, std::uint32_t> greatest;
+    for (const auto& c : scenario_.jobs)
+        if (c.tasks_to > c.tasks_from) greatest[c.like.job_class] = std::max(greatest[c.like.job_class], c.tasks_to);
     for (const auto& j : jobs_) {
         if (!j->accepted) continue;
         const bool counts =
             j->cancel_after.count() < 0 && events_.now() - j->accepted_at >= wire::to_clock(served_within);
         const bool served = checker_.all_done(j->spec.uid) || checker_.ever(j->spec.uid) == j->spec.tasks;
+        if (const auto it = greatest.find(j->spec.job_class);
+            it != greatest.end() && j->spec.tasks >= large * it->second && j->cancel_after.count() < 0 &&
+            (j->waited || events_.now() - j->accepted_at >= wire::to_clock(largest_within))) {
+            auto& c = outcome_.classes[j->spec.job_class];
+            ++c.largest;
+            c.largest_served += j->waited && *j->waited <= largest_within;
+        }
         for (auto* who : {&outcome_.classes[j->spec.job_class], &outcome_.teams[j->spec.team]}) {
             ++who->jobs;
             who->done += j->done;
@@ -558,6 +668,7 @@
             who.share = static_cast<double>(served_jobs[&who]) / static_cast<double>(who.counted);
             shares[name] = who.share;
             if (who.behind()) outcome_.left_behind.push_back(std::string(kind) + " " + name);
+            if (who.largest_behind()) outcome_.left_behind.push_back("largest of " + name);
         }
     };
     judge("class", outcome_.classes, outcome_.served);
@@ -604,26 +715,30 @@
     json::object idle;
     for (const auto& [name, who] : o.classes) idle["class " + name] = rounded(who.longest_idle);
     for (const auto& [name, who] : o.teams) idle["team " + name] = rounded(who.longest_idle);
-    return json::serialize(json::object{{"seed", o.seed},
-                                        {"broken", broken},
-                                        {"first", first},
-                                        {"accepted", o.accepted},
-                                        {"done", o.done},
-                                        {"cancelled", o.cancelled},
-                                        {"forgotten", o.forgotten},
-                                        {"machines", o.machines},
-                                        {"started", o.started},
-                                        {"lease_kills", o.lease_kills},
-                                        {"losses", o.losses},
-                                        {"rebuilt", o.rebuilt},
-                                        {"undisturbed", rounded(o.undisturbed)},
-                                        {"placing_after_s", rounded(o.placing_after)},
-                                        {"answers_after_s", rounded(o.answers_after)},
-                                        {"served", served},
-                                        {"team_served", team_served},
-                                        {"left_behind", json::array(o.left_behind.begin(), o.left_behind.end())},
-                                        {"longest_idle_s", idle},
-                                        {"troubles", troubles}});
+    return json::serialize(json::object{
+        {"seed", o.seed},
+        {"broken", broken},
+        {"first", first},
+        {"accepted", o.accepted},
+        {"done", o.done},
+        {"cancelled", o.cancelled},
+        {"forgotten", o.forgotten},
+        {"machines", o.machines},
+        {"started", o.started},
+        {"lease_kills", o.lease_kills},
+        {"cancelled_running", o.cancelled_running},
+        {"longest_gone_s", rounded(o.longest_gone)},
+        {"met", json::object{{"cancelled", o.met_cancelled}, {"workers", o.met_workers}, {"answers", o.met_answers}}},
+        {"losses", o.losses},
+        {"rebuilt", o.rebuilt},
+        {"undisturbed", rounded(o.undisturbed)},
+        {"placing_after_s", rounded(o.placing_after)},
+        {"answers_after_s", rounded(o.answers_after)},
+        {"served", served},
+        {"team_served", team_served},
+        {"left_behind", json::array(o.left_behind.begin(), o.left_behind.end())},
+        {"longest_idle_s", idle},
+        {"troubles", troubles}});
 }
 
 }  // namespace flintdale::emulator
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -14,7 +14,11 @@
     double longest_idle = 0;                        // seconds with open work and nothing of it on any machine
     double share = 1;  // of the jobs that were not cancelled and could be: every task on a machine within 90 s
     std::size_t counted = 0;
+    // The largest jobs, of a quarter of the class's greatest number of tasks at most below it: all of one on machines
+    // within four minutes.
+    std::size_t largest = 0, largest_served = 0;
     bool behind() const { return counted >= 4 && share < 0.5; }
+    bool largest_behind() const { return largest >= 4 && largest_served * 2 < largest; }
 };
 
 // What came of a run; the same for the same scenario and seed, on any machine.
@@ -24,7 +28,13 @@
     std::map<std::string, std::string> first;
     std::size_t accepted = 0, done = 0, cancelled = 0, forgotten = 0;
     std::size_t machines = 0, started = 0, lease_kills = 0, losses = 0;
-    std::size_t lost_keys = 0;  // that went without a sign
+    std::size_t lost_keys = 0;          // that went without a sign
+    std::size_t cancelled_running = 0;  // jobs with tasks on machines when their users were told
+    double longest_gone = 0;            // seconds from then until the last such task was gone
+    // Whether it came to this: a leader that the state service refused or could not be reached by answered workers, and
+    // another controller told users meanwhile that jobs with running tasks are cancelled; an outage for all, longer
+    // than cancel_s, began while workers were with that leader.
+    std::size_t met_cancelled = 0, met_workers = 0, met_answers = 0;
     std::uint64_t rebuilt = 0;  // times that the records were
     double undisturbed = 1;     // share of what ran when data were lost that went on where it was; the worst loss
     double placing_after = -1;  // seconds from a loss of data to the next start of a task, the longest; -1: none
@@ -50,6 +60,7 @@
         TimePoint submitted{}, accepted_at{};
         bool accepted = false, over = false, cancelling = false, done = false;
         Seconds cancel_after{-1};
+        TimePoint answered{};           // any question about it, last
         std::optional<Seconds> waited;  // from acceptance until every task had been on a machine
     };
     void start_node(std::size_t n);
@@ -70,6 +81,11 @@
 
     void draw_troubles();
     void trouble(const Trouble& t);
+    void plan(std::size_t n);
+    void step_seen(const std::string& step);
+    void look_at_leaders();
+    void told(const std::string& uid, const std::string& word, TimePoint asked, std::size_t node);
+    void look_for_forgotten();
     void loses_data(const Trouble& t);
     std::vector<std::size_t> nodes_of(const Trouble& t) const;
     void look();
@@ -91,7 +107,12 @@
     Outcome outcome_;
     std::optional<TimePoint> lost_at_, unanswered_since_;
     std::map<std::string, TimePoint> idle_since_;  // "class x" or "team x" with open work and nothing on machines
-    double burst_ = 1, declared_at_ = 0;
+    double burst_ = 1, declared_at_ = 0, late_writes_ = 0, held_ = 0;
+    Seconds held_most_{0};
+    std::vector<std::size_t> awaited_;  // troubles that come after a step which was not seen yet
+    std::set<std::size_t> leading_;
+    std::optional<std::size_t> alone_;  // who led when the state service was taken from it alone
+    TimePoint alone_since_{}, troubles_over_{};
 };
 
 // One line of JSON.
