--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -115,8 +115,10 @@
     links.outcomes = [this](const std::vector<state::Item>& items, wire::TimePoint began, Look look) {
         if (look == Look::after_a_gap) caretaker_.lost_track(Clock::now());
         caretaker_.watched(items, began);
+        // After a rebuilding it is all there ever were: what of that is told anew is noted then.
         for (const auto& item : items)
-            if (agent::is_cancelled(item)) note_cancelled(item.key.substr(item.key.rfind('/') + 1));
+            if (look != Look::all && agent::is_cancelled(item))
+                note_cancelled(item.key.substr(item.key.rfind('/') + 1));
         if (look == Look::all) caretaker_.knows_all(began);
     };
     links.rebuilt = [this] {
@@ -334,10 +336,17 @@
 // share there is nobody better, and the load balancer takes back slowly what it has once removed.
 net::Reply Controller::ready() const {
     const auto now = Clock::now();
-    if (!ports_.state.healthy(now))
-        for (const auto& [member, heard] : peer_state_)
-            if (heard.state_ok && now - heard.heard < 3s)
-                return reply(503, wire::error_body("the state service cannot be reached from here"));
+    if (!ports_.state.healthy(now)) {
+        // Nor does one that hears no peer either know that it is an outage: it may be cut off alone, while users reach
+        // it.
+        bool alone = !settings_.peers.empty();
+        for (const auto& [member, heard] : peer_state_) {
+            if (now - heard.heard >= 3s) continue;
+            alone = false;
+            if (heard.state_ok) return reply(503, wire::error_body("the state service cannot be reached from here"));
+        }
+        if (alone) return reply(503, wire::error_body("neither the state service nor another controller is heard"));
+    }
     // Whoever takes turns with others in an upgrade is counted before it serves; in an outage nobody can be.
     if ((!members_.enrolled() || !keeper_.ready()) && ports_.state.healthy(now))
         return reply(503, wire::error_body("not enrolled yet"));
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -174,6 +174,25 @@
     }
 }
 
+// Whoever is elected while the leader is refused has read nothing yet when the service goes away for all, and the old
+// leader gives way to the higher term: the leases are kept by what all have said.
+TEST(Meeting, a_leader_that_was_elected_and_has_read_nothing_yet_keeps_what_runs_through_the_outage) {
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        SCOPED_TRACE(seed);
+        const auto o = play(std::string(refused) + R"(
+[[troubles]]
+kind = "outage"
+after = "elected"
+at_s = 0
+lasts_s = 70
+)",
+                            seed);
+        EXPECT_GT(o.met_workers, 10u);
+        EXPECT_EQ(broken(o), "");
+        EXPECT_EQ(o.lease_kills, 0u);
+    }
+}
+
 // The confirming controller ends at once and is back: what it has told is known to nobody who asks it again.
 TEST(Meeting, ran_cancelled_whoever_confirmed_ends_and_is_back_at_once) {
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
@@ -212,6 +231,102 @@
     }
 }
 
+// Transactions without an answer are carried out after newer ones of the same controller, while leaders end and users
+// cancel.
+TEST(Meeting, late_writes_come_after_newer_ones_while_leaders_end_and_machines_die) {
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        SCOPED_TRACE(seed);
+        const auto o = play(R"(
+[[troubles]]
+kind = "late_writes"
+at_s = 40
+share = 0.3
+lasts_s = 90
+[[troubles]]
+kind = "machines_die"
+at_s = 60
+share = 0.3
+[[troubles]]
+kind = "crash"
+after = "begun"
+at_s = 3
+lasts_s = 0.2
+[[troubles]]
+kind = "machines_cut"
+after = "elected"
+at_s = 0.5
+share = 0.4
+lasts_s = 30
+[[troubles]]
+kind = "crash"
+node = "all"
+after = "cancelled"
+at_s = 1
+lasts_s = 0.05
+)",
+                            seed);
+        EXPECT_EQ(broken(o), "");
+    }
+}
+
+// A leader that is cut from the state service and its peers, and whom workers and users still reach: users are sent on,
+// and what the new one confirmed is gone in time.
+TEST(Meeting, a_leader_cut_from_state_and_peers_leaves_users_to_the_others) {
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        SCOPED_TRACE(seed);
+        const auto o = play(R"(
+[[troubles]]
+kind = "isolate"
+at_s = 80
+lasts_s = 60
+[[troubles]]
+kind = "machines_hang"
+after = "cancelled"
+at_s = 0
+share = 0.3
+lasts_s = 60
+)",
+                            seed);
+        EXPECT_GT(o.met_cancelled, 0u);
+        EXPECT_EQ(broken(o), "");
+        EXPECT_LT(o.longest_gone, cancel_s);
+    }
+}
+
+// Machines with long tasks are out of reach, or deaf, when the leader ends.
+TEST(Meeting, a_leader_ends_while_machines_with_long_tasks_are_out_of_reach_or_deaf) {
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        SCOPED_TRACE(seed);
+        const auto o = play(R"(
+[[troubles]]
+kind = "machines_cut"
+at_s = 70
+share = 0.3
+lasts_s = 60
+[[troubles]]
+kind = "machines_deaf"
+after = "begun"
+at_s = 1
+share = 0.3
+lasts_s = 45
+[[troubles]]
+kind = "crash"
+after = "begun"
+at_s = 2
+lasts_s = 0.05
+[[troubles]]
+kind = "late_reports"
+after = "elected"
+at_s = 0
+share = 0.5
+lasts_s = 60
+)",
+                            seed);
+        EXPECT_EQ(broken(o), "");
+        EXPECT_LT(o.longest_gone, cancel_s);
+    }
+}
+
 TEST(Meeting, ran_cancelled_machines_are_deaf_answers_are_held_and_old_reports_come_again) {
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
         SCOPED_TRACE(seed);
