--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -632,6 +632,7 @@
 void World::look() {
     checker_.look();
     look_at_jobs();
+    look_at_leaders();
     look_for_forgotten();
     if (const auto witness = state::parse_witness(keys_.get(state::witness_key));
         witness && witness->generation > outcome_.rebuilt) {
