--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -298,8 +298,7 @@
         const Seconds boot = type ? type->boot : Seconds(60);
         const Seconds unheard = now - m->last_report;
         if (m->releasing) {
-            // Why it must go holds for as long as it has not gone: in an outage nothing else is asked for again.
-            why = must_go(*m, unheard, now) ? cancelled_work : "again";
+            why = "again";
         } else if (m->listed_failed) {
             why = "failed";
         } else if (m->taken_at && now > after(*m->taken_at, Seconds(1)) && unheard > settings_.report * 1.5) {
@@ -325,12 +324,14 @@
                 patience = std::max(patience, settings_.lease + boot * zone_boots);
             if (unheard > patience && now - since_ > wire::to_clock(std::min(patience, settings_.lease)))
                 why = "silent";
-            if (must_go(*m, unheard, now)) why = cancelled_work;
             const Seconds idle = now - m->idle_since;
             if (!why && m->tasks.empty() && m->reported_tasks == 0 && unheard < settings_.report * 2 &&
                 (m->suspect || m->retiring || m->cordoned || idle > m->again(boot) * tunables_.idle_boots))
                 why = "idle";
         }
+        // Whatever else speaks for it: in an outage no other reason counts, also where it was named before, or
+        // announced to be taken, and nobody knows whether it is gone.
+        if (must_go(*m, unheard, now)) why = cancelled_work;
         if (!why) continue;
         out.push_back({name, why});
     }
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -411,6 +411,9 @@
         // From the state service and the other controllers, not from workers and users.
         each(&Node::cut_state, &StateLink::cut);
         each(&Node::cut_peers, nullptr);
+        for (const auto n : nodes_of(t))
+            events_.after(Seconds(5),
+                          [this, n, end = events_.now() + wire::to_clock(t.lasts)] { ask_whether_ready(n, end); });
     } else if (t.kind == "refused")
         each(&Node::refused, &StateLink::refused);
     else if (t.kind == "cut_workers")
@@ -610,6 +613,17 @@
     }
 }
 
+void World::ask_whether_ready(std::size_t n, TimePoint until) {
+    if (events_.now() + 2s > until) return;
+    net::Request r;
+    r.target = "/ready";
+    ask(n, "", std::move(r), Seconds(1), [this](unsigned status, const std::string&) {
+        outcome_.asked_alone += status != 0;
+        outcome_.ready_alone += status == 200;
+    });
+    events_.after(Seconds(2), [this, n, until] { ask_whether_ready(n, until); });
+}
+
 void World::look_at_leaders() {
     std::set<std::size_t> now;
     bool news = false;
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -35,6 +35,9 @@
     // another controller told users meanwhile that jobs with running tasks are cancelled; an outage for all, longer
     // than cancel_s, began while workers were with that leader.
     std::size_t met_cancelled = 0, met_workers = 0, met_answers = 0;
+    // How often a controller that was cut from the state service and its peers for five seconds was asked whether it is
+    // ready, and said so.
+    std::size_t asked_alone = 0, ready_alone = 0;
     std::uint64_t rebuilt = 0;  // times that the records were
     double undisturbed = 1;     // share of what ran when data were lost that went on where it was; the worst loss
     double placing_after = -1;  // seconds from a loss of data to the next start of a task, the longest; -1: none
@@ -83,6 +86,7 @@
     void trouble(const Trouble& t);
     void plan(std::size_t n);
     void draw_pairs();
+    void ask_whether_ready(std::size_t n, TimePoint until);
     void step_seen(const std::string& step);
     void look_at_leaders();
     void told(const std::string& uid, const std::string& word, TimePoint asked, std::size_t node);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -288,6 +288,8 @@
 )",
                             seed);
         EXPECT_GT(o.met_cancelled, 0u);
+        EXPECT_GT(o.asked_alone, 10u);
+        EXPECT_EQ(o.ready_alone, 0u) << "users would be sent there, and refused";
         EXPECT_EQ(broken(o), "");
         EXPECT_LT(o.longest_gone, cancel_s);
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -440,6 +440,20 @@
     EXPECT_EQ(going[0].why, agent::cancelled_work);
 }
 
+// Nobody knows whether a machine with a notice is gone when it falls silent; it may as well hang.
+TEST_F(Story, ran_cancelled_a_machine_that_was_to_be_taken_and_fell_silent_is_returned_for_its_cancelled_work) {
+    elect();
+    start(job("run-1", Shape::array, 1), {&m1});
+    ASSERT_TRUE(cancel("run-1"));
+    tell("run-1");
+    m1.notice = Seconds(5);
+    leader->report(m1.report(), now);
+    pass(Seconds(settings.cancel * 0.6));
+    const auto going = leader->release(now);
+    ASSERT_EQ(going.size(), 1u);
+    EXPECT_EQ(going[0].why, agent::cancelled_work);
+}
+
 TEST_F(Story, not_done_a_job_is_done_only_when_its_last_task_is) {
     elect();
     start(job("run-1", Shape::array, 2), {&m1});
