--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -155,6 +155,7 @@
                            [&](const auto& entry) { return entry.second.state_ok && now - entry.second.heard < 3s; });
     };
     links.told_until = [this](wire::TimePoint looked) { return told_until(looked); };
+    links.told_cancelled = [this](const std::string& uid) { return cancellations_.knows(uid); };
     links.again = [this](const char* why) { elector_.again(why); };
     links.settled = [this] { keeper_.settled(); };
     links.seen = [this](const state::Item& item) { keeper_.told(item); };
--- a/src/app/reign.cpp
+++ b/src/app/reign.cpp
@@ -173,6 +173,10 @@
         co_await net::sleep_for(100ms);
         co_return false;
     }
+    // A job may have been cancelled after its outcome was looked for, and the word of it have come while this was still
+    // being read: the watch tells it too, but not in an outage that begins now, and told_until goes by it.
+    for (const auto& uid : overseer_.open_jobs())
+        if (links_.told_cancelled(uid)) overseer_.cancelled_elsewhere(uid, Clock::now());
     followed_ = work->revision;
     fresh_ = began;
     if (!loaded_) spdlog::info("event=loaded term={} records={}", term_, work->items.size());
--- a/src/app/reign.hpp
+++ b/src/app/reign.hpp
@@ -27,10 +27,11 @@
         // Until when all that users were told of cancellations is known, by the peers' word, if all that was on record
         // at that time is; the same time if they have not said.
         std::function<TimePoint(TimePoint)> told_until;
-        std::function<void(const char* why)> again;      // this term's mind is older than the records
-        std::function<std::vector<std::string>()> open;  // jobs that are remembered to be
-        std::function<void()> settled;                   // all that may be on machines is known again
-        std::function<void(const state::Item&)> seen;    // a record that was just written by anybody
+        std::function<bool(const std::string&)> told_cancelled;  // whether a job is among that
+        std::function<void(const char* why)> again;              // this term's mind is older than the records
+        std::function<std::vector<std::string>()> open;          // jobs that are remembered to be
+        std::function<void()> settled;                           // all that may be on machines is known again
+        std::function<void(const state::Item&)> seen;            // a record that was just written by anybody
     };
 
     Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
--- a/src/peer/cancellations.hpp
+++ b/src/peer/cancellations.hpp
@@ -40,6 +40,7 @@
     // A job is known to be cancelled: its outcome was read, a peer said so, or a user is about to be told. False if
     // that was known.
     bool note(const std::string& uid, wire::TimePoint now);
+    bool knows(const std::string& uid) const { return known_.contains(uid); }
 
     // For a message to the peers, which must leave after this call.
     Word say(wire::TimePoint now);
