A new leader does not take a copy from an earlier session for evidence that what runs now is gone

The first report that a new leader heard of a machine was a late copy from an earlier session; the next one, with a higher tenure, was taken for the end of that session under its eyes, and what the records place there was started elsewhere, though it ran in that very session. Change: a higher tenure is evidence only if the report before it was under this leader's term.

--- a/src/agent/overseer.cpp
+++ b/src/agent/overseer.cpp
@@ -407,8 +407,11 @@
     if (!m.reported)
         spdlog::debug("event=machine_up machine={} type={} zone={} spot={}", r.machine, r.type, r.zone, r.spot);
     if (m.reported && r.tenure > m.tenure) {
-        spdlog::info("event=worker_lease_lost machine={} tasks={}", m.name, m.tasks.size());
-        all_lost(m, true, now);
+        spdlog::info("event=worker_lease_lost machine={} tasks={} sure={}", m.name, m.tasks.size(), m.current);
+        // What was placed before this term may have been started in this very session, if the report before was a copy
+        // from an earlier one: it is gone only if the worker had seen this term in that session, when no older leader's
+        // run could reach it any more. What this leader sent was sent after that.
+        if (m.current) all_lost(m, true, now);
     }
     if (!m.reported) m.idle_since = now;
     m.reported = true;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -377,6 +377,26 @@
     EXPECT_LT(*named, told + wire::to_clock(settings.cancel * 0.8));
 }
 
+// Found by lab/meeting.toml, seed 1738: the first report that a new leader hears of a machine is a copy from an earlier session.
+TEST_F(Story, ran_twice_a_copy_of_a_report_from_an_earlier_session_is_no_evidence_of_a_later_one) {
+    elect();
+    meet(m1);
+    const auto copy = m1.report();
+    m1.lose_lease();
+    start(job("run-1", Shape::array, 1), {&m1});
+    ASSERT_EQ(machine_of("run-1", 0), m1.name);
+    elect();
+    leader->report(copy, now);
+    beat(m1);
+    EXPECT_EQ(machine_of("run-1", 0), m1.name) << "it runs there, in the session that this leader hears of only now";
+    beat(m1);
+    EXPECT_EQ(machine_of("run-1", 0), m1.name);
+    // A session that ends under this term is evidence.
+    m1.lose_lease();
+    beat(m1);
+    EXPECT_EQ(machine_of("run-1", 0), "");
+}
+
 // A write that got no answer may be carried out after newer ones of the same leader, which the term alone does not
 // order.
 TEST_F(Story, ran_twice_a_late_write_of_the_same_term_does_not_undo_a_newer_one) {
