A submission without one of its flags is malformed; each field is tested missing, null and of another type

Cause: found by reading; the users count jobs that are accepted though they lack a field. one_zone, scatter and loaners were taken for false where they were left out; the protocol lets only fields be omitted that may be null. Change: they are required. Measured: the test fails on the sources before for these three fields and no other.

--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -216,9 +216,10 @@
         }
     }
     s.zone = optional_text(o, "hall");
-    s.one_zone = flag_or(o, "one_zone", false);
-    s.spread = flag_or(o, "scatter", false);
-    s.spot = flag_or(o, "loaners", false);
+    // Only what may be null may be omitted.
+    s.one_zone = flag(o, "one_zone");
+    s.spread = flag(o, "scatter");
+    s.spot = flag(o, "loaners");
     s.estimate = Seconds(amount(o, "guess_s"));
     s.checkpoint = Seconds(amount(o, "snapshot_s"));
     s.save = Seconds(amount(o, "flush_s"));
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -87,6 +87,36 @@
     }
 }
 
+// Only what may be null may be omitted: three flags that were left out were taken for false, and the job accepted.
+TEST(Wire, a_field_that_is_missing_or_of_another_type_is_named_whichever_it_is) {
+    const auto sound = wire::parse_object(good);
+    const std::set<std::string_view> may_be_null{"hosttypes", "hall", "due_s", "prereqs", "unheard_of"};
+    for (const auto& [field, value] : sound) {
+        if (field == "unheard_of") continue;
+        const std::string name(field);
+        const auto changed = [&](std::optional<boost::json::value> other) {
+            auto body = sound;
+            body.erase(name);
+            if (other) body[name] = *other;
+            return complaint(boost::json::serialize(body));
+        };
+        for (const auto& absent : {std::optional<boost::json::value>(), std::optional<boost::json::value>(nullptr)})
+            EXPECT_EQ(changed(absent), may_be_null.contains(name) ? "" : name + ": missing");
+        EXPECT_TRUE(changed(boost::json::object{{"x", 1}}).starts_with(name)) << name;
+        if (value.is_number()) {
+            EXPECT_TRUE(changed(-1).starts_with(name)) << name;
+            EXPECT_TRUE(changed("8").starts_with(name)) << name;
+            EXPECT_TRUE(changed(1e300).starts_with(name)) << name;
+        }
+        if (value.is_string()) {
+            EXPECT_TRUE(changed("").starts_with(name)) << name;
+        }
+        if (value.is_bool()) {
+            EXPECT_TRUE(changed(1).starts_with(name)) << name;
+        }
+    }
+}
+
 TEST(Wire, a_report_is_read_and_an_unknown_cause_counts_as_a_failure) {
     const auto r = wire::parse_report(
         R"({"host":"n-1","endpoint":"10.1.0.1:9000","hosttype":"g8","hall":"a","loaners":true,"tenure":1,"tick":88,)"
