What one controller alone remembers after a rebuilding is added until it stands, and nobody is certain before

A controller that was out of reach while the others rebuilt adds what it alone had accepted or cancelled, once: what the state service refused of that, or did not answer, was lost. And its peers took its first word on the new history for a sign that it had added all, so that they told 404 for such a job before it was there. Change: add_late is tried again until all of it stands; until then own_word says that it remembers nothing of this history. Measured: KeeperStory fails on the sources before (stamp 0 after the refusal ended, remembers above 0 before it).

--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -157,7 +157,8 @@
     PeerWord w;
     w.generation = memory_.generation();
     w.id = memory_.id();
-    w.remembers = memory_.revision();
+    // Zero while it knows of records that nobody else may know: see certain().
+    w.remembers = late_added_ ? memory_.revision() : 0;
     w.rebuilding = rebuilding_ ? newest_generation() : 0;
     return w;
 }
@@ -320,7 +321,10 @@
             co_return;
         }
         std::swap(next, memory_);
-        if (next.size() && next.id() != w.id) former_ = std::move(next);
+        if (next.size() && next.id() != w.id) {
+            former_ = std::move(next);
+            late_added_ = false;
+        }
         if (known_ || rebuilding_) {
             // It may not have noticed while they were not.
             const bool noticed = rebuild_began_ != wire::TimePoint{};
@@ -365,8 +369,15 @@
             co_await fill();
             if (shelf_.in_use()) shelve();
         }
+        if (former_ && !late_added_ && memory_.whole() && Clock::now() >= next_late_) {
+            next_late_ = Clock::now() + try_again;
+            const bool added = co_await add_late();
+            late_added_ = added;
+            if (late_added_) former_until_ = Clock::now() + former_kept;
+            if (doubt_) break;
+        }
         // If data are lost again just after a rebuilding, this is still the best there is.
-        if (former_ && memory_.whole() && Clock::now() >= former_until_) former_.reset();
+        if (former_ && late_added_ && Clock::now() >= former_until_) former_.reset();
         if (!suspects_.empty() && Clock::now() >= next_look_again_) {
             next_look_again_ = Clock::now() + try_again;
             co_await examine(w);
@@ -501,10 +512,6 @@
         memory_.filled();
         spdlog::info("event=remembers records={} generation={} revision={}", memory_.size(), memory_.generation(),
                      memory_.revision());
-        if (former_) {
-            co_await add_late();
-            former_until_ = Clock::now() + former_kept;
-        }
     }
 }
 
@@ -554,10 +561,12 @@
 }
 
 // This controller may have been out of reach while another rebuilt. What it alone had accepted or cancelled is put on
-// record now; nobody else can have answered otherwise, for nobody else knew of it.
-awaitable<void> Keeper::add_late() {
+// record now; nobody else can have answered otherwise, for nobody else knew of it. False if some of it was refused, or
+// had no answer: it has to be tried again, and until then nobody here or elsewhere is certain that a job never was.
+awaitable<bool> Keeper::add_late() {
     const auto former = former_->source("former");
     std::size_t added = 0, lost = 0;
+    bool all = true;
     for (const auto& [key, record] : former.records) {
         const auto work = agent::parse_work_key(key);
         const auto uid = work ? work->uid : key.substr(std::string_view(agent::over_prefix).size());
@@ -579,9 +588,12 @@
         txn.changes.push_back({key, std::move(value), 0});
         const auto r = co_await guarded_.commit(std::move(txn), Urgency::user);
         added += r.outcome == Outcome::ok;
-        if (doubt_) co_return;
+        // After a conflict another's stands there, or a late write of this one.
+        all = all && (r.outcome == Outcome::ok || r.outcome == Outcome::conflict || r.outcome == Outcome::too_large);
+        if (doubt_) co_return false;
     }
-    if (added || lost) spdlog::info("event=remembered_late added={} lost={}", added, lost);
+    if (added || lost) spdlog::info("event=remembered_late added={} lost={} all={}", added, lost, all);
+    co_return all;
 }
 
 awaitable<bool> Keeper::read_owed(Memory& memory) {
@@ -644,7 +656,7 @@
 bool Keeper::certain() const {
     if (!known_ || Clock::now() >= certain_at_) return true;
     return std::all_of(known_->missing.begin(), known_->missing.end(), [&](const std::string& member) {
-        if (member == settings_.member) return memory_.whole();
+        if (member == settings_.member) return memory_.whole() && late_added_;
         const auto it = peers_.find(member);
         return it != peers_.end() && it->second.generation == known_->generation && it->second.remembers > 0;
     });
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -134,7 +134,7 @@
     awaitable<bool> sweep();
     awaitable<void> put_back_few(const Witness& witness, std::vector<Inquiry::Finding> gone);
     awaitable<void> write_digest();
-    awaitable<void> add_late();
+    awaitable<bool> add_late();
     awaitable<void> pay_back();
     void shelve();
 
@@ -180,7 +180,8 @@
     bool following_ = false;
     bool verified_ = false;       // what there was when this controller began is all there should have been
     std::uint64_t digested_ = 0;  // what the last digest counted
-    wire::TimePoint next_digest_{}, next_scrub_{}, certain_at_{}, former_until_{};
+    bool late_added_ = true;      // what only former_ holds is on record
+    wire::TimePoint next_digest_{}, next_scrub_{}, certain_at_{}, former_until_{}, next_late_{};
     std::string scrub_at_;                // the last key that was held against the memory
     std::optional<std::string> fill_at_;  // the last key of the pages read so far; nothing once all are
     std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -9,8 +9,11 @@
     Keys keys;
     bool refuse = false;   // an outage, or a refusal of this controller alone
     int lose_answers = 0;  // so many transactions are carried out, but their answers are lost
+    int stall = 0;         // so many transactions are carried out, and their answers never come
+    std::string refuse_changes;  // with this prefix, as under a limit on writes
     int commits = 0, gets = 0;
     std::optional<state::FollowResult> tell;  // what the next watch is told
+    bool quiet_watches = false;               // watches tell that nothing has changed
     std::chrono::duration<double> wait_for_writes{0};
 
     net::awaitable<state::GetResult> get(std::string key, state::Urgency) override {
@@ -34,7 +37,17 @@
         state::TxnResult r;
         r.outcome = state::Outcome::refused;
         if (refuse) co_return r;
+        if (!refuse_changes.empty())
+            for (const auto& c : txn.changes)
+                if (c.key.starts_with(refuse_changes)) co_return r;
         r = keys.commit(txn);
+        if (stall > 0) {
+            --stall;
+            net::Timer never(ex);
+            never.expires_at(wire::TimePoint::max());
+            auto [ec] = co_await never.async_wait(net::quietly);
+            (void)ec;
+        }
         if (lose_answers > 0) {
             --lose_answers;
             r = state::TxnResult{};
@@ -45,6 +58,7 @@
         state::FollowResult r;
         r.outcome = state::Outcome::refused;
         if (tell) r = *std::exchange(tell, std::nullopt);
+        if (quiet_watches && !refuse) r = {state::Outcome::ok, {}, {}, keys.revision()};
         co_return r;
     }
     net::awaitable<state::LeaseResult> grant(std::chrono::milliseconds) override {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -581,6 +581,96 @@
     EXPECT_TRUE(look("jobs/over/run-2").damaged);
 }
 
+// --- the keeper ---
+
+namespace {
+
+// One that plays on a service in memory, under a virtual time.
+struct KeeperStory : ::testing::Test {
+    wire::TimePoint now{std::chrono::seconds(1000)};
+    KeeperStory() {
+        wire::Clock::emulated = &now;
+        service.quiet_watches = true;
+    }
+    ~KeeperStory() override { wire::Clock::emulated = nullptr; }
+
+    FakeStore service;
+    config::Settings cluster = settings();
+    state::Form form{cluster};
+    net::asio::io_context io;
+    state::GuardedStore guarded{
+        service,
+        "jobs/",
+        {[this](const char* why) { keeper.doubt(why); },
+         [this](const state::Change& c, std::uint64_t revision) { keeper.written(c, revision); }}};
+    recovery::Keeper keeper{io.get_executor(), service, guarded, cluster, form, recovery::Shelf(""), links()};
+
+    static recovery::Keeper::Links links() {
+        recovery::Keeper::Links l;
+        l.time_of_day_ms = [] { return std::int64_t{1000}; };
+        l.begin = [](election::Term, bool) {};
+        l.new_term = [](const char*) {};
+        l.outcomes = [](const std::vector<state::Item>&, wire::TimePoint, recovery::Keeper::Links::Look) {};
+        l.rebuilt = [] {};
+        l.seen_term = [] { return std::uint64_t{0}; };
+        l.life = 1;
+        return l;
+    }
+    void pass(double seconds) {
+        for (double t = 0; t < seconds; t += 0.02) {
+            now += std::chrono::milliseconds(20);
+            io.restart();
+            io.poll();
+        }
+    }
+    void put(const std::string& key, boost::json::value value) {
+        state::Txn txn;
+        txn.changes.push_back({key, std::move(value), 0});
+        service.keys.commit(txn);
+    }
+};
+
+}  // namespace
+
+// A controller was out of reach while the others rebuilt, and alone remembers a job that it accepted. What the service
+// refused of that was never tried again; and the others were certain that the job never was as soon as this one was
+// heard, before it had added anything.
+TEST_F(KeeperStory, forgotten_what_only_one_remembers_is_added_however_often_that_is_refused) {
+    net::asio::co_spawn(io, keeper.run(), net::asio::detached);
+    pass(10);
+    ASSERT_TRUE(keeper.ready());
+    ASSERT_TRUE(guarded.is_open());
+    state::Txn txn;
+    txn.conditions.push_back({"jobs/work/run-1", 0});
+    txn.changes.push_back(
+        {"jobs/work/run-1", boost::json::object{{"spec", boost::json::object()}, {"tasks", boost::json::array()}}, 0});
+    Outcome accepted = Outcome::unknown;
+    net::asio::co_spawn(io, guarded.commit(std::move(txn), state::Urgency::user),
+                        [&](std::exception_ptr, state::TxnResult r) { accepted = r.outcome; });
+    pass(0.1);
+    ASSERT_EQ(accepted, Outcome::ok);
+    // The others have rebuilt what there was before.
+    const auto revision = service.keys.revision();
+    service.keys = Keys();
+    while (service.keys.revision() < revision + 10) put("other", 1);
+    state::Witness w;
+    w.generation = 2;
+    w.id = "rebuilt";
+    w.missing = {cluster.member};
+    put(state::witness_key, state::witness_record(w));
+    service.refuse_changes = "jobs/";
+    pass(8);
+    ASSERT_EQ(keeper.own_word().generation, 2u);
+    EXPECT_EQ(service.keys.get("jobs/work/run-1").stamp, 0u);
+    EXPECT_FALSE(keeper.certain()) << "that a job never was";
+    EXPECT_EQ(keeper.own_word().remembers, 0u) << "nor may others be";
+    service.refuse_changes.clear();
+    pass(3);
+    EXPECT_GT(service.keys.get("jobs/work/run-1").stamp, 0u);
+    EXPECT_TRUE(keeper.certain());
+    EXPECT_GT(keeper.own_word().remembers, 0u);
+}
+
 // --- what the leader makes of rebuilt records ---
 
 TEST(UnsettledStory, nothing_is_placed_before_every_machine_on_a_young_list_was_heard) {
