--- a/src/api/desk.cpp
+++ b/src/api/desk.cpp
@@ -14,9 +14,13 @@
 
 namespace {
 
-constexpr std::size_t max_known = 20'000;
 constexpr int max_rounds = 32;                        // of looking at what a job needs, and what that needs
+constexpr int max_tries = 3;                          // of reading a job that changes meanwhile
 constexpr std::chrono::milliseconds most_wait{2000};  // that a submission waits for its write; users give up after 5 s
+constexpr std::chrono::seconds poll_patience{2}, submission_patience{5};  // after which users have gone
+// The next comparison does not wait for longer for one that is slow or has no answer; so many may be under way.
+constexpr std::chrono::milliseconds stagger{50};
+constexpr std::size_t most_under_way = 8;
 
 Reply reply(unsigned status, std::string body) {
     Reply r;
@@ -34,8 +38,8 @@
 }  // namespace
 
 Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form,
-           Links links)
-    : ex_(ex), store_(store), settings_(settings), form_(form), links_(std::move(links)) {}
+           Links links, std::size_t known)
+    : ex_(ex), store_(store), settings_(settings), form_(form), links_(std::move(links)), known_(known), asked_(ex) {}
 
 // Why the job can never run, if it cannot.
 std::optional<std::string> Desk::never_runs(const wire::JobSpec& spec) const {
@@ -45,6 +49,9 @@
     const auto over = [&](double limit, double need) { return limit > 0 && need * tasks > limit + 1e-9; };
     if (over(team->cpus_limit, spec.need.cpus)) return "cores: more than the team's limit";
     if (over(team->gpus_limit, spec.need.gpus)) return "accelerators: more than the team's limit";
+    // Tasks that are in one zone together are never at most half of them there.
+    if (spec.spread && (spec.one_zone || spec.zone) && spec.shape != wire::Shape::array && spec.tasks > 1)
+        return "scatter: all tasks would have to be in one zone";
     const placement::Rules anything;
     for (const auto& type : *links_.types()) {
         if (!placement::fits(spec.need, type.capacity)) continue;
@@ -54,66 +61,84 @@
     return "hosttypes: a task fits no allowed machine type";
 }
 
-// What a key of the job says of it; false if the key is absent.
-bool Desk::learn(const std::string& uid, const state::Item& item) {
-    if (!item.stamp) return false;
-    const auto& o = item.value.as_object();
-    Known k;
-    if (const auto* state = o.if_contains("state"))
-        k.state = wire::job_state_from(std::string_view(state->as_string()));
-    k.size = wire::size_from_record(o);
-    if (const auto* spec = o.if_contains("spec"); spec && k.state == JobState::open)
-        k.prerequisites = wire::spec_from_record(spec->as_object()).prerequisites;
-    if (known_.size() >= max_known) known_.clear();  // a cache: what is missing is read again
-    const auto [it, fresh] = known_.try_emplace(uid, k);
-    // Answers of the service may overtake one another on their way here; a job only ever moves forward.
-    if (!fresh && it->second.state == JobState::open) it->second = k;
-    return true;
+// What a key of the job says of it; null if the key is absent, or cannot be read.
+JobEvidence Desk::learn(const std::string& uid, const state::Item& item) {
+    if (!item.stamp) return nullptr;
+    auto job = known_from(item);
+    return job ? known_.learn(uid, std::move(*job)) : nullptr;
 }
 
-// Outcomes come back last after a loss. That there never was such a job, or that it may be taken as a new one, must not
-// be said of one that is remembered here. If it was when the service was asked, GuardedStore has not let the answer
-// through; if it is by now, another controller has just accepted it, and whoever asks comes again.
-Desk::Absent Desk::recall(const std::string& uid) {
+// What was over once stays over, whatever has become of its record.
+JobEvidence Desk::over_by_memory(const std::string& uid) {
     const auto remembered = links_.remembered(uid);
-    if (!remembered) return links_.certain() ? Absent::none : Absent::missed;
-    if (remembered->state == JobState::open) return Absent::missed;
-    known_[uid] = {remembered->state, remembered->size, {}};
-    return Absent::over;
+    if (!remembered || remembered->state == JobState::open) return nullptr;
+    return known_.learn(uid, {remembered->state, remembered->size, {}});
 }
 
-void Desk::forget_open() {
-    std::erase_if(known_, [](const auto& entry) { return entry.second.state == JobState::open; });
+// What is known of the job without asking: that it was accepted, and whether it is known to be over.
+JobEvidence Desk::at_hand(const std::string& uid) {
+    auto known = known_.find(uid);
+    if (known && known->over()) return known;
+    if (auto over = over_by_memory(uid)) return over;
+    if (known || !links_.open_record) return known;
+    const auto record = links_.open_record(uid);
+    return record ? learn(uid, *record) : nullptr;
 }
 
-awaitable<std::optional<bool>> Desk::look_up(const std::string& uid) {
-    const auto found = co_await find(uid);
+// A job only moves forward: what became known while its check was under way holds against that.
+JobEvidence Desk::newest(const std::string& uid, JobEvidence job) {
+    if (job && job->over()) return job;
+    if (auto known = known_.find(uid); known && known->over()) return known;
+    if (auto over = over_by_memory(uid)) return over;
+    return job;
+}
+
+// Neither key of the job is on record. Outcomes come back last after a loss: that there never was such a job, or that
+// it may be taken as a new one, must not be said of one that is remembered here. If it was when the service was asked,
+// GuardedStore has not let the answer through; if it is by now, another controller has just accepted it, and whoever
+// asks comes again.
+Desk::Look Desk::absent_now(const std::string& uid) {
+    if (auto over = over_by_memory(uid)) return {true, std::move(over)};
+    return {!links_.remembered(uid) && links_.certain(), nullptr};
+}
+
+awaitable<std::optional<bool>> Desk::look_up(std::string uid) {
+    const auto found = co_await find(std::move(uid));
     if (found.outcome != Outcome::ok) co_return std::nullopt;
-    co_return found.item.stamp > 0 || known_.contains(uid);
+    co_return found.job != nullptr;
 }
 
-// The job's outcome, or else the record of its open work, or an absent item if there is no such job.
-awaitable<state::GetResult> Desk::find(const std::string& uid) {
-    state::GetResult got;
-    for (int round = 0; round < 3; ++round) {
+// The job's outcome, or else the record of its open work, read now; null if there is no such job.
+awaitable<Desk::Found> Desk::find(std::string uid) {
+    Found out;
+    for (int round = 0; round < max_tries; ++round) {
         for (const bool over : {true, false}) {
             auto key = over ? agent::outcome_key(uid) : agent::work_key(uid, 0);
-            got = co_await store_.get(std::move(key), Urgency::user);
-            if (got.outcome != Outcome::ok) co_return got;
-            if (learn(uid, got.item)) {
-                links_.job_changed(got.item);
-                co_return got;
-            }
+            auto got = co_await store_.get(std::move(key), Urgency::user);
+            out.outcome = got.outcome;
+            if (got.outcome != Outcome::ok) co_return out;
+            if (!got.item.stamp) continue;
+            out.job = learn(uid, got.item);
+            if (!out.job) out.outcome = Outcome::unknown;
+            if (!out.job) co_return out;
+            links_.job_changed(got.item);
+            out.item = std::move(got.item);
+            co_return out;
         }
         // It may have ended between the two looks, and its work been removed: only both at once tell.
+        const bool certain = links_.certain();
         auto txn = absent(uid);
         const auto neither = co_await store_.commit(std::move(txn), Urgency::user);
-        got.outcome = neither.outcome;
-        if (neither.outcome == Outcome::ok && recall(uid) == Absent::missed) got.outcome = Outcome::unknown;
-        if (neither.outcome != Outcome::conflict) co_return got;
+        out.outcome = neither.outcome;
+        if (neither.outcome == Outcome::conflict) continue;
+        if (neither.outcome != Outcome::ok) co_return out;
+        auto look = absent_now(uid);
+        out.job = std::move(look.job);
+        if (!look.sure || (!out.job && !certain)) out.outcome = Outcome::unknown;
+        co_return out;
     }
-    got.outcome = Outcome::unknown;
-    co_return got;
+    out.outcome = Outcome::unknown;
+    co_return out;
 }
 
 // A transaction that fails if there is such a job.
@@ -124,32 +149,28 @@
     return txn;
 }
 
-Reply Desk::status_of(const std::string& uid, bool as_submission) const {
-    const auto it = known_.find(uid);
-    if (it == known_.end()) return reply(404, wire::error_body("no such job"));
-    const auto& k = it->second;
-    const auto count = k.state == JobState::open ? links_.count(uid) : DisplayCount{};
-    std::string_view status = "pending";
-    if (k.state == JobState::done)
-        status = "done";
-    else if (k.state == JobState::cancelled)
-        status = "aborted", links_.tells_cancelled(uid);
-    else if (count.running > 0)
-        status = "running";
+// By the evidence of whoever asked, or what is known beyond it by now.
+Reply Desk::status_of(const std::string& uid, JobEvidence job, bool as_submission) {
+    job = newest(uid, std::move(job));
+    const auto count = job->over() ? DisplayCount{} : links_.count(uid);
+    std::string_view status = count.running > 0 ? "running" : "pending";
+    if (job->state == JobState::done) status = "done";
+    if (job->state == JobState::cancelled) {
+        status = "aborted";
+        links_.tells_cancelled(uid);
+    }
     if (as_submission) return reply(200, wire::submission_answer(uid, status));
-    return reply(200,
-                 wire::poll_answer(uid, status, k.state == JobState::done ? k.size.tasks : count.done, count.running));
+    const auto done = job->state == JobState::done ? job->size.tasks : count.done;
+    return reply(200, wire::poll_answer(uid, status, done, count.running));
 }
 
-awaitable<Reply> Desk::current(const std::string& uid, bool as_submission) {
-    // What was over once stays over, whatever has become of its record.
-    if (const auto it = known_.find(uid); it == known_.end() || it->second.state == JobState::open)
-        if (const auto r = links_.remembered(uid); r && r->state != JobState::open)
-            known_[uid] = {r->state, r->size, {}};
-    const auto it = known_.find(uid);
-    const bool final = it != known_.end() && it->second.state != JobState::open;  // such states never change
-    const bool fresh = final || co_await check_fresh(uid);
-    co_return fresh ? status_of(uid, as_submission) : come_back("the state service cannot be reached");
+awaitable<Reply> Desk::current(std::string uid, bool as_submission) {
+    const std::chrono::seconds patience = as_submission ? submission_patience : poll_patience;
+    const auto look = co_await look_through(uid, wire::Clock::now() + patience);
+    // That an accepted job never was is not what a repeated submission is told.
+    if (!look.sure || (!look.job && as_submission)) co_return come_back("the state service cannot be reached");
+    if (!look.job) co_return reply(404, wire::error_body("no such job"));
+    co_return status_of(uid, look.job, as_submission);
 }
 
 awaitable<Reply> Desk::submit(std::string body) {
@@ -172,7 +193,7 @@
             status = 422;
         }
     if (!complaint.empty()) co_return co_await refuse(std::move(uid), status, std::move(complaint));
-    if (known_.contains(uid) || links_.remembered(uid)) co_return co_await current(uid, true);
+    if (at_hand(uid)) co_return co_await current(uid, true);
     const bool early = !form_.newest() && !agent::readable_by_all(spec, form_);
     if (early || !links_.types()) {
         const auto exists = co_await look_up(uid);
@@ -229,175 +250,247 @@
 
 // A job that is known here was accepted, for good. Of any other the state service is asked now: jobs of a pipeline come
 // one right after the other, to different controllers.
-awaitable<Desk::Needs> Desk::check_prerequisites(const wire::JobSpec& spec) {
+awaitable<Desk::Needs> Desk::check_prerequisites(wire::JobSpec spec) {
     Needs out;
-    std::vector<std::string> asked;
-    for (const auto& uid : spec.prerequisites)
-        if (!known_.contains(uid)) asked.push_back(uid);
-    const auto sure = co_await check(std::move(asked));
+    std::map<std::string, JobEvidence> known;
+    Questions asked;
+    const auto until = wire::Clock::now() + submission_patience;
     for (const auto& uid : spec.prerequisites) {
-        const auto it = known_.find(uid);
-        if (it == known_.end()) {
-            out.unknown = !sure.contains(uid);
-            if (!out.unknown) out.complaint = "prereqs: " + uid + " was never accepted";
-            co_return out;
-        }
-        if (it->second.size.shape == wire::Shape::service) {
+        known[uid] = at_hand(uid);
+        if (!known[uid]) asked.push_back(put(uid, until));
+    }
+    for (const auto& question : asked) {
+        const auto look = co_await answer(question);
+        out.unknown = out.unknown || !look.sure;
+        known[question->uid] = look.job;
+    }
+    if (out.unknown) co_return out;
+    for (const auto& [uid, job] : known) {
+        if (!job) out.complaint = "prereqs: " + uid + " was never accepted";
+        if (job && job->size.shape == wire::Shape::service)
             out.complaint = "prereqs: " + uid + " is a service, which is never done";
-            co_return out;
-        }
+        if (out.complaint) co_return out;
     }
     co_return out;
 }
 
 awaitable<Reply> Desk::poll(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
-    co_return co_await current(uid, false);
+    co_return co_await current(std::move(uid), false);
 }
 
-// Whether what is known of the job is confirmed by the state service after this call began. Everyone who asks
-// while a check is under way shares the next one.
-awaitable<bool> Desk::check_fresh(const std::string& uid) {
-    auto waiter = std::make_shared<Waiter>(ex_);
-    waiter->uid = uid;
-    waiter->done.expires_at(wire::TimePoint::max());
-    waiting_.push_back(waiter);
-    if (!checking_) {
-        checking_ = true;
-        net::asio::co_spawn(ex_, check_waiting(), net::asio::detached);
-    }
-    if (!waiter->answered) {
-        auto [ec] = co_await waiter->done.async_wait(net::quietly);
-        (void)ec;
+// --- questions ---
+
+std::shared_ptr<Desk::Question> Desk::put(std::string uid, TimePoint until) {
+    auto question = std::make_shared<Question>(ex_, std::move(uid), until);
+    questions_.push_back(question);
+    if (asking_) {
+        asked_.notify();
+    } else {
+        asking_ = true;
+        net::asio::co_spawn(ex_, ask_loop(), net::asio::detached);
     }
-    co_return waiter->fresh;
+    return question;
 }
 
-awaitable<void> Desk::check_waiting() {
-    while (!waiting_.empty()) {
-        std::vector<std::shared_ptr<Waiter>> batch;
-        const std::size_t most = form_.conditions() / 2;
-        while (!waiting_.empty() && batch.size() < most) {
-            batch.push_back(std::move(waiting_.front()));
-            waiting_.pop_front();
+// What the service says, once it has been asked: of what was not known here the record is read, by whoever asks, so
+// that nobody else waits for that.
+awaitable<Desk::Look> Desk::answer(std::shared_ptr<Question> question) {
+    using Answer = Question::Answer;
+    const auto& uid = question->uid;
+    Look out;
+    for (int round = 0; round < max_tries; ++round) {
+        if (!question->closed) {
+            auto [ec] = co_await question->answered.async_wait(net::quietly);
+            (void)ec;
         }
-        std::set<std::string> confirmed;
-        // A round may find out what else a job needs, which has to be looked at as well.
-        for (int round = 0; round < max_rounds && !batch.empty(); ++round) {
-            std::set<std::string> asked;
-            for (const auto& w : batch)
-                for (auto& uid : line(w->uid))
-                    if (!confirmed.contains(uid)) asked.insert(std::move(uid));
-            auto now_sure = co_await check({asked.begin(), asked.end()});
-            confirmed.merge(now_sure);
-            std::erase_if(batch, [&](const std::shared_ptr<Waiter>& w) {
-                bool all = true, failed = false;
-                for (const auto& uid : line(w->uid)) {
-                    all = all && confirmed.contains(uid);
-                    failed = failed || (asked.contains(uid) && !confirmed.contains(uid));
-                }
-                if (!all && !failed && round + 1 < max_rounds) return false;
-                w->fresh = all;
-                // Its outcome will be written; whoever asks after an outage must not be told less until then.
-                if (all && needs_cancelled(w->uid)) known_[w->uid].state = JobState::cancelled;
-                w->answered = true;
-                w->done.cancel();
-                return true;
-            });
+        const auto said = question->answer;
+        if (said == Answer::unknown) co_return out;
+        if (said == Answer::none) co_return absent_now(uid);
+        out.job = question->held;
+        if (said == Answer::over || said == Answer::work) {
+            auto key = said == Answer::over ? agent::outcome_key(uid) : agent::work_key(uid, 0);
+            const auto got = co_await store_.get(std::move(key), Urgency::user);
+            if (got.outcome != Outcome::ok) co_return out;
+            if (!got.item.stamp) {
+                // It has ended since, and its work been removed.
+                question = put(uid, question->until);
+                continue;
+            }
+            out.job = learn(uid, got.item);
+            if (!out.job) co_return out;
+            links_.job_changed(got.item);
         }
+        out.sure = true;
+        co_return out;
     }
-    checking_ = false;
+    out.job = nullptr;
+    co_return out;
 }
 
-// Those of the jobs of which it is certain now whether they are open, over, or no jobs at all. Known jobs that are over
-// need no check, so all that are known are believed to be open.
-awaitable<std::set<std::string>> Desk::check(std::vector<std::string> uids) {
-    std::set<std::string> sure;
-    const std::size_t most = form_.conditions();
-    for (std::size_t next = 0; next < uids.size();) {
-        state::Txn txn;
-        const auto first = next;
-        for (; next < uids.size() && txn.conditions.size() + 2 <= most; ++next) {
-            txn.conditions.push_back({agent::outcome_key(uids[next]), 0});
-            if (!known_.contains(uids[next])) txn.conditions.push_back({agent::work_key(uids[next], 0), 0});
+// Puts all that wait to the state service together; everyone who asks while a comparison is under way shares the next
+// one. One that is slow, or never answered, does not hold back the next.
+awaitable<void> Desk::ask_loop() {
+    while (!questions_.empty()) {
+        const auto now = wire::Clock::now();
+        const auto next = last_asked_ + stagger;
+        const bool full = questions_.size() >= form_.conditions() / 2;
+        if (under_way_ >= most_under_way || (under_way_ > 0 && !full && now < next)) {
+            const bool waits = under_way_ >= most_under_way;
+            co_await asked_.wait(waits ? wire::Clock::duration(std::chrono::seconds(1)) : next - now);
+            continue;
         }
-        const auto result = co_await store_.commit(std::move(txn), Urgency::user);
-        if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) continue;
-        const auto exists = [&](const std::string& key) {
-            return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
-        };
-        for (auto i = first; i < next; ++i) {
-            const bool over = exists(agent::outcome_key(uids[i]));
-            if (over || exists(agent::work_key(uids[i], 0))) {
-                auto key = over ? agent::outcome_key(uids[i]) : agent::work_key(uids[i], 0);
-                const auto got = co_await store_.get(std::move(key), Urgency::user);
-                if (got.outcome != Outcome::ok || !learn(uids[i], got.item)) continue;
-                links_.job_changed(got.item);
-            } else if (!known_.contains(uids[i]) && recall(uids[i]) == Absent::missed) {
-                continue;
-            }
-            sure.insert(uids[i]);
+        auto questions = next_questions();
+        if (questions.empty()) continue;
+        last_asked_ = now;
+        ++under_way_;
+        net::asio::co_spawn(ex_, ask(std::move(questions)), net::asio::detached);
+    }
+    asking_ = false;
+}
+
+// As many as one comparison holds, but for those that nobody waits for any more.
+Desk::Questions Desk::next_questions() {
+    Questions out;
+    std::set<std::string_view> uids;
+    const auto now = wire::Clock::now();
+    const std::size_t most = std::max<std::size_t>(1, form_.conditions() / 2);
+    for (; !questions_.empty() && uids.size() < most; questions_.pop_front()) {
+        if (questions_.front()->until <= now) continue;
+        out.push_back(std::move(questions_.front()));
+        uids.insert(out.back()->uid);
+    }
+    return out;
+}
+
+awaitable<void> Desk::ask(Questions questions) {
+    using Answer = Question::Answer;
+    const bool certain = links_.certain();
+    std::map<std::string, JobEvidence> held;
+    state::Txn txn;
+    for (const auto& q : questions) {
+        const auto [it, fresh] = held.try_emplace(q->uid);
+        if (fresh) {
+            it->second = at_hand(q->uid);
+            txn.conditions.push_back({agent::outcome_key(q->uid), 0});
+            if (!it->second) txn.conditions.push_back({agent::work_key(q->uid, 0), 0});
         }
+        q->held = it->second;
+    }
+    const auto result = co_await store_.commit(std::move(txn), Urgency::user);
+    --under_way_;
+    asked_.notify();
+    const auto exists = [&](const std::string& key) {
+        return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
+    };
+    const bool answered = result.outcome == Outcome::ok || result.outcome == Outcome::conflict;
+    for (const auto& q : questions) {
+        if (answered && exists(agent::outcome_key(q->uid)))
+            q->answer = Answer::over;
+        else if (answered && q->held)
+            q->answer = Answer::open;
+        else if (answered && exists(agent::work_key(q->uid, 0)))
+            q->answer = Answer::work;
+        else if (answered && certain)
+            q->answer = Answer::none;
+        q->closed = true;
+        q->answered.cancel();
     }
-    co_return sure;
 }
 
-std::vector<std::string> Desk::line(const std::string& uid) const {
-    std::vector<std::string> out{uid};
-    for (std::size_t i = 0; i < out.size(); ++i) {
-        const auto it = known_.find(out[i]);
-        if (it == known_.end()) continue;
-        for (const auto& name : it->second.prerequisites) {
-            const auto need = known_.find(name);
-            const bool over = need != known_.end() && need->second.state != JobState::open;
-            if (!over && std::find(out.begin(), out.end(), name) == out.end()) out.push_back(name);
+// The job as it is now. Of an open job that needs others all open ones are looked at that it needs, directly or through
+// others: whoever needs a cancelled job is cancelled, and that is put on record before anybody is told, so that no
+// controller, and no later life of this one, says otherwise.
+awaitable<Desk::Look> Desk::look_through(std::string uid, TimePoint until) {
+    std::map<std::string, JobEvidence> sure;
+    for (int round = 0; round < max_rounds; ++round) {
+        std::vector<std::string> open{uid}, unsure;
+        bool cancelled = false;
+        for (std::size_t i = 0; i < open.size(); ++i) {
+            const auto it = sure.find(open[i]);
+            if (it == sure.end()) unsure.push_back(open[i]);
+            const auto job = it == sure.end() ? at_hand(open[i]) : it->second;
+            cancelled = cancelled || (i > 0 && job && job->state == JobState::cancelled);
+            if (!job || job->over()) continue;
+            for (const auto& name : job->prerequisites)
+                if (std::find(open.begin(), open.end(), name) == open.end()) open.push_back(name);
+        }
+        // What is over needs no check.
+        std::erase_if(unsure, [&](const std::string& name) {
+            auto job = at_hand(name);
+            const bool over = job && job->over();
+            if (over) sure[name] = std::move(job);
+            return over;
+        });
+        const auto its_own = sure.find(uid);
+        if (its_own != sure.end() && (!its_own->second || its_own->second->over()))
+            co_return Look{true, its_own->second};
+        if (cancelled && its_own != sure.end()) {
+            const auto job = its_own->second;
+            state::Item unread;
+            const auto put_down = co_await put_cancelled(uid, job, std::move(unread));
+            if (put_down == Outcome::ok) co_return Look{true, newest(uid, job)};
+            if (put_down != Outcome::conflict) co_return Look{};
+            sure.erase(uid);
+            continue;
+        }
+        if (unsure.empty()) co_return Look{true, its_own->second};
+        Questions asked;
+        for (auto& name : unsure) asked.push_back(put(std::move(name), until));
+        for (const auto& question : asked) {
+            const auto look = co_await answer(question);
+            if (!look.sure) co_return Look{};
+            sure[question->uid] = look.job;
         }
     }
-    return out;
+    co_return Look{};
 }
 
-bool Desk::needs_cancelled(const std::string& uid) const {
-    for (const auto& open : line(uid)) {
-        const auto it = known_.find(open);
-        if (it == known_.end() || it->second.state != JobState::open) continue;
-        for (const auto& name : it->second.prerequisites)
-            if (const auto need = known_.find(name); need != known_.end() && need->second.state == JobState::cancelled)
-                return true;
+// --- cancellations ---
+
+// Puts the cancellation of an open job on record, on the condition that it has no outcome. `from`: a record of it, or
+// an absent one.
+awaitable<state::Outcome> Desk::put_cancelled(std::string uid, JobEvidence job, state::Item from) {
+    state::Item item;
+    item.key = agent::outcome_key(uid);
+    const auto* record = from.value.if_object();
+    const auto* spec = record ? record->if_contains("spec") : nullptr;
+    // With the time, for a leader that comes later: what is cancelled must be gone by then.
+    item.value = agent::outcome_record(form_, JobState::cancelled, links_.time_of_day_ms(),
+                                       spec ? &spec->as_object() : nullptr, job->size);
+    state::Txn txn;
+    txn.conditions.push_back({item.key, 0});
+    txn.changes.push_back({item.key, item.value, 0});
+    const auto result = co_await store_.commit(std::move(txn), Urgency::user);
+    if (result.outcome == Outcome::ok) {
+        item.stamp = result.revision;
+        known_.learn(uid, {JobState::cancelled, job->size, {}});
+        links_.job_changed(item);
+        spdlog::info("event=cancel_accepted job={}", uid);
     }
-    return false;
+    co_return result.outcome;
 }
 
 awaitable<Reply> Desk::cancel(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
-    for (int round = 0; round < 3; ++round) {
-        // What was over once stays over, whatever has become of its record.
-        if (const auto r = links_.remembered(uid); r && r->state != JobState::open) {
-            known_[uid] = {r->state, r->size, {}};
-            co_return status_of(uid, true);
-        }
-        const auto got = co_await find(uid);
-        if (got.outcome != Outcome::ok) break;
-        if (!got.item.stamp && !known_.contains(uid)) co_return reply(404, wire::error_body("no such job"));
-        if (known_[uid].state != JobState::open) co_return status_of(uid, true);
-        state::Item item;
-        item.key = agent::outcome_key(uid);
-        const auto& record = got.item.value.as_object();
-        const auto* spec = record.if_contains("spec");
-        // With the time, for a leader that comes later: what is cancelled must be gone by then.
-        item.value = agent::outcome_record(form_, JobState::cancelled, links_.time_of_day_ms(),
-                                           spec ? &spec->as_object() : nullptr, wire::size_from_record(record));
-        state::Txn txn;
-        txn.conditions.push_back({item.key, 0});
-        txn.changes.push_back({item.key, item.value, 0});
-        const auto result = co_await store_.commit(std::move(txn), Urgency::user);
-        if (result.outcome == Outcome::ok) {
-            item.stamp = result.revision;
-            learn(uid, item);
-            links_.job_changed(item);
-            spdlog::info("event=cancel_accepted job={}", uid);
-            co_return status_of(uid, true);
+    bool read = false;
+    for (int round = 0; round < max_tries; ++round) {
+        auto job = at_hand(uid);
+        state::Item record;
+        // What is known to be open needs not be read first, but for the oldest form, which holds the submission, and
+        // where the last try shows that it may be over.
+        if (!job || (!job->over() && (read || !form_.newest()))) {
+            auto found = co_await find(uid);
+            if (found.outcome != Outcome::ok) break;
+            if (!found.job) co_return reply(404, wire::error_body("no such job"));
+            job = std::move(found.job);
+            record = std::move(found.item);
         }
-        if (result.outcome == Outcome::refused) break;
+        if (job->over()) co_return status_of(uid, job, true);
+        const auto outcome = co_await put_cancelled(uid, job, std::move(record));
+        if (outcome == Outcome::ok) co_return status_of(uid, job, true);
+        if (outcome == Outcome::refused) break;
+        read = true;
     }
     co_return come_back("the state service cannot be reached");
 }
--- a/src/api/desk.hpp
+++ b/src/api/desk.hpp
@@ -2,11 +2,12 @@
 #pragma once
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
-#include <unordered_map>
 
 #include "agent/job.hpp"
+#include "api/known_jobs.hpp"
 #include "config/settings.hpp"
 #include "net/http_server.hpp"
 #include "state/store.hpp"
@@ -36,61 +37,84 @@
         std::function<void(const state::Item&)> job_changed;  // a hint for a leader in this process
         std::function<std::optional<Remembered>(const std::string&)> remembered;
         std::function<bool()> certain;  // what is neither on record nor remembered never was
+        // The first record of an open job, as it is remembered: that saves reading it.
+        std::function<std::optional<state::Item>(const std::string&)> open_record = {};
     };
-
-    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links);
+    // `known`: jobs of which is kept what was read of them.
+    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links,
+         std::size_t known);
 
     awaitable<Reply> submit(std::string body);
     awaitable<Reply> poll(std::string uid);
     awaitable<Reply> cancel(std::string uid);
     // The records were rebuilt: what they say of jobs that are not over has to be read again.
-    void forget_open();
+    void forget_open() { known_.forget_open(); }
 
   private:
-    struct Known {
-        wire::JobState state = wire::JobState::open;
-        wire::JobSize size;
-        std::vector<std::string> prerequisites;
-    };
-    struct Waiter {
-        explicit Waiter(net::Executor ex) : done(ex) {}
-        net::Timer done;
+    using TimePoint = wire::TimePoint;
+    // One job that the state service is asked about. Everyone is answered by a comparison that began after he asked.
+    struct Question {
+        Question(net::Executor ex, std::string job, TimePoint end) : answered(ex), uid(std::move(job)), until(end) {
+            answered.expires_at(until);
+        }
+        net::Timer answered;
         std::string uid;
-        bool answered = false, fresh = false;
+        TimePoint until;   // when whoever asks has gone
+        JobEvidence held;  // what was known when the service was asked: the job exists
+        // open: as `held` says; over, work: a key of it was found that was not known; none: neither is there.
+        enum class Answer : std::uint8_t { unknown, open, over, work, none } answer = Answer::unknown;
+        bool closed = false;  // the service has answered, or not
+    };
+    using Questions = std::vector<std::shared_ptr<Question>>;
+    // What is certain of a job. Sure and null: there is no such job.
+    struct Look {
+        bool sure = false;
+        JobEvidence job;
+    };
+    struct Found {
+        state::Outcome outcome = state::Outcome::unknown;
+        JobEvidence job;
+        state::Item item;
     };
-
-    std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
-    bool learn(const std::string& uid, const state::Item& item);
-    // What to make of a job that is not on record: over, by an outcome that is owed; missed; or no job at all.
-    enum class Absent : std::uint8_t { over, missed, none };
-    Absent recall(const std::string& uid);
-    awaitable<state::GetResult> find(const std::string& uid);
-    static state::Txn absent(const std::string& uid);
-    awaitable<std::optional<bool>> look_up(const std::string& uid);  // whether it exists; nothing: unknown
-    // Why not, if the job cannot have these prerequisites; nothing if it can, or if `unknown`.
     struct Needs {
         bool unknown = false;
         std::optional<std::string> complaint;
     };
-    awaitable<Needs> check_prerequisites(const wire::JobSpec& spec);
+
+    std::optional<std::string> never_runs(const wire::JobSpec& spec) const;
+    JobEvidence learn(const std::string& uid, const state::Item& item);
+    JobEvidence over_by_memory(const std::string& uid);
+    JobEvidence at_hand(const std::string& uid);
+    JobEvidence newest(const std::string& uid, JobEvidence job);
+    Look absent_now(const std::string& uid);
+    awaitable<Found> find(std::string uid);
+    static state::Txn absent(const std::string& uid);
+    awaitable<std::optional<bool>> look_up(std::string uid);  // whether it exists; nothing: unknown
+    // Why not, if the job cannot have these prerequisites; nothing if it can, or if `unknown`.
+    awaitable<Needs> check_prerequisites(wire::JobSpec spec);
     awaitable<Reply> refuse(std::string uid, unsigned status, std::string complaint);
-    awaitable<Reply> current(const std::string& uid, bool as_submission);
-    awaitable<bool> check_fresh(const std::string& uid);
-    awaitable<void> check_waiting();
-    // The job and all open ones that it needs, directly or through others, as far as they are known.
-    std::vector<std::string> line(const std::string& uid) const;
-    bool needs_cancelled(const std::string& uid) const;
-    awaitable<std::set<std::string>> check(std::vector<std::string> uids);
-    Reply status_of(const std::string& uid, bool as_submission) const;
+    awaitable<Reply> current(std::string uid, bool as_submission);
+
+    std::shared_ptr<Question> put(std::string uid, TimePoint until);
+    awaitable<Look> answer(std::shared_ptr<Question> question);
+    awaitable<void> ask_loop();
+    Questions next_questions();
+    awaitable<void> ask(Questions questions);
+    awaitable<Look> look_through(std::string uid, TimePoint until);
+    awaitable<state::Outcome> put_cancelled(std::string uid, JobEvidence job, state::Item from);
+    Reply status_of(const std::string& uid, JobEvidence job, bool as_submission);
 
     net::Executor ex_;
     state::Store& store_;
     const config::Settings& settings_;
     const state::Form& form_;
     Links links_;
-    std::unordered_map<std::string, Known> known_;
-    std::deque<std::shared_ptr<Waiter>> waiting_;
-    bool checking_ = false;
+    KnownJobs known_;
+    std::deque<std::shared_ptr<Question>> questions_;  // that nobody has put to the state service yet
+    net::Wakeup asked_;
+    std::size_t under_way_ = 0;  // comparisons
+    TimePoint last_asked_{};
+    bool asking_ = false;
 };
 
 }  // namespace flintdale::api
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -85,6 +85,9 @@
                }),
       caretaker_(settings_),
       cancellations_(settings_),
+      fencer_(ex_, cloud_, ports_.workers, settings_,
+              {[this](wire::TimePoint noted) { return somebody_knows(noted); },
+               [this](const std::string& uid) { return keeper_.memory().machines_of(uid); }}),
       keeper_(ex_, ports_.state, store_, settings_, form_, recovery::Shelf(tunables_.snapshots), keeper_links()),
       desk_(ex_, store_, settings_, form_,
             {ports_.time_of_day_ms, [this](const std::string& uid) { note_cancelled(uid); },
@@ -100,11 +103,28 @@
                  if (reign_) reign_->job_changed(item);
              },
              [this](const std::string& uid) -> std::optional<api::Remembered> {
-                 const auto outcome = keeper_.outcome_of(uid);
+                 auto outcome = keeper_.outcome_of(uid);
+                 // Nobody is told that a job is cancelled before it is on record: a peer's word of it is as good.
+                 if ((!outcome || outcome->state == wire::JobState::open) && cancellations_.knows(uid)) {
+                     if (!outcome) outcome.emplace();
+                     outcome->state = wire::JobState::cancelled;
+                 }
                  if (!outcome) return std::nullopt;
                  return api::Remembered{outcome->state, outcome->size};
              },
-             [this] { return keeper_.certain(); }}) {}
+             [this] { return keeper_.certain(); },
+             [this](const std::string& uid) -> std::optional<state::Item> {
+                 const auto record = keeper_.memory().record(agent::work_key(uid, 0));
+                 // What is owed, or damaged, is read where it stands.
+                 if (!record || record->stamp <= recovery::owed_stamp) return std::nullopt;
+                 state::Item item;
+                 item.key = agent::work_key(uid, 0);
+                 boost::json::error_code ec;
+                 item.value = boost::json::parse(record->text, ec);
+                 item.stamp = record->stamp;
+                 return ec || !item.value.is_object() ? std::nullopt : std::optional(std::move(item));
+             }},
+            static_cast<std::size_t>(tunables.known_jobs)) {}
 
 recovery::Keeper::Links Controller::keeper_links() {
     recovery::Keeper::Links links;
@@ -145,9 +165,7 @@
         const auto outcome = keeper_.outcome_of(uid);
         if (!outcome || outcome->state != wire::JobState::cancelled) return wire::Seconds(0);
         // Former versions did not put down when: it may be for long.
-        const auto at = keeper_.memory().over_since_ms(uid);
-        return at ? std::max(wire::Seconds(0), wire::Seconds(std::chrono::milliseconds(ports_.time_of_day_ms() - *at)))
-                  : settings_.cancel * 0.5;
+        return over_for(uid).value_or(settings_.cancel * 0.5);
     };
     links.others_reach_state = [this] {
         const auto now = Clock::now();
@@ -171,9 +189,29 @@
     const auto now = Clock::now();
     if (!cancellations_.note(uid, now)) return;
     caretaker_.cancelled(uid, now);
+    fencer_.cancelled(uid, now - wire::to_clock(std::min(over_for(uid).value_or(wire::Seconds(0)), settings_.cancel)));
     if (reign_) reign_->cancelled_elsewhere(uid);
 }
 
+// For how long a job has been over, by the time of day on record; nothing if that is not known.
+std::optional<wire::Seconds> Controller::over_for(const std::string& uid) const {
+    const auto at = keeper_.memory().over_since_ms(uid);
+    if (!at) return std::nullopt;
+    return std::max(wire::Seconds(0), wire::Seconds(std::chrono::milliseconds(ports_.time_of_day_ms() - *at)));
+}
+
+// Where the state service answers, whoever leads reads what is cancelled there; and a leader whose messages say that it
+// has heard of it sees to it. A term that has read nothing yet does not know where tasks are.
+bool Controller::somebody_knows(wire::TimePoint noted) const {
+    const auto now = Clock::now();
+    if (ports_.state.healthy(now) || (reign_ && reign_->loaded())) return true;
+    return std::any_of(peer_state_.begin(), peer_state_.end(), [&](const auto& entry) {
+        const auto& [member, peer] = entry;
+        if (now - peer.heard >= 3s) return false;
+        return peer.state_ok || (peer.leading && cancellations_.has_heard(member, noted));
+    });
+}
+
 wire::TimePoint Controller::told_until(wire::TimePoint looked) const {
     return cancellations_.known_at(looked, Clock::now());
 }
@@ -189,6 +227,7 @@
     net::asio::co_spawn(ex_, elector_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, members_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, keeper_.run(), net::asio::detached);
+    net::asio::co_spawn(ex_, fencer_.run(), net::asio::detached);
     net::asio::co_spawn(ex_, catalog_loop(), net::asio::detached);
     net::asio::co_spawn(ex_, peer_loop(), net::asio::detached);
 }
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include "agent/caretaker.hpp"
 #include "api/desk.hpp"
+#include "app/fencer.hpp"
 #include "app/reign.hpp"
 #include "cloud/client.hpp"
 #include "election/members.hpp"
@@ -15,6 +16,7 @@
 struct Ports {
     state::Service& state;
     cloud::Cloud& cloud;
+    worker::Workers& workers;
     std::function<void(const peer::Beat&)> tell_peers;
     std::function<std::int64_t()> time_of_day_ms;
 };
@@ -30,6 +32,7 @@
 
     bool leading() const { return elector_.leading(); }
     const recovery::Keeper& keeper() const { return keeper_; }
+    const Fencer& fencer() const { return fencer_; }
 
   private:
     awaitable<net::Reply> beat(std::string body);
@@ -37,6 +40,8 @@
     awaitable<void> peer_loop();
     recovery::Keeper::Links keeper_links();
     void note_cancelled(const std::string& uid);
+    bool somebody_knows(wire::TimePoint noted) const;
+    std::optional<wire::Seconds> over_for(const std::string& uid) const;
     wire::TimePoint told_until(wire::TimePoint looked) const;
     void begin_reign(election::Term term, bool unsettled);
     void end_reign();
@@ -60,6 +65,7 @@
     election::Members members_;
     agent::Caretaker caretaker_;
     peer::Cancellations cancellations_;
+    Fencer fencer_;
     recovery::Keeper keeper_;
     std::shared_ptr<Reign> reign_;
     std::optional<quota::Table> teams_;  // figures of teams, where they differ from the settings
--- /dev/null
+++ b/src/app/fencer.cpp
@@ -0,0 +1,112 @@
+#include "app/fencer.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace flintdale::app {
+
+using namespace std::chrono_literals;
+using wire::Clock;
+using wire::Seconds;
+
+namespace {
+constexpr auto look_gap = 1s;
+// Before cancel_s is over: time for a list of the machines, two questions to each, and the call that returns them.
+constexpr Seconds begin_before{16}, fence_before{9};
+constexpr std::size_t most_asked = 200;     // at once: sockets are scarce
+constexpr std::size_t most_released = 100;  // of a call
+}  // namespace
+
+Fencer::Fencer(net::Executor ex, cloud::Cloud& cloud, worker::Workers& workers, const config::Settings& settings,
+               Links links)
+    : ex_(ex), cloud_(cloud), workers_(workers), settings_(settings), links_(std::move(links)) {}
+
+void Fencer::cancelled(const std::string& uid, wire::TimePoint at) {
+    cancelled_.emplace(at, Cancelled{uid, Clock::now()});
+}
+
+awaitable<void> Fencer::run() {
+    for (;;) {
+        co_await net::sleep_for(look_gap);
+        co_await look();
+    }
+}
+
+Fencer::Due Fencer::due() const {
+    Due out;
+    const auto now = Clock::now();
+    for (const auto& [at, job] : cancelled_) {
+        const auto& uid = job.uid;
+        if (now < at + wire::to_clock(settings_.cancel - begin_before)) break;
+        if (links_.somebody_knows(job.noted)) continue;
+        for (const auto& machine : links_.machines_of(uid)) {
+            if (const auto it = clear_.find(machine); it != clear_.end() && it->second.contains(uid)) continue;
+            if (out.jobs.empty()) out.first = at;
+            out.jobs[machine].insert(uid);
+        }
+    }
+    return out;
+}
+
+awaitable<void> Fencer::look() {
+    const auto now = Clock::now();
+    while (!cancelled_.empty() && now - cancelled_.begin()->first > wire::to_clock(settings_.cancel))
+        cancelled_.erase(cancelled_.begin());
+    auto found = due();
+    if (found.jobs.empty()) {
+        clear_.clear();
+        silent_.clear();
+        co_return;
+    }
+    const auto listed = co_await cloud_.machines();
+    std::map<std::string, std::string> addresses;
+    if (listed)
+        for (const auto& m : *listed)
+            if (m.status != wire::MachineStatus::failed) addresses[m.name] = m.addr;
+    silent_.clear();
+    for (auto& [machine, jobs] : found.jobs) {
+        while (asking_ >= most_asked) co_await net::sleep_for(20ms);
+        // One that the list does not show may be younger than it, or gone: to return it costs nothing.
+        if (listed && !addresses.contains(machine)) {
+            silent_.insert(machine);
+            continue;
+        }
+        if (!listed) continue;
+        ++asking_;
+        net::asio::co_spawn(ex_, ask(machine, addresses[machine], jobs), net::asio::detached);
+    }
+    while (asking_ > 0) co_await net::sleep_for(20ms);
+    // Somebody who knows may lead by now; and what has not been silent for long is asked once more.
+    found = due();
+    std::vector<std::string> names;
+    for (const auto& [machine, jobs] : found.jobs)
+        if (silent_.contains(machine)) names.push_back(machine);
+    if (names.empty() || Clock::now() < found.first + wire::to_clock(settings_.cancel - fence_before)) co_return;
+    for (std::size_t at = 0; at < names.size(); at += most_released) {
+        std::vector<std::string> some(names.begin() + static_cast<std::ptrdiff_t>(at),
+                                      names.begin() + static_cast<std::ptrdiff_t>(std::min(names.size(), at + most_released)));
+        for (const auto& name : some)
+            spdlog::info("event=machine_fenced machine={} jobs={} first={}", name, found.jobs[name].size(),
+                         *found.jobs[name].begin());
+        const bool gone = co_await cloud_.release(some);
+        if (!gone) continue;
+        fenced_ += some.size();
+        for (const auto& name : some) clear_[name].merge(found.jobs[name]);
+    }
+}
+
+// A worker that answers does not hang: what it still shows ends with its lease.
+awaitable<void> Fencer::ask(std::string machine, std::string address, std::set<std::string> jobs) {
+    const auto report = co_await workers_.status(std::move(address));
+    --asking_;
+    if (!report) {
+        silent_.insert(machine);
+        co_return;
+    }
+    for (const auto& t : report->tasks)
+        if (t.status != wire::TaskStatus::exited) jobs.erase(t.id.uid);
+    clear_[machine].merge(jobs);
+}
+
+}  // namespace flintdale::app
--- /dev/null
+++ b/src/app/fencer.hpp
@@ -0,0 +1,63 @@
+// Fences machines that may still hold cancelled work while nobody who knows of the cancellation leads: the state service
+// is out of reach, and the leader, if there is one, has not said that it heard. What such a machine holds ends with its
+// lease, for a leader that does not know falls silent in time (lease_rule.hpp); but not if it hangs. So before cancel_s
+// is over whoever knows asks each machine of the job, by the records as remembered, and has the cloud take back those
+// that do not answer. That needs no leadership: a machine that is gone is gone for every leader, by the cloud's word.
+//
+// What is lost: other work on a machine that does not answer, which its lease or the next leader would mostly have ended
+// as well; and no rule is touched. docs/design.md, Cancelled while the state service refuses.
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+
+#include "cloud/client.hpp"
+#include "config/settings.hpp"
+#include "worker/client.hpp"
+
+namespace flintdale::app {
+
+using net::awaitable;
+
+class Fencer {
+  public:
+    struct Links {
+        // Whether somebody leads, or may by the records, who knows of all that was noted here until then.
+        std::function<bool(wire::TimePoint)> somebody_knows;
+        // Machines that tasks of the job are placed on, by the records as they are remembered.
+        std::function<std::set<std::string>(const std::string& uid)> machines_of;
+    };
+    Fencer(net::Executor ex, cloud::Cloud& cloud, worker::Workers& workers, const config::Settings& settings,
+           Links links);
+
+    // The job was cancelled then, and that is known here from now on.
+    void cancelled(const std::string& uid, wire::TimePoint at);
+    awaitable<void> run();
+    // One look: asks and fences what is due.
+    awaitable<void> look();
+    std::size_t fenced() const { return fenced_; }
+
+  private:
+    struct Due {
+        std::map<std::string, std::set<std::string>> jobs;  // machine -> jobs that it may hold
+        wire::TimePoint first{};                            // when the first of them was cancelled
+    };
+    Due due() const;
+    awaitable<void> ask(std::string machine, std::string address, std::set<std::string> jobs);
+
+    net::Executor ex_;
+    cloud::Cloud& cloud_;
+    worker::Workers& workers_;
+    const config::Settings& settings_;
+    Links links_;
+    struct Cancelled {
+        std::string uid;
+        wire::TimePoint noted;
+    };
+    std::multimap<wire::TimePoint, Cancelled> cancelled_;  // by when they were, for as long as cancel_s
+    std::map<std::string, std::set<std::string>> clear_;   // machine -> jobs that are known to be gone from it
+    std::set<std::string> silent_;                         // machines that did not answer in this look
+    std::size_t asking_ = 0, fenced_ = 0;
+};
+
+}  // namespace flintdale::app
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -16,9 +16,10 @@
       form_(settings_),
       store_(ex_, settings_, form_),
       cloud_(ex_, settings_),
+      workers_(ex_),
       peers_(ex_, settings_, [this](const peer::Beat& b) { controller_.received(b); }),
       controller_(ex_, settings_, tunables_, form_,
-                  {store_, cloud_, [this](const peer::Beat& b) { peers_.tell(b); }, time_of_day_ms}),
+                  {store_, cloud_, workers_, [this](const peer::Beat& b) { peers_.tell(b); }, time_of_day_ms}),
       // Some sockets are needed for our own connections.
       server_(ex_, settings_.listen.host, settings_.listen.port,
               settings_.max_sockets - std::min<std::size_t>(settings_.max_sockets / 4, 64),
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -20,6 +20,7 @@
     state::Form form_;
     state::HttpStore store_;
     cloud::HttpCloud cloud_;
+    worker::HttpWorkers workers_;
     peer::Links peers_;
     Controller controller_;
     net::HttpServer server_;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -228,6 +228,7 @@
         {"fleet.horizon", amount_into(t.horizon, 0.05, 10)},
         {"fleet.dear", amount_into(t.dear, 1, 1000)},
         {"fleet.sparse", amount_into(t.sparse, 1, 1000)},
+        {"api.known_jobs", amount_into(t.known_jobs, 1, 10'000'000)},
         {"election.lease_s", seconds_into(t.election_lease, 0.5, 60)},
         {"recovery.directory",
          [&](const std::string& k, const std::string& v) {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -81,6 +81,7 @@
     double sparse = 2.5;  // times the cheapest price a service's slot may cost before services are moved together
     double spare = 0.1;   // share of the fleet's price that may be spare, beyond two in the root of its machines
     double spare_patience = 1.0;  // times what having its like again takes that a spare machine is kept
+    double known_jobs = 20'000;   // jobs of which is kept what was read of them, for the questions of users
     Seconds election_lease{2.5};  // how long the leader's claim outlives its last renewal
     std::string snapshots;        // directory that snapshots of the records are kept in; empty: none are
     std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
--- a/src/emulator/checker.cpp
+++ b/src/emulator/checker.cpp
@@ -33,6 +33,7 @@
     const auto& spec = job.spec;
     if (job.final_word == "aborted" && events_.now() > job.told_at + wire::to_clock(settings_.cancel))
         breaks("ran_cancelled", name);
+    late_starts_ += job.final_word == "aborted" && events_.now() > job.told_at + std::chrono::seconds(1);
     const bool type = !spec.types || std::count(spec.types->begin(), spec.types->end(), place.type) > 0;
     std::size_t there = 1, elsewhere = 0;
     for (const auto& [i, other] : job.on) ++(other.zone == place.zone ? there : elsewhere);
--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -35,7 +35,13 @@
     // older.
     void told(const std::string& uid, const std::string& status, TimePoint asked);
     void told_unknown(const std::string& uid);  // 404, or 400 or 422 to a repetition
+    void accepted_unsound(const std::string& uid) { breaks("unsound", uid + " was accepted"); }
     void unanswered(const std::string& uid);    // no question about it for long after all troubles
+    // Whether its user has been told that it is over.
+    bool final_told(const std::string& uid) const {
+        const auto it = jobs_.find(uid);
+        return it != jobs_.end() && !it->second.final_word.empty();
+    }
     void asked_to_cancel(const std::string& uid) { jobs_[uid].cancel_asked = true; }
 
     void look();  // now and then: what may not last too long
@@ -43,6 +49,8 @@
     // Rule -> how often it was broken; a line on the first of each.
     const std::map<std::string, unsigned>& broken() const { return broken_; }
     const std::map<std::string, std::string>& first() const { return first_; }
+    // Tasks that came to be on a machine though their user had been told for over a second that they are cancelled.
+    std::size_t late_starts() const { return late_starts_; }
     std::size_t forgotten() const { return forgotten_.size(); }  // jobs
     // Jobs of which tasks were on machines when their users were told that they are cancelled, and the longest time
     // until the last such task was gone.
@@ -67,7 +75,7 @@
     std::map<std::string, unsigned> broken_;
     std::map<std::string, std::string> first_;
     std::set<std::string> forgotten_;
-    std::size_t cancelled_running_ = 0;
+    std::size_t cancelled_running_ = 0, late_starts_ = 0;
     Seconds longest_gone_{0};
 };
 
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -29,6 +29,9 @@
     return names[static_cast<std::size_t>(c)];
 }
 
+// Machines have no addresses here but their names.
+std::string address_of(const std::string& name) { return name + ":9000"; }
+
 }  // namespace
 
 Fleet::Fleet(Events& events, Checker& checker, const config::Settings& settings, const Scenario& scenario, Ask ask)
@@ -91,7 +94,7 @@
         const Seconds age = events_.now() - h->rented;
         if (age < settings_.list_lag && age < events_.since_start()) continue;
         const bool failed = h->dead && events_.now() - h->died > wire::to_clock(listed_dead);
-        out.push_back({name, "10.1.0.1:9000", h->type->name, h->zone, h->spot,
+        out.push_back({name, address_of(name), h->type->name, h->zone, h->spot,
                        failed  ? wire::MachineStatus::failed
                        : h->up ? wire::MachineStatus::running
                                : wire::MachineStatus::booting,
@@ -100,6 +103,20 @@
     return out;
 }
 
+std::optional<std::string> Fleet::status(const std::string& address) {
+    const auto it = hosts_.find(address.substr(0, address.find(':')));
+    if (it == hosts_.end()) return std::nullopt;
+    auto& h = *it->second;
+    const auto now = events_.now();
+    if (h.dead || !h.up || now < h.hangs_until || now < h.cut_until || now < h.deaf_until) return std::nullopt;
+    return body_of(h);
+}
+
+std::string Fleet::zone_of(const std::string& address) const {
+    const auto it = hosts_.find(address.substr(0, address.find(':')));
+    return it == hosts_.end() ? std::string() : it->second->zone;
+}
+
 // --- a worker's reports ---
 
 void Fleet::comes_up(const HostPtr& host) {
@@ -135,7 +152,7 @@
         tasks.push_back(std::move(o));
     }
     return json::serialize(json::object{{"host", h.name},
-                                        {"endpoint", "10.1.0.1:9000"},
+                                        {"endpoint", address_of(h.name)},
                                         {"hosttype", h.type->name},
                                         {"hall", h.zone},
                                         {"loaners", h.spot},
@@ -159,7 +176,7 @@
     request.verb = net::http::verb::post;
     request.target = "/agent/beat";
     request.body = body_of(h);
-    if (events_.now() < h.cut_until) {
+    if (events_.now() < h.cut_until || events_.now() < h.mute_until) {
         events_.after(patience, [this, host, tenure, sent] { answered(host, tenure, sent, 0, ""); });
         return;
     }
@@ -430,6 +447,21 @@
     for (const auto& h : some(share)) h->cut_until = events_.now() + wire::to_clock(lasts);
 }
 
+void Fleet::mute(double share, Seconds lasts) {
+    for (const auto& h : some(share)) h->mute_until = events_.now() + wire::to_clock(lasts);
+}
+
+void Fleet::hang_with(const std::string& uid, std::size_t machines, Seconds lasts) {
+    for (const auto& [name, h] : hosts_) {
+        const bool holds = std::any_of(h->tasks.begin(), h->tasks.end(), [&](const auto& t) {
+            return t.first.first == uid && t.second.status != TaskStatus::exited;
+        });
+        if (!holds || h->dead || machines == 0) continue;
+        --machines;
+        h->hangs_until = events_.now() + wire::to_clock(lasts);
+    }
+}
+
 void Fleet::deafen(double share, Seconds lasts) {
     for (const auto& h : some(share)) h->deaf_until = events_.now() + wire::to_clock(lasts);
 }
--- a/src/emulator/fleet.hpp
+++ b/src/emulator/fleet.hpp
@@ -30,12 +30,17 @@
                            int count);
     void release(const std::vector<std::string>& names);
     std::vector<wire::ListedMachine> list() const;
+    // The report of the worker at that address, asked for directly; nothing if the question does not reach it.
+    std::optional<std::string> status(const std::string& address);
+    std::string zone_of(const std::string& address) const;
 
     // --- troubles, of a share of the machines that are up ---
     void die(double share);
     void hang(double share, Seconds lasts);
     void cut(double share, Seconds lasts);
-    void deafen(double share, Seconds lasts);  // reports arrive, answers do not
+    void deafen(double share, Seconds lasts);  // reports arrive, answers and direct questions do not
+    void mute(double share, Seconds lasts);    // reports reach no controller, direct questions arrive
+    void hang_with(const std::string& uid, std::size_t machines, Seconds lasts);  // so many that hold tasks of the job
     double late_reports = 0;                   // share of the reports of which a copy arrives again
 
     // Workers of which the last answer that counted came from that controller.
@@ -66,7 +71,7 @@
         const wire::MachineType* type = nullptr;
         std::string zone;
         bool spot = false, up = false, dead = false, in_flight = false, changed = false;
-        TimePoint rented{}, died{}, lease_from{}, last_sent{}, hangs_until{}, cut_until{}, deaf_until{};
+        TimePoint rented{}, died{}, lease_from{}, last_sent{}, hangs_until{}, cut_until{}, deaf_until{}, mute_until{};
         std::uint64_t tenure = 1, tick = 0, token = 0, timer = 0;
         std::size_t node = 0;
         std::map<TaskName, Task> tasks;
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -128,6 +128,7 @@
         throw BadSetting(name + ": world.restart_s: expected seconds from 0 up, the lower first");
     s.drawn = w.number("drawn", 0);
     s.draws_losses = w.flag("draws_losses");
+    s.known_jobs = w.number("known_jobs", s.known_jobs);
     s.pairs = static_cast<std::size_t>(w.number("pairs", 0));
     const Table top(root, name + ": ");
     top.each("machines", [&](const Table& t) {
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -27,7 +27,7 @@
     double share = 1;  // of the machines concerned
     std::string node;  // a controller, "leader" or "all"
     std::string zone, prefix;
-    double seconds = 0;           // set_back
+    double seconds = 0;           // set_back; cancel_now: that machines of such jobs hang
     double times = 1, every = 1;  // crash: so often, each so many seconds after the one before
     // The seed draws between `at` and `at_to`, `lasts` and `lasts_to`, and whether it happens at all. `after`: a step
     // that has to be seen first, since the trouble before it in the list has begun; `at` counts from then.
@@ -49,6 +49,7 @@
     double restart_from = 1, restart_to = 8;  // seconds after which a controller that ended by a drawn trouble is back
     double drawn = 0;                         // troubles drawn by the seed, so many on average
     bool draws_losses = false;                // and a loss of data among them
+    double known_jobs = 20'000;  // of which each controller keeps what it has read
     std::size_t pairs = 0;  // pairs of troubles drawn by the seed, the second after a step of the first
     std::vector<JobClass> jobs;
     std::vector<Trouble> troubles;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -58,6 +58,24 @@
     const Scenario& scenario_;
 };
 
+class World::WorkersLink : public worker::Workers {
+  public:
+    WorkersLink(Events& events, Fleet& fleet) : events_(events), fleet_(fleet) {}
+    std::function<bool(const std::string& zone)> reaches;
+
+    net::awaitable<std::optional<wire::WorkerReport>> status(std::string address) override {
+        co_await net::sleep_for(wire::to_clock(Seconds(events_.uniform(0.002, 0.02))));
+        const auto report = reaches(fleet_.zone_of(address)) ? fleet_.status(address) : std::nullopt;
+        if (report) co_return wire::parse_report(*report);
+        co_await net::sleep_for(1500ms);
+        co_return std::nullopt;
+    }
+
+  private:
+    Events& events_;
+    Fleet& fleet_;
+};
+
 // One controller; each life has its own executor, so that what was under way when it ended never goes on.
 struct World::Node {
     struct Life {
@@ -65,15 +83,20 @@
         state::Form form;
         StateLink state;
         CloudLink cloud;
+        WorkersLink workers;
         app::Controller controller;
         Life(World& w, std::size_t n, const config::Settings& settings)
             : form(settings),
               state(io.get_executor(), w.events_, w.keys_, settings.limits, settings.nodes),
               cloud(w.events_, w.fleet_, w.scenario_),
+              workers(w.events_, w.fleet_),
               controller(io.get_executor(), settings, w.tunables_, form,
-                         {state, cloud, [&w, n](const peer::Beat& b) { w.tell_peers(n, b); },
+                         {state, cloud, workers, [&w, n](const peer::Beat& b) { w.tell_peers(n, b); },
                           [&w] { return epoch_ms + std::llround(w.events_.since_start().count() * 1000); }}) {
             state.outage = &w.outage_;
+            workers.reaches = [&w, n](const std::string& zone) {
+                return w.reaches(zone, n) && !w.nodes_[n]->cut_workers;
+            };
             state.late = w.scenario_.late;
             state.late_now = &w.late_writes_;
             state.slow = w.scenario_.slow;
@@ -115,6 +138,7 @@
                  ask(node, zone, std::move(r), patience, std::move(done));
              }) {
     outcome_.seed = seed;
+    tunables_.known_jobs = scenario.known_jobs;
 }
 
 World::~World() = default;
@@ -219,18 +243,16 @@
 }
 
 void World::submit(const std::shared_ptr<UserJob>& job, TimePoint until) {
-    net::Request r;
-    r.verb = net::http::verb::post;
-    r.target = "/submissions";
-    auto body = wire::spec_to_record(job->spec);
-    body.erase("at");
-    r.body = json::serialize(body);
-    ask(any_node(), "", std::move(r), user_patience, [this, job, until](unsigned status, const std::string&) {
+    const auto asked = events_.now();
+    const auto n = any_node();
+    ask(n, "", submission(job->spec), user_patience,
+        [this, job, until, asked, n](unsigned status, const std::string& text) {
         if (status == 200 || status == 201) {
             job->accepted = true;
             job->accepted_at = events_.now();
             ++outcome_.accepted;
             checker_.accepted(job->spec.uid);
+            told(job->spec.uid, std::string(wire::parse_object(text).at("status").as_string()), asked, n);
             events_.after(poll_gap, [this, job] { poll(job); });
             if (job->cancel_after.count() >= 0)
                 events_.after(job->cancel_after, [this, job] { cancel(job); });
@@ -242,15 +264,104 @@
     });
 }
 
-void World::submit_again(const std::shared_ptr<UserJob>& job) {
+net::Request World::submission(const wire::JobSpec& spec) const {
     net::Request r;
     r.verb = net::http::verb::post;
     r.target = "/submissions";
-    auto body = wire::spec_to_record(job->spec);
+    auto body = wire::spec_to_record(spec);
     body.erase("at");
     r.body = json::serialize(body);
-    ask(any_node(), "", std::move(r), user_patience, [this, job](unsigned status, const std::string&) {
-        if (status == 400 || status == 422) checker_.told_unknown(job->spec.uid);
+    return r;
+}
+
+void World::submit_again(const std::shared_ptr<UserJob>& job) { again(job, 0); }
+
+// The same submission, or one that by itself would be refused: a job once accepted stays so, whatever its repetition
+// says, and is told as it is.
+void World::again(const std::shared_ptr<UserJob>& job, double unlike) {
+    auto spec = job->spec;
+    if (events_.chance(unlike)) spec.team = "nobody";
+    auto r = submission(spec);
+    if (events_.chance(unlike)) {
+        auto body = json::parse(r.body).as_object();
+        body.erase("guess_s");
+        r.body = json::serialize(body);
+    }
+    const auto asked = events_.now();
+    const auto n = any_node();
+    ask(n, "", std::move(r), user_patience, [this, job, asked, n](unsigned status, const std::string& text) {
+        if (status == 400 || status == 422 || status == 404) checker_.told_unknown(job->spec.uid);
+        if (status == 200 || status == 201)
+            told(job->spec.uid, std::string(wire::parse_object(text).at("status").as_string()), asked, n);
+    });
+}
+
+// Users call off jobs that run and have long to go, all within a fifth of a second; some of their machines hang.
+void World::cancel_now(const Trouble& t) {
+    auto most = static_cast<std::size_t>(t.share);
+    std::size_t hanging = 8;
+    for (const auto& job : jobs_) {
+        if (!most) return;
+        const bool runs = job->accepted && !job->over && !job->cancelling && checker_.on_now(job->spec.uid) > 0;
+        if (!runs || checker_.all_done(job->spec.uid)) continue;
+        --most;
+        job->cancel_after = Seconds(0);
+        if (t.seconds > 0 && hanging) {
+            const auto some = std::min<std::size_t>(hanging, 2);
+            hanging -= some;
+            fleet_.hang_with(job->spec.uid, some, Seconds(t.seconds));
+        }
+        events_.after(Seconds(events_.uniform(0, 0.2)), [this, job] { cancel(job); });
+    }
+}
+
+// The moment at which a job's last task completes: called off, asked about and submitted again.
+void World::look_for_ends() {
+    if (cancels_at_end_ <= 0) return;
+    for (const auto& job : jobs_) {
+        if (!job->accepted || job->ended || !checker_.all_done(job->spec.uid)) continue;
+        job->ended = true;
+        if (!events_.chance(cancels_at_end_)) continue;
+        ++outcome_.called_off_at_end;
+        const auto soon = [this](auto what) { events_.after(Seconds(events_.uniform(0, 0.3)), what); };
+        for (int i = 0; i < 2; ++i) {
+            if (!job->cancelling) soon([this, job] { cancel(job); });
+            soon([this, job] { again(job, 0.3); });
+        }
+    }
+}
+
+// Repeated submissions of unfinished jobs, cancellations of jobs that are done, jobs that cannot run or lack a field.
+void World::odd_requests(TimePoint until) {
+    if (events_.now() > until) return;
+    if (!jobs_.empty()) {
+        const auto job = jobs_[events_.pick(jobs_.size())];
+        if (job->accepted && !job->over) again(job, 0.4);
+        if (job->done) cancel(job);
+    }
+    unsound_job(events_.pick(5));
+    events_.after(Seconds(events_.uniform(0.2, 1)), [this, until] { odd_requests(until); });
+}
+
+void World::unsound_job(std::size_t kind) {
+    auto spec = scenario_.jobs[events_.pick(scenario_.jobs.size())].like;
+    spec.uid = fmt::format("run-{:07}", 4'000'000 + events_.pick(5'000'000));
+    spec.image = "x";
+    if (kind == 0) spec.need.cpus = 10'000;
+    if (kind == 1) spec.zone = "nowhere";
+    if (kind == 2) spec.types = {"unheard-of"};
+    auto r = submission(spec);
+    if (kind >= 3) {
+        auto body = json::parse(r.body).as_object();
+        const char* fields[] = {"jobclass", "owner", "shape", "shards", "cores", "bundle", "one_zone", "flush_s"};
+        if (kind == 3) body.erase(fields[events_.pick(std::size(fields))]);
+        if (kind == 4) body["shards"] = -1;
+        r.body = json::serialize(body);
+    }
+    ++outcome_.odd;
+    ask(any_node(), "", std::move(r), user_patience, [this, uid = spec.uid](unsigned status, const std::string&) {
+        if (status == 200 || status == 201) checker_.accepted_unsound(uid);
+        outcome_.odd_refused += status == 400 || status == 422;
     });
 }
 
@@ -281,7 +392,8 @@
 }
 
 void World::cancel(const std::shared_ptr<UserJob>& job) {
-    if (job->over) return;
+    if (job->over && !job->done) return;
+    job->cancelling = true;
     checker_.asked_to_cancel(job->spec.uid);
     net::Request r;
     r.verb = net::http::verb::post;
@@ -294,6 +406,7 @@
             told(job->spec.uid, word, asked, n);
             job->answered = events_.now();
             if (!job->over && word == "aborted") ++outcome_.cancelled;
+            if (!job->over && word == "done") ++outcome_.done, job->done = true;
             job->over = true;
             return;
         }
@@ -304,6 +417,7 @@
 
 void World::told(const std::string& uid, const std::string& word, TimePoint asked, std::size_t node) {
     const auto before = checker_.cancelled_running();
+    outcome_.words += checker_.final_told(uid);
     checker_.told(uid, word, asked);
     if (checker_.cancelled_running() == before) return;
     // Only what the old leader cannot read of counts: told by another, since the state service was taken from it.
@@ -457,7 +571,16 @@
         held_ = t.share;
         held_most_ = Seconds(std::max(0.5, t.seconds));
         until([this] { held_ = 0; });
-    } else if (t.kind == "machines_die")
+    } else if (t.kind == "machines_mute")
+        fleet_.mute(t.share, t.lasts);
+    else if (t.kind == "cancel_now")
+        cancel_now(t);
+    else if (t.kind == "cancel_at_end") {
+        cancels_at_end_ = t.share;
+        until([this] { cancels_at_end_ = 0; });
+    } else if (t.kind == "odd_requests")
+        odd_requests(events_.now() + wire::to_clock(t.lasts));
+    else if (t.kind == "machines_die")
         fleet_.die(t.share);
     else if (t.kind == "machines_hang")
         fleet_.hang(t.share, t.lasts);
@@ -678,6 +801,7 @@
     look();
     while (events_.since_start() < scenario_.length) {
         events_.advance(step);
+        look_for_ends();
         for (auto& node : nodes_)
             if (node->life && events_.now() >= node->frozen_until && (node->told || events_.now() >= node->due)) {
                 node->told = false;
@@ -695,6 +819,7 @@
     outcome_.started = fleet_.started;
     outcome_.lease_kills = fleet_.lease_kills;
     outcome_.cancelled_running = checker_.cancelled_running();
+    outcome_.late_starts = checker_.late_starts();
     outcome_.longest_gone = checker_.longest_gone().count();
     if (outcome_.rebuilt) --outcome_.rebuilt;  // the first generation is no rebuilding
     if (!outcome_.losses && outcome_.rebuilt) {
@@ -795,6 +920,10 @@
         {"cancelled_running", o.cancelled_running},
         {"longest_gone_s", rounded(o.longest_gone)},
         {"met", json::object{{"cancelled", o.met_cancelled}, {"workers", o.met_workers}, {"answers", o.met_answers}}},
+        {"late_starts", o.late_starts},
+        {"called_off_at_end", o.called_off_at_end},
+        {"odd", json::object{{"sent", o.odd}, {"refused", o.odd_refused}}},
+        {"words", o.words},
         {"losses", o.losses},
         {"rebuilt", o.rebuilt},
         {"undisturbed", rounded(o.undisturbed)},
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -35,6 +35,10 @@
     // another controller told users meanwhile that jobs with running tasks are cancelled; an outage for all, longer
     // than cancel_s, began while workers were with that leader.
     std::size_t met_cancelled = 0, met_workers = 0, met_answers = 0;
+    std::size_t late_starts = 0;        // tasks that started over a second after their user was told
+    std::size_t called_off_at_end = 0;  // jobs that were, at the end of their last task
+    std::size_t odd = 0, odd_refused = 0;  // submissions of jobs that cannot run or lack a field; answered 400 or 422
+    std::size_t words = 0;              // answers about jobs of which a final word had been told before
     // How often a controller that was cut from the state service and its peers for five seconds was asked whether it is
     // ready, and said so.
     std::size_t asked_alone = 0, ready_alone = 0;
@@ -57,11 +61,12 @@
 
   private:
     class CloudLink;
+    class WorkersLink;
     struct Node;
     struct UserJob {
         wire::JobSpec spec;
         TimePoint submitted{}, accepted_at{};
-        bool accepted = false, over = false, cancelling = false, done = false;
+        bool accepted = false, over = false, cancelling = false, done = false, ended = false;
         Seconds cancel_after{-1};
         TimePoint answered{};           // any question about it, last
         std::optional<Seconds> waited;  // from acceptance until every task had been on a machine
@@ -81,6 +86,12 @@
     void cancel(const std::shared_ptr<UserJob>& job);
     void submit_again(const std::shared_ptr<UserJob>& job);
     void ask_of_nobody();
+    net::Request submission(const wire::JobSpec& spec) const;
+    void again(const std::shared_ptr<UserJob>& job, double unlike);
+    void cancel_now(const Trouble& t);
+    void look_for_ends();
+    void odd_requests(TimePoint until);
+    void unsound_job(std::size_t kind);
 
     void draw_troubles();
     void trouble(const Trouble& t);
@@ -112,7 +123,7 @@
     Outcome outcome_;
     std::optional<TimePoint> lost_at_, unanswered_since_;
     std::map<std::string, TimePoint> idle_since_;  // "class x" or "team x" with open work and nothing on machines
-    double burst_ = 1, declared_at_ = 0, late_writes_ = 0, held_ = 0;
+    double burst_ = 1, declared_at_ = 0, late_writes_ = 0, held_ = 0, cancels_at_end_ = 0;
     Seconds held_most_{0};
     std::vector<std::pair<std::string, std::function<void()>>> awaited_;  // what comes after a step not seen yet
     std::set<std::size_t> leading_;
--- a/src/peer/cancellations.cpp
+++ b/src/peer/cancellations.cpp
@@ -62,6 +62,11 @@
     }
 }
 
+bool Cancellations::has_heard(const std::string& member, TimePoint noted) const {
+    const auto it = peers_.find(member);
+    return it != peers_.end() && it->second.answers > noted;
+}
+
 TimePoint Cancellations::known_at(TimePoint looked, TimePoint now) const {
     if (settings_.peers.empty() || settings_.peers.size() + 1 != settings_.nodes) return looked;
     if (now - looked > span() - margin) return looked;
--- a/src/peer/cancellations.hpp
+++ b/src/peer/cancellations.hpp
@@ -51,6 +51,8 @@
 
     // Whatever users were told before then is noted here, if all that was on record at `looked` is known.
     wire::TimePoint known_at(wire::TimePoint looked, wire::TimePoint now) const;
+    // Whether the peer is known to have heard all that was noted here until then.
+    bool has_heard(const std::string& member, wire::TimePoint noted) const;
     // For how long a peer names what it has learned.
     wire::Clock::duration span() const;
 
--- a/src/recovery/memory.cpp
+++ b/src/recovery/memory.cpp
@@ -210,6 +210,23 @@
     return it == work_.end() ? std::nullopt : std::optional(it->second);
 }
 
+std::set<std::string> Memory::machines_of(const std::string& uid) const {
+    std::set<std::string> out;
+    const auto add = [&](const std::string& text) {
+        json::error_code ec;
+        const auto value = json::parse(text, ec);
+        const auto* tasks = !ec && value.is_object() ? value.get_object().if_contains("tasks") : nullptr;
+        if (!tasks || !tasks->is_array()) return;
+        for (const auto& r : wire::ranges_from_record(tasks->get_array()))
+            if (!r.machine.empty()) out.insert(r.machine);
+    };
+    const auto first = agent::work_key(uid, 0);
+    if (const auto it = work_.find(first); it != work_.end()) add(it->second.text);
+    for (auto it = work_.lower_bound(first + "/"); it != work_.end() && it->first.starts_with(first + "/"); ++it)
+        add(it->second.text);
+    return out;
+}
+
 Source Memory::source(std::string from, std::uint64_t after) const {
     Source out;
     out.from = std::move(from);
--- a/src/recovery/memory.hpp
+++ b/src/recovery/memory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <optional>
+#include <set>
 
 #include "recovery/merge.hpp"
 #include "state/store.hpp"
@@ -45,6 +46,8 @@
     // Of a job that is remembered; `open` if it has none.
     std::optional<Outcome> outcome_of(const std::string& uid) const;
     std::optional<Record> record(const std::string& key) const;
+    // Machines that tasks of the job are placed on, by its records.
+    std::set<std::string> machines_of(const std::string& uid) const;
     // Of the outcomes that were on record at that revision: how many, and a sum over their names.
     struct Digest {
         std::uint64_t outcomes = 0, sum = 0;
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -14,10 +14,11 @@
     std::vector<wire::MachineType> known = types();
     bool types_known = true, certain = true;
     std::map<std::string, api::Remembered> remembered;
+    std::map<std::string, state::Item> open_records;
     std::set<std::string> told_cancelled;
     state::Form form{cluster};
-    api::Desk one{io.get_executor(), store, cluster, form, links()},
-        two{io.get_executor(), store, cluster, form, links()};
+    api::Desk one{io.get_executor(), store, cluster, form, links(), 100},
+        two{io.get_executor(), store, cluster, form, links(), 100};
 
     api::Desk::Links links() {
         return {[] { return std::int64_t{1000}; },
@@ -29,7 +30,23 @@
                     const auto it = remembered.find(uid);
                     return it == remembered.end() ? std::nullopt : std::optional(it->second);
                 },
-                [this] { return certain; }};
+                [this] { return certain; },
+                [this](const std::string& uid) {
+                    const auto it = open_records.find(uid);
+                    return it == open_records.end() ? std::nullopt : std::optional(it->second);
+                }};
+    }
+    // All at once, each answered when it is.
+    std::vector<net::Reply> run_all(std::vector<net::awaitable<net::Reply>> calls) {
+        std::vector<net::Reply> out(calls.size());
+        for (std::size_t i = 0; i < calls.size(); ++i)
+            net::asio::co_spawn(io, std::move(calls[i]), [&out, i](std::exception_ptr e, net::Reply r) {
+                EXPECT_FALSE(e);
+                out[i] = std::move(r);
+            });
+        io.restart();
+        io.run();
+        return out;
     }
     net::Reply run(net::awaitable<net::Reply> call) {
         net::Reply out;
@@ -57,6 +74,9 @@
         const auto r = run(desk.poll(uid));
         return r.status == 200 ? std::string(boost::json::parse(r.body).at("status").as_string()) : "";
     }
+    static std::string status_in(const net::Reply& r) {
+        return r.status == 200 ? std::string(boost::json::parse(r.body).at("status").as_string()) : "";
+    }
     static std::string body(const std::string& uid, const std::string& owner = "team", int tasks = 1) {
         return R"({"uid":")" + uid + R"(","jobclass":"c","owner":")" + owner +
                R"(","shape":"array","rank":"normal","shards":)" + std::to_string(tasks) +
@@ -104,6 +124,28 @@
     EXPECT_EQ(store.keys.get("jobs/work/run-2").stamp, 0u);
 }
 
+// What can't run is never accepted, by any path: repeated, before the machine types are known, in an outage.
+TEST_F(DeskStory, what_can_not_run_or_lacks_a_field_is_accepted_by_no_path) {
+    auto lacks = body("run-1"), nowhere = body("run-2"), torn = body("run-3", "team", 2);
+    lacks.replace(lacks.find(R"("scatter":false,)"), 16, "");
+    nowhere.replace(nowhere.find(R"("hall":null)"), 11, R"("hall":"z")");
+    torn.replace(torn.find("array"), 5, "ensemble");
+    torn.replace(torn.find(R"("one_zone":false,"scatter":false)"), 32, R"("one_zone":true,"scatter":true)");
+    const auto submit_all = [&](unsigned first, unsigned others) {
+        EXPECT_EQ(run(one.submit(lacks)).status, first);
+        EXPECT_EQ(run(one.submit(nowhere)).status, others);
+        EXPECT_EQ(run(two.submit(torn)).status, others);
+    };
+    store.refuse = true;
+    submit_all(503, 503);
+    store.refuse = false;
+    types_known = false;
+    submit_all(400, 503);
+    types_known = true;
+    for (int i = 0; i < 2; ++i) submit_all(400, 422);
+    EXPECT_TRUE(store.keys.range("jobs/").empty());
+}
+
 TEST_F(DeskStory, an_accepted_answer_means_it_is_on_record_even_if_the_answer_was_lost) {
     store.lose_answers = 1;
     EXPECT_EQ(run(one.submit(body("run-1"))).status, 200u);
@@ -230,4 +272,125 @@
     EXPECT_NE(r.body.find("hosttypes"), std::string::npos);
 }
 
+// What is known of jobs is a cache, and may be emptied of what somebody is just being answered by: accepted jobs were
+// answered with 404, for the look-up after the check found no entry (docs/incidents/cache-emptied-in-use.md).
+TEST_F(DeskStory, forgotten_a_cache_that_holds_fewer_jobs_than_are_asked_for_forgets_none) {
+    api::Desk small{io.get_executor(), store, cluster, form, links(), 1};
+    for (int i = 1; i <= 6; ++i) ASSERT_EQ(run(two.submit(body("run-" + std::to_string(i)))).status, 201u);
+    end("run-5", "done");
+    for (int round = 0; round < 3; ++round) {
+        std::vector<net::awaitable<net::Reply>> calls;
+        for (int i = 1; i <= 6; ++i) calls.push_back(small.poll("run-" + std::to_string(i)));
+        for (int i = 1; i <= 6; ++i) calls.push_back(small.submit(body("run-" + std::to_string(i), "nobody")));
+        const auto told = run_all(std::move(calls));
+        for (std::size_t i = 0; i < told.size(); ++i)
+            EXPECT_EQ(status_in(told[i]), i % 6 == 4 ? "done" : "pending") << told[i].status << told[i].body;
+    }
+    EXPECT_EQ(run(small.cancel("run-5")).status, 200u);
+    EXPECT_EQ(status_in(run(small.cancel("run-1"))), "aborted");
+    EXPECT_EQ(run(small.poll("run-7")).status, 404u);
+}
+
+// That a job must be aborted, for one that it needs was cancelled, was told before it was on record, and lived in the
+// cache alone.
+TEST_F(DeskStory, went_back_aborted_by_what_it_needs_is_on_record_before_it_is_told) {
+    form.all_read(state::newest_format);
+    api::Desk small{io.get_executor(), store, cluster, form, links(), 1};
+    ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
+    ASSERT_EQ(run(two.submit(after("run-2", R"(["run-1"])"))).status, 201u);
+    ASSERT_EQ(run(two.submit(after("run-3", R"(["run-2"])"))).status, 201u);
+    EXPECT_EQ(told(small, "run-3"), "pending");
+    ASSERT_EQ(run(two.cancel("run-1")).status, 200u);
+    store.lose_answers = 0;
+    EXPECT_EQ(told(small, "run-3"), "aborted");
+    EXPECT_GT(store.keys.get("jobs/over/run-3").stamp, 0u);
+    // Whoever asks another controller, or while many others ask, is told the same.
+    for (int i = 10; i < 14; ++i) ASSERT_EQ(run(small.submit(body("run-" + std::to_string(i)))).status, 201u);
+    EXPECT_EQ(told(small, "run-3"), "aborted");
+    EXPECT_EQ(told(one, "run-3"), "aborted");
+    EXPECT_TRUE(told_cancelled.contains("run-3"));
+}
+
+// One comparison without an answer held back all questions that came after it, until their users had gone.
+TEST_F(DeskStory, forgotten_a_comparison_that_is_never_answered_holds_back_nobody_else) {
+    wire::TimePoint now{std::chrono::seconds(1000)};
+    wire::Clock::emulated = &now;
+    const auto began = now;
+    for (const auto* uid : {"run-1", "run-2"}) {
+        state::Txn txn;
+        txn.changes.push_back({std::string("jobs/work/") + uid,
+                               boost::json::object{{"cut", 1}, {"shape", "array"}, {"shards", 1}}, 0});
+        store.keys.commit(txn);
+    }
+    {
+        net::asio::io_context emulated;
+        api::Desk desk{emulated.get_executor(), store, cluster, form, links(), 100};
+        std::map<std::string, std::pair<unsigned, wire::Seconds>> answers;
+        const auto ask = [&](const std::string& uid) {
+            net::asio::co_spawn(emulated, desk.poll(uid), [&, uid](std::exception_ptr, net::Reply r) {
+                answers[uid] = {r.status, now - began};
+            });
+            emulated.poll();
+        };
+        store.stall = 1;
+        ask("run-1");
+        ask("run-2");
+        for (int i = 0; i < 600 && answers.size() < 2; ++i) {
+            now += std::chrono::milliseconds(5);
+            emulated.restart();
+            emulated.poll();
+        }
+        ASSERT_EQ(answers.size(), 2u);
+        EXPECT_EQ(answers["run-2"].first, 200u);
+        EXPECT_LT(answers["run-2"].second, wire::Seconds(0.2));
+        EXPECT_EQ(answers["run-1"].first, 503u) << "and whoever asked for it is told to come again, in his time";
+        EXPECT_LE(answers["run-1"].second, wire::Seconds(2.01));
+    }
+    wire::Clock::emulated = nullptr;
+}
+
+TEST_F(DeskStory, what_is_remembered_to_be_open_needs_one_comparison_and_no_reading) {
+    ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
+    open_records["run-1"] = store.keys.get("jobs/work/run-1");
+    remembered["run-1"] = {};
+    store.gets = 0;
+    EXPECT_EQ(told(one, "run-1"), "pending");
+    EXPECT_EQ(store.gets, 0);
+    ASSERT_EQ(run(two.cancel("run-1")).status, 200u);
+    EXPECT_EQ(told(one, "run-1"), "aborted") << "a memory is no word on whether it is still open";
+}
+
+// A poll and a cancellation cross: what is known by the time of the answer counts.
+TEST_F(DeskStory, went_back_a_question_that_was_under_way_when_the_job_ended_is_answered_by_its_end) {
+    ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
+    ASSERT_EQ(told(one, "run-1"), "pending");
+    std::vector<net::awaitable<net::Reply>> calls;
+    calls.push_back(one.poll("run-1"));
+    calls.push_back(one.cancel("run-1"));
+    calls.push_back(one.submit(body("run-1")));
+    calls.push_back(one.poll("run-1"));
+    const auto told_all = run_all(std::move(calls));
+    EXPECT_EQ(status_in(told_all[1]), "aborted");
+    bool aborted = false;
+    for (const auto& r : told_all) EXPECT_EQ(r.status, 200u);
+    for (int i = 0; i < 3; ++i) aborted = aborted || status_in(run(one.poll("run-1"))) != "aborted";
+    EXPECT_FALSE(aborted);
+    EXPECT_EQ(status_in(run(one.submit(body("run-1", "nobody")))), "aborted");
+}
+
+TEST_F(DeskStory, a_record_that_cannot_be_read_is_no_word_on_its_job_and_stops_nobody_else) {
+    ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
+    state::Txn txn;
+    txn.changes.push_back({"jobs/work/run-2", boost::json::array{1, 2}, 0});
+    txn.changes.push_back({"jobs/over/run-3", boost::json::object{{"state", "elsewhere"}}, 0});
+    store.keys.commit(txn);
+    std::vector<net::awaitable<net::Reply>> calls;
+    for (const auto* uid : {"run-2", "run-3", "run-1"}) calls.push_back(one.poll(uid));
+    const auto told_all = run_all(std::move(calls));
+    EXPECT_EQ(told_all[0].status, 503u);
+    EXPECT_EQ(told_all[1].status, 503u);
+    EXPECT_EQ(told_all[2].status, 200u);
+    EXPECT_EQ(run(one.cancel("run-2")).status, 503u);
+}
+
 }  // namespace flintdale::test
--- /dev/null
+++ b/tests/fencer_test.cpp
@@ -0,0 +1,146 @@
+// Machines that hang with cancelled work while nobody who knows of it leads.
+#include "app/fencer.hpp"
+
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace flintdale::test {
+
+namespace {
+
+using app::Fencer;
+
+struct FencerStory : ::testing::Test, cloud::Cloud, worker::Workers {
+    TimePoint now{std::chrono::seconds(1000)};
+    FencerStory() {
+        wire::Clock::emulated = &now;
+        net::asio::co_spawn(io, fencer.run(), net::asio::detached);
+    }
+    ~FencerStory() override { wire::Clock::emulated = nullptr; }
+
+    net::asio::io_context io;
+    config::Settings cluster = settings();
+    std::map<std::string, std::set<std::string>> placed;  // job -> machines, on record
+    std::map<std::string, std::set<std::string>> holds;   // machine -> jobs
+    std::set<std::string> hanging, returned, asked;
+    bool somebody_knows = false, cloud_answers = true;
+    Fencer fencer{io.get_executor(), *this, *this, cluster,
+                  {[this](TimePoint) { return somebody_knows; },
+                   [this](const std::string& uid) { return placed[uid]; }}};
+
+    net::awaitable<std::optional<std::vector<wire::MachineType>>> catalog() override { co_return std::nullopt; }
+    net::awaitable<std::optional<std::vector<wire::ListedMachine>>> machines() override {
+        if (!cloud_answers) co_return std::nullopt;
+        std::vector<wire::ListedMachine> out;
+        for (const auto& [name, jobs] : holds) {
+            wire::ListedMachine m;
+            m.name = m.addr = name;
+            m.status = wire::MachineStatus::running;
+            out.push_back(m);
+        }
+        co_return out;
+    }
+    net::awaitable<cloud::RentResult> rent(std::string, std::string, std::string, bool, int) override {
+        co_return cloud::RentResult{};
+    }
+    net::awaitable<bool> release(std::vector<std::string> names) override {
+        if (!cloud_answers) co_return false;
+        for (const auto& name : names) {
+            returned.insert(name);
+            holds.erase(name);
+        }
+        co_return true;
+    }
+    net::awaitable<std::optional<wire::WorkerReport>> status(std::string address) override {
+        asked.insert(address);
+        if (hanging.contains(address)) {
+            co_await net::sleep_for(1500ms);
+            co_return std::nullopt;
+        }
+        wire::WorkerReport r;
+        for (const auto& uid : holds[address]) {
+            wire::TaskReport t;
+            t.id = {uid, 0};
+            t.status = TaskStatus::running;
+            r.tasks.push_back(t);
+        }
+        co_return r;
+    }
+    void pass(Seconds seconds) {
+        const auto until = now + wire::to_clock(seconds);
+        while (now < until) {
+            now += 10ms;
+            io.restart();
+            io.poll();
+        }
+    }
+    // Cancelled now, its tasks on these machines.
+    void cancelled(const std::string& uid, const std::set<std::string>& machines) {
+        placed[uid] = machines;
+        for (const auto& m : machines) holds[m].insert(uid);
+        fencer.cancelled(uid, now);
+    }
+    Seconds cancel() const { return cluster.cancel; }
+};
+
+}  // namespace
+
+TEST_F(FencerStory, ran_cancelled_a_machine_that_hangs_is_fenced_in_time_and_those_that_answer_are_not) {
+    hanging = {"n-2"};
+    cancelled("run-1", {"n-1", "n-2", "n-3"});
+    holds["n-1"].clear();  // it has ended there; on n-3 it goes on until the lease has run out
+    pass(cancel() - Seconds(17));
+    EXPECT_TRUE(asked.empty()) << "the leader may hear of it yet";
+    pass(Seconds(14));
+    EXPECT_EQ(returned, std::set<std::string>{"n-2"});
+    EXPECT_EQ(asked, (std::set<std::string>{"n-1", "n-2", "n-3"}));
+    EXPECT_EQ(fencer.fenced(), 1u);
+}
+
+TEST_F(FencerStory, nobody_is_asked_and_nothing_returned_while_somebody_who_knows_leads) {
+    somebody_knows = true;
+    hanging = {"n-1"};
+    cancelled("run-1", {"n-1"});
+    pass(cancel() + Seconds(5));
+    EXPECT_TRUE(asked.empty());
+    EXPECT_TRUE(returned.empty());
+}
+
+TEST_F(FencerStory, a_machine_that_answers_again_or_a_leader_that_hears_of_it_ends_the_fencing) {
+    hanging = {"n-1", "n-2"};
+    cancelled("run-1", {"n-1"});
+    pass(cancel() - Seconds(13));
+    ASSERT_FALSE(asked.empty());
+    hanging = {"n-2"};
+    pass(Seconds(13));
+    EXPECT_TRUE(returned.empty());
+    cancelled("run-2", {"n-2"});
+    pass(cancel() - Seconds(11));
+    somebody_knows = true;
+    pass(Seconds(11));
+    EXPECT_TRUE(returned.empty());
+}
+
+TEST_F(FencerStory, ran_cancelled_hundreds_that_hang_are_fenced_in_time_though_the_cloud_answers_late) {
+    std::set<std::string> many;
+    for (int i = 0; i < 350; ++i) many.insert("n-" + std::to_string(i));
+    hanging = many;
+    cancelled("run-1", many);
+    cloud_answers = false;
+    pass(cancel() - Seconds(10));
+    EXPECT_TRUE(returned.empty());
+    cloud_answers = true;
+    pass(Seconds(8));
+    EXPECT_EQ(returned.size(), many.size());
+}
+
+// A list may be as old as it lags: a machine that it does not show may be there and hang.
+TEST_F(FencerStory, ran_cancelled_a_machine_that_is_not_listed_is_returned_all_the_same) {
+    cancelled("run-1", {"n-1"});
+    holds.clear();
+    pass(cancel() - Seconds(5));
+    EXPECT_EQ(returned, std::set<std::string>{"n-1"});
+}
+
+}  // namespace flintdale::test
--- /dev/null
+++ b/tests/known_jobs_test.cpp
@@ -0,0 +1,53 @@
+// What a controller knows of jobs without asking, and what it drops.
+#include "api/known_jobs.hpp"
+
+#include <gtest/gtest.h>
+
+namespace flintdale::test {
+
+namespace {
+using api::KnownJobs;
+using wire::JobState;
+api::KnownJob job(JobState state) { return {state, {wire::Shape::array, 3}, {}}; }
+}  // namespace
+
+TEST(KnownJobsStory, what_was_not_asked_for_the_longest_goes_first) {
+    KnownJobs known(2);
+    known.learn("run-1", job(JobState::open));
+    known.learn("run-2", job(JobState::done));
+    ASSERT_TRUE(known.find("run-1"));
+    known.learn("run-3", job(JobState::open));
+    EXPECT_EQ(known.size(), 2u);
+    EXPECT_TRUE(known.find("run-1"));
+    EXPECT_FALSE(known.find("run-2"));
+    EXPECT_TRUE(known.find("run-3"));
+}
+
+TEST(KnownJobsStory, went_back_a_job_only_moves_forward_whichever_answer_comes_last) {
+    KnownJobs known(2);
+    known.learn("run-1", job(JobState::cancelled));
+    EXPECT_EQ(known.learn("run-1", job(JobState::open))->state, JobState::cancelled);
+    EXPECT_EQ(known.learn("run-1", job(JobState::done))->state, JobState::cancelled);
+    EXPECT_EQ(known.find("run-1")->state, JobState::cancelled);
+}
+
+TEST(KnownJobsStory, evidence_stays_as_it_is_for_whoever_holds_it) {
+    KnownJobs known(1);
+    const auto held = known.learn("run-1", job(JobState::open));
+    known.learn("run-2", job(JobState::open));
+    known.forget_open();
+    EXPECT_EQ(known.size(), 0u);
+    EXPECT_EQ(held->state, JobState::open);
+    EXPECT_EQ(held->size.tasks, 3u);
+}
+
+TEST(KnownJobsStory, of_rebuilt_records_only_what_is_over_is_still_known) {
+    KnownJobs known(3);
+    known.learn("run-1", job(JobState::open));
+    known.learn("run-2", job(JobState::done));
+    known.forget_open();
+    EXPECT_FALSE(known.find("run-1"));
+    EXPECT_TRUE(known.find("run-2"));
+}
+
+}  // namespace flintdale::test
