--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -756,6 +756,7 @@
             news = news || !leading_.contains(n);
         }
     leading_ = std::move(now);
+    outcome_.elections += news;
     if (news) step_seen("elected");
 }
 
@@ -920,6 +921,7 @@
         {"cancelled_running", o.cancelled_running},
         {"longest_gone_s", rounded(o.longest_gone)},
         {"met", json::object{{"cancelled", o.met_cancelled}, {"workers", o.met_workers}, {"answers", o.met_answers}}},
+        {"elections", o.elections},
         {"late_starts", o.late_starts},
         {"called_off_at_end", o.called_off_at_end},
         {"odd", json::object{{"sent", o.odd}, {"refused", o.odd_refused}}},
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -35,6 +35,7 @@
     // another controller told users meanwhile that jobs with running tasks are cancelled; an outage for all, longer
     // than cancel_s, began while workers were with that leader.
     std::size_t met_cancelled = 0, met_workers = 0, met_answers = 0;
+    std::size_t elections = 0;             // terms that began, the first included
     std::size_t late_starts = 0;           // tasks that started over a second after their user was told
     std::size_t called_off_at_end = 0;     // jobs that were, at the end of their last task
     std::size_t odd = 0, odd_refused = 0;  // submissions of jobs that cannot run or lack a field; answered 400 or 422
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include <functional>
+
 #include "emulator/world.hpp"
 
 namespace flintdale::test {
@@ -378,4 +380,237 @@
     }
 }
 
+// --- the further meetings of the users' list ---
+
+namespace {
+
+// Many running jobs are called off within a fifth of a second, and eight of their machines hang.
+std::string called_off(const std::string& when) {
+    return R"(
+[[troubles]]
+kind = "cancel_now"
+share = 20
+seconds = 90
+)" + when;
+}
+const std::string at_once = "after = \"begun\"\nat_s = 0\n";
+
+void expect_whole(const std::string& troubles, std::initializer_list<std::uint64_t> seeds,
+                  const std::function<void(const emulator::Outcome&)>& met) {
+    for (const auto seed : seeds) {
+        SCOPED_TRACE(seed);
+        const auto o = play(troubles, seed);
+        met(o);
+        EXPECT_EQ(broken(o), "");
+        EXPECT_LT(o.longest_gone, cancel_s);
+    }
+}
+
+}  // namespace
+
+// Called off at the very moment at which the service refuses the leader alone; a second later it is out for longer than
+// cancel_s.
+TEST(Meeting, ran_cancelled_called_off_as_the_leader_is_refused_and_a_second_later_all_are) {
+    expect_whole(refused + called_off(at_once) + R"(
+[[troubles]]
+kind = "outage"
+after = "begun"
+at_s = 1
+lasts_s = 70
+)",
+                 {1, 2, 3}, [](const auto& o) {
+                     EXPECT_GT(o.met_cancelled, 3u);
+                     EXPECT_GT(o.met_workers, 10u);
+                 });
+}
+
+// A cancellation, a question and a repeated submission meet the end of a job's last task, with no other trouble; each
+// controller keeps what it has read of two jobs.
+TEST(Meeting, went_back_whatever_meets_the_end_of_the_last_task_is_told_one_end) {
+    std::string few = world;
+    few.replace(few.find("warm = 24"), 9, "warm = 24\nknown_jobs = 2");
+    for (std::size_t at = 0; (at = few.find("runs_s = 150", at)) != std::string::npos; ++at)
+        few.replace(at, 12, "runs_s = 15");
+    const auto scenario = emulator::parse_scenario(few + R"(
+[[troubles]]
+kind = "cancel_at_end"
+at_s = 10
+share = 1.0
+lasts_s = 230
+[[troubles]]
+kind = "odd_requests"
+at_s = 10
+lasts_s = 230
+)",
+                                                   "ends");
+    spdlog::set_level(spdlog::level::off);
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        SCOPED_TRACE(seed);
+        const auto o = emulator::World(scenario, seed).play();
+        EXPECT_GT(o.called_off_at_end, 8u);
+        EXPECT_GT(o.words, 100u) << "questions about jobs of which an end had been told";
+        EXPECT_GT(o.odd_refused, 100u);
+        EXPECT_EQ(broken(o), "");
+    }
+}
+
+// Workers reach no controller, while direct questions reach them: they lose their leases by their own clocks, and
+// nothing of theirs is started elsewhere before that is known.
+TEST(Meeting, machines_that_reach_no_controller_meet_cancellations_and_a_new_leader) {
+    expect_whole(R"(
+[[troubles]]
+kind = "machines_mute"
+at_s = 70
+share = 0.5
+lasts_s = 60
+)" + called_off("after = \"begun\"\nat_s = 2\n") +
+                     R"(
+[[troubles]]
+kind = "crash"
+after = "begun"
+at_s = 1
+lasts_s = 0.05
+)",
+                 {1, 2, 3}, [](const auto& o) {
+                     EXPECT_GT(o.lease_kills, 0u);
+                     EXPECT_GT(o.cancelled_running, 10u);
+                 });
+}
+
+// Reports and answers are held back until another leads, and copies of old ones arrive there.
+TEST(Meeting, reports_are_held_until_a_new_leader_has_acted) {
+    expect_whole(R"(
+[[troubles]]
+kind = "held"
+at_s = 78
+share = 0.5
+seconds = 9
+lasts_s = 40
+[[troubles]]
+kind = "late_reports"
+after = "begun"
+at_s = 0
+share = 0.5
+lasts_s = 80
+[[troubles]]
+kind = "machines_die"
+after = "begun"
+at_s = 1
+share = 0.3
+[[troubles]]
+kind = "crash"
+after = "begun"
+at_s = 1
+lasts_s = 0.05
+)" + called_off(at_once),
+                 {1, 2, 3}, [](const auto& o) { EXPECT_GT(o.elections, 1u); });
+}
+
+TEST(Meeting, quota_a_team_is_at_its_limit_when_the_leader_changes_and_machines_can_not_be_asked) {
+    std::string limited = world;
+    const std::string team = "name = \"red\"";
+    limited.replace(limited.find(team), team.size(), team + "\ncpus_max = 330.0");
+    const std::string troubles = R"(
+[[troubles]]
+kind = "machines_cut"
+at_s = 80
+share = 0.4
+lasts_s = 45
+[[troubles]]
+kind = "crash"
+after = "begun"
+at_s = 1
+lasts_s = 0.05
+)" + called_off("after = \"elected\"\nat_s = 0.5\n");
+    spdlog::set_level(spdlog::level::off);
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        SCOPED_TRACE(seed);
+        const auto o = emulator::World(emulator::parse_scenario(limited + troubles, "limited"), seed).play();
+        const auto free = play(troubles, seed);
+        EXPECT_LT(o.started, free.started) << "the limit binds";
+        EXPECT_GT(o.cancelled_running, 5u);
+        for (const auto& [rule, first] : o.first) ADD_FAILURE() << rule << " at " << first;
+        EXPECT_LT(o.longest_gone, cancel_s);
+    }
+}
+
+// All end, are back within a moment, end again and stay away for longer than a lease.
+TEST(Meeting, all_controllers_end_twice_and_are_away_for_longer_than_a_lease) {
+    expect_whole(R"(
+[[troubles]]
+kind = "crash"
+node = "all"
+at_s = 80
+lasts_s = 0.05
+[[troubles]]
+kind = "crash"
+node = "all"
+after = "begun"
+at_s = 3
+lasts_s = 28
+)" + called_off("after = \"elected\"\nat_s = 0.2\n"),
+                 {1, 2, 3}, [](const auto& o) { EXPECT_GT(o.lease_kills, 20u); });
+}
+
+// Ten leaders in two minutes, some of them while the service is out.
+TEST(Meeting, leaders_change_ten_times_in_two_minutes_also_inside_an_outage) {
+    expect_whole(R"(
+[[troubles]]
+kind = "crash"
+at_s = 60
+lasts_s = 0.05
+times = 12
+every_s = 10
+[[troubles]]
+kind = "outage"
+after = "begun"
+at_s = 24
+lasts_s = 25
+)" + called_off("after = \"elected\"\nat_s = 1\n"),
+                 {1, 2, 3}, [](const auto& o) { EXPECT_GE(o.elections, 10u); });
+}
+
+// A leader that came late has less time left than a report takes to be overdue, and asks the machines directly.
+TEST(Meeting, ran_cancelled_a_leader_is_there_only_moments_before_the_time_is_over) {
+    expect_whole(R"(
+[[troubles]]
+kind = "burst"
+at_s = 80
+lasts_s = 1
+)" + called_off(at_once) +
+                     R"(
+[[troubles]]
+kind = "crash"
+node = "all"
+after = "begun"
+at_s = 7
+lasts_s = 33
+)",
+                 {1, 2, 3}, [](const auto& o) { EXPECT_GT(o.cancelled_running, 5u); });
+}
+
+// In an outage all controllers end, and nobody who is back knows what was cancelled before.
+TEST(Meeting, ran_cancelled_all_end_in_an_outage_and_nobody_knows_what_was_cancelled) {
+    expect_whole(R"(
+[[troubles]]
+kind = "burst"
+at_s = 80
+lasts_s = 1
+)" + called_off(at_once) +
+                     R"(
+[[troubles]]
+kind = "outage"
+after = "begun"
+at_s = 1
+lasts_s = 70
+[[troubles]]
+kind = "crash"
+node = "all"
+after = "begun"
+at_s = 4
+lasts_s = 0.05
+)",
+                 {1, 2, 3}, [](const auto& o) { EXPECT_GT(o.cancelled_running, 5u); });
+}
+
 }  // namespace flintdale::test
