--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -195,9 +195,8 @@
     }
 }
 
-// Not mended yet: the leader is cut from the others as well, and nobody is elected before the outage. Whoever confirmed
-// knows, and does not lead; the leader cannot know; what machines that hang hold does not end with their leases.
-// KNOWN-RED.txt.
+// The leader is cut from the others as well, and nobody is elected before the outage. Whoever confirmed knows, and does
+// not lead; the leader cannot know; what machines that hang hold does not end with their leases: they are fenced.
 TEST(Meeting, ran_cancelled_machines_hang_and_nobody_who_knows_leads) {
     const auto o = play(R"(
 [[troubles]]
@@ -613,4 +612,16 @@
                  {1, 2, 3}, [](const auto& o) { EXPECT_GT(o.cancelled_running, 5u); });
 }
 
+// The same with many that are called off at that moment, so that each seed brings it about.
+TEST(Meeting, ran_cancelled_many_are_called_off_and_hang_and_nobody_who_knows_leads) {
+    expect_whole(refused + std::string(cut_from_peers) + called_off(at_once) + R"(
+[[troubles]]
+kind = "outage"
+after = "cancelled"
+at_s = 0.4
+lasts_s = 70
+)",
+                 {1, 2, 3}, [](const auto& o) { EXPECT_GT(o.met_cancelled, 1u); });
+}
+
 }  // namespace flintdale::test
