Silent machines with cancelled work are fenced after half of cancel_s, by whoever knows

Cause of the known red line: whoever knew of a cancellation fenced only 9 s before cancel_s was over, and whoever was back after an end of all waited for half of it. One rule now (agent::give_up_silent_after) for a leader, for whoever knows and, 12 s sooner, for whoever is blind.

--- a/src/agent/lease_rule.hpp
+++ b/src/agent/lease_rule.hpp
@@ -12,4 +12,9 @@
     return now - cancellations_known_at < wire::to_clock(s.cancel - s.lease - margin);
 }
 
+// How long after a cancellation a silent machine that may hold work of that job is given up, whoever does it: its
+// leader, or a controller that knows of the cancellation while nobody leads. Half of cancel_s leaves the other half to
+// controllers that ended meanwhile and know nothing: they ask all silent machines after as long (app::Fencer).
+inline wire::Seconds give_up_silent_after(const config::Settings& s) { return s.cancel * 0.5; }
+
 }  // namespace flintdale::agent
--- a/src/agent/overseer_fleet.cpp
+++ b/src/agent/overseer_fleet.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "agent/lease_rule.hpp"
 #include "agent/overseer.hpp"
 
 namespace flintdale::agent {
@@ -274,7 +275,7 @@
     for (const auto& [uid, i] : m.tasks) {
         const auto* j = job(uid);
         if (!j || !j->cancelled) continue;
-        if (unheard > settings_.report * 3 && now > after(j->cancelled_at, settings_.cancel * 0.5)) return true;
+        if (unheard > settings_.report * 3 && now > after(j->cancelled_at, give_up_silent_after(settings_))) return true;
         if (now > after(j->cancelled_at, settings_.cancel - settings_.report * 1.25 - Seconds(5))) return true;
     }
     return false;
--- a/src/app/fencer.cpp
+++ b/src/app/fencer.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "agent/lease_rule.hpp"
+
 namespace flintdale::app {
 
 using namespace std::chrono_literals;
@@ -12,8 +14,10 @@
 
 namespace {
 constexpr auto look_gap = 1s;
-// Before cancel_s is over: time for a list of the machines, two questions to each, and the call that returns them.
-constexpr Seconds begin_before{16}, fence_before{9};
+// Before machines are given up: time for a list of them and two questions to each.
+constexpr Seconds ask_before{7};
+// The same for a controller that knows nothing, and the seconds for which it may have been away.
+constexpr Seconds blind_before{12};
 constexpr std::size_t most_asked = 200;       // at once: sockets are scarce
 constexpr std::size_t most_released = 100;    // of a call
 constexpr const char* anything = "anything";  // what a machine may hold of which nobody knows
@@ -39,7 +43,7 @@
     const auto now = Clock::now();
     for (const auto& [at, job] : cancelled_) {
         const auto& uid = job.uid;
-        if (now < at + wire::to_clock(settings_.cancel - begin_before)) break;
+        if (now < at + wire::to_clock(agent::give_up_silent_after(settings_) - ask_before)) break;
         if (links_.somebody_knows(job.noted)) continue;
         for (const auto& machine : links_.machines_of(uid)) {
             if (const auto it = clear_.find(machine); it != clear_.end() && it->second.contains(uid)) continue;
@@ -57,7 +61,7 @@
 // Whatever was cancelled was so before this life began. Leaders return such machines after half of cancel_s, so what is
 // left has that long at most; and leases that nobody renews run out meanwhile.
 bool Fencer::blind_for_long() const {
-    return links_.blind() && Clock::now() - began_ > wire::to_clock(settings_.cancel * 0.5 - fence_before);
+    return links_.blind() && Clock::now() - began_ > wire::to_clock(agent::give_up_silent_after(settings_) - blind_before);
 }
 
 Fencer::Due Fencer::unknown(const std::vector<wire::ListedMachine>& listed) const {
@@ -107,7 +111,7 @@
         std::erase_if(found.jobs, [&](const auto& entry) { return !silent_before.contains(entry.first); });
     } else {
         found = due();
-        const bool early = Clock::now() < found.first + wire::to_clock(settings_.cancel - fence_before);
+        const bool early = Clock::now() < found.first + wire::to_clock(agent::give_up_silent_after(settings_));
         if (found.jobs.empty() || early) co_return;
     }
     std::vector<std::string> names;
--- a/src/app/fencer.hpp
+++ b/src/app/fencer.hpp
@@ -1,7 +1,7 @@
 // Fences machines that may still hold cancelled work while nobody who knows of the cancellation leads: the state
 // service is out of reach, and the leader, if there is one, has not said that it heard. What such a machine holds ends
-// with its lease, for a leader that does not know falls silent in time (lease_rule.hpp); but not if it hangs. So before
-// cancel_s is over whoever knows asks each machine of the job, by the records as remembered, and has the cloud take
+// with its lease, for a leader that does not know falls silent in time (lease_rule.hpp); but not if it hangs. So after
+// half of cancel_s whoever knows asks each machine of the job, by the records as remembered, and has the cloud take
 // back those that do not answer. That needs no leadership: a machine that is gone is gone for every leader, by the
 // cloud's word.
 //
