--- a/bench/leader_bench.cpp
+++ b/bench/leader_bench.cpp
@@ -1,9 +1,9 @@
-// What the leader's mind costs as fleets and queues grow, without network or state service: a report, a pass of placing,
-// a round of renting, and the hand-over's load. Arguments: machines, waiting tasks.
+// What the leader's mind costs as fleets and queues grow, without network or state service: a report, a pass of
+// placing, a round of renting, and the hand-over's load. Arguments: machines, waiting tasks.
 #include <benchmark/benchmark.h>
 #include <spdlog/spdlog.h>
 
-#include "agent/overseer.hpp"
+#include "scheduler/scheduler.hpp"
 
 namespace {
 
@@ -51,7 +51,7 @@
     config::Tunables tunables;
     state::Form form{settings};
     wire::TimePoint now{1000s};
-    std::unique_ptr<agent::Overseer> leader;
+    std::unique_ptr<scheduler::Scheduler> leader;
     std::vector<state::Item> records;
     std::vector<wire::WorkerReport> reports;
     std::vector<std::string> names;
@@ -85,9 +85,9 @@
         std::vector<wire::TaskRange> ranges;
         for (std::uint32_t i = 0; i < per_job && at < names.size() * per_machine; ++i, ++at)
             ranges.push_back({i, i, 1, names[at / per_machine], false});
-        records.push_back({agent::work_key(spec.uid, 0),
-                           boost::json::object{{"spec", wire::spec_to_record(spec)}, {"tasks", wire::ranges_to_record(ranges)}},
-                           1});
+        records.push_back(
+            {scheduler::work_key(spec.uid, 0),
+             boost::json::object{{"spec", wire::spec_to_record(spec)}, {"tasks", wire::ranges_to_record(ranges)}}, 1});
     }
     void add_waiting(std::size_t j) {
         auto spec = job("run-" + std::to_string(5'000'000 + j), j % 4 ? Shape::array : Shape::gang);
@@ -95,10 +95,10 @@
             spec.need = {16, 4, 48};
             spec.tasks = 8;
         }
-        records.push_back({agent::work_key(spec.uid, 0), agent::first_work_record(spec), 1});
+        records.push_back({scheduler::work_key(spec.uid, 0), scheduler::first_work_record(spec), 1});
     }
     void elect() {
-        leader = std::make_unique<agent::Overseer>(settings, tunables, form, 1, 1, now);
+        leader = std::make_unique<scheduler::Scheduler>(settings, tunables, form, 1, 1, now);
         wire::MachineType type;
         type.name = "type";
         type.capacity = {16, 4, 64};
--- a/src/api/desk.cpp
+++ b/src/api/submission_service.cpp
@@ -1,4 +1,4 @@
-#include "api/desk.hpp"
+#include "api/submission_service.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -37,12 +37,12 @@
 
 }  // namespace
 
-Desk::Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form,
-           Links links, std::size_t known)
+SubmissionService::SubmissionService(net::Executor ex, state::Store& store, const config::Settings& settings,
+                                     const state::Form& form, Links links, std::size_t known)
     : ex_(ex), store_(store), settings_(settings), form_(form), links_(std::move(links)), known_(known), asked_(ex) {}
 
 // Why the job can never run, if it cannot.
-std::optional<std::string> Desk::never_runs(const wire::JobSpec& spec) const {
+std::optional<std::string> SubmissionService::never_runs(const wire::JobSpec& spec) const {
     const auto* team = settings_.team(spec.team);
     if (!team) return "owner: unknown team";
     const double tasks = spec.shape == wire::Shape::array ? 1.0 : static_cast<double>(spec.tasks);
@@ -62,21 +62,21 @@
 }
 
 // What a key of the job says of it; null if the key is absent, or cannot be read.
-JobEvidence Desk::learn(const std::string& uid, const state::Item& item) {
+JobEvidence SubmissionService::learn(const std::string& uid, const state::Item& item) {
     if (!item.stamp) return nullptr;
     auto job = known_from(item);
     return job ? known_.learn(uid, std::move(*job)) : nullptr;
 }
 
 // What was over once stays over, whatever has become of its record.
-JobEvidence Desk::over_by_memory(const std::string& uid) {
+JobEvidence SubmissionService::over_by_memory(const std::string& uid) {
     const auto remembered = links_.remembered(uid);
     if (!remembered || remembered->state == JobState::open) return nullptr;
     return known_.learn(uid, {remembered->state, remembered->size, {}});
 }
 
 // What is known of the job without asking: that it was accepted, and whether it is known to be over.
-JobEvidence Desk::at_hand(const std::string& uid) {
+JobEvidence SubmissionService::at_hand(const std::string& uid) {
     auto known = known_.find(uid);
     if (known && known->over()) return known;
     if (auto over = over_by_memory(uid)) return over;
@@ -86,7 +86,7 @@
 }
 
 // A job only moves forward: what became known while its check was under way holds against that.
-JobEvidence Desk::newest(const std::string& uid, JobEvidence job) {
+JobEvidence SubmissionService::newest(const std::string& uid, JobEvidence job) {
     if (job && job->over()) return job;
     if (auto known = known_.find(uid); known && known->over()) return known;
     if (auto over = over_by_memory(uid)) return over;
@@ -97,23 +97,23 @@
 // it may be taken as a new one, must not be said of one that is remembered here. If it was when the service was asked,
 // GuardedStore has not let the answer through; if it is by now, another controller has just accepted it, and whoever
 // asks comes again.
-Desk::Look Desk::absent_now(const std::string& uid) {
+SubmissionService::Look SubmissionService::absent_now(const std::string& uid) {
     if (auto over = over_by_memory(uid)) return {true, std::move(over)};
     return {!links_.remembered(uid) && links_.certain(), nullptr};
 }
 
-awaitable<std::optional<bool>> Desk::look_up(std::string uid) {
+awaitable<std::optional<bool>> SubmissionService::look_up(std::string uid) {
     const auto found = co_await find(std::move(uid));
     if (found.outcome != Outcome::ok) co_return std::nullopt;
     co_return found.job != nullptr;
 }
 
 // The job's outcome, or else the record of its open work, read now; null if there is no such job.
-awaitable<Desk::Found> Desk::find(std::string uid) {
+awaitable<SubmissionService::Found> SubmissionService::find(std::string uid) {
     Found out;
     for (int round = 0; round < max_tries; ++round) {
         for (const bool over : {true, false}) {
-            auto key = over ? agent::outcome_key(uid) : agent::work_key(uid, 0);
+            auto key = over ? scheduler::outcome_key(uid) : scheduler::work_key(uid, 0);
             auto got = co_await store_.get(std::move(key), Urgency::user);
             out.outcome = got.outcome;
             if (got.outcome != Outcome::ok) co_return out;
@@ -142,15 +142,15 @@
 }
 
 // A transaction that fails if there is such a job.
-state::Txn Desk::absent(const std::string& uid) {
+state::Txn SubmissionService::absent(const std::string& uid) {
     state::Txn txn;
-    txn.conditions.push_back({agent::outcome_key(uid), 0});
-    txn.conditions.push_back({agent::work_key(uid, 0), 0});
+    txn.conditions.push_back({scheduler::outcome_key(uid), 0});
+    txn.conditions.push_back({scheduler::work_key(uid, 0), 0});
     return txn;
 }
 
 // By the evidence of whoever asked, or what is known beyond it by now.
-Reply Desk::status_of(const std::string& uid, JobEvidence job, bool as_submission) {
+Reply SubmissionService::status_of(const std::string& uid, JobEvidence job, bool as_submission) {
     job = newest(uid, std::move(job));
     const auto count = job->over() ? DisplayCount{} : links_.count(uid);
     std::string_view status = count.running > 0 ? "running" : "pending";
@@ -164,7 +164,7 @@
     return reply(200, wire::poll_answer(uid, status, done, count.running));
 }
 
-awaitable<Reply> Desk::current(std::string uid, bool as_submission) {
+awaitable<Reply> SubmissionService::current(std::string uid, bool as_submission) {
     const std::chrono::seconds patience = as_submission ? submission_patience : poll_patience;
     const auto look = co_await look_through(uid, wire::Clock::now() + patience);
     // That an accepted job never was is not what a repeated submission is told.
@@ -173,7 +173,7 @@
     co_return status_of(uid, look.job, as_submission);
 }
 
-awaitable<Reply> Desk::submit(std::string body) {
+awaitable<Reply> SubmissionService::submit(std::string body) {
     wire::JobSpec spec;
     std::string uid, complaint;
     try {
@@ -194,7 +194,7 @@
         }
     if (!complaint.empty()) co_return co_await refuse(std::move(uid), status, std::move(complaint));
     if (at_hand(uid)) co_return co_await current(uid, true);
-    const bool early = !form_.newest() && !agent::readable_by_all(spec, form_);
+    const bool early = !form_.newest() && !scheduler::readable_by_all(spec, form_);
     if (early || !links_.types()) {
         const auto exists = co_await look_up(uid);
         if (exists && *exists) co_return co_await current(uid, true);
@@ -210,7 +210,7 @@
         if (needs.unknown) co_return come_back("the state service cannot be reached");
         if (needs.complaint) co_return co_await refuse(std::move(uid), 422, std::move(*needs.complaint));
     }
-    const auto records = agent::accepted_records(spec, form_);
+    const auto records = scheduler::accepted_records(spec, form_);
     if (records.empty()) {
         const bool types = spec.types && spec.types->size() > spec.prerequisites.size();
         std::string too_long = types ? "hosttypes" : spec.prerequisites.size() > 1 ? "prereqs" : "body";
@@ -240,7 +240,7 @@
 }
 
 // A job once accepted stays accepted, whatever a repetition of its submission says.
-awaitable<Reply> Desk::refuse(std::string uid, unsigned status, std::string complaint) {
+awaitable<Reply> SubmissionService::refuse(std::string uid, unsigned status, std::string complaint) {
     if (uid.empty()) co_return reply(status, wire::error_body(complaint));
     const auto exists = co_await look_up(uid);
     if (!exists) co_return come_back("the state service cannot be reached");
@@ -250,7 +250,7 @@
 
 // A job that is known here was accepted, for good. Of any other the state service is asked now: jobs of a pipeline come
 // one right after the other, to different controllers.
-awaitable<Desk::Needs> Desk::check_prerequisites(wire::JobSpec spec) {
+awaitable<SubmissionService::Needs> SubmissionService::check_prerequisites(wire::JobSpec spec) {
     Needs out;
     std::map<std::string, JobEvidence> known;
     Questions asked;
@@ -274,14 +274,14 @@
     co_return out;
 }
 
-awaitable<Reply> Desk::poll(std::string uid) {
+awaitable<Reply> SubmissionService::poll(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
     co_return co_await current(std::move(uid), false);
 }
 
 // --- questions ---
 
-std::shared_ptr<Desk::Question> Desk::put(std::string uid, TimePoint until) {
+std::shared_ptr<SubmissionService::Question> SubmissionService::put(std::string uid, TimePoint until) {
     auto question = std::make_shared<Question>(ex_, std::move(uid), until);
     questions_.push_back(question);
     if (asking_) {
@@ -295,7 +295,7 @@
 
 // What the service says, once it has been asked: of what was not known here the record is read, by whoever asks, so
 // that nobody else waits for that.
-awaitable<Desk::Look> Desk::answer(std::shared_ptr<Question> question) {
+awaitable<SubmissionService::Look> SubmissionService::answer(std::shared_ptr<Question> question) {
     using Answer = Question::Answer;
     const auto& uid = question->uid;
     Look out;
@@ -309,7 +309,7 @@
         if (said == Answer::none) co_return absent_now(uid);
         out.job = question->held;
         if (said == Answer::over || said == Answer::work) {
-            auto key = said == Answer::over ? agent::outcome_key(uid) : agent::work_key(uid, 0);
+            auto key = said == Answer::over ? scheduler::outcome_key(uid) : scheduler::work_key(uid, 0);
             const auto got = co_await store_.get(std::move(key), Urgency::user);
             if (got.outcome != Outcome::ok) co_return out;
             if (!got.item.stamp) {
@@ -330,7 +330,7 @@
 
 // Puts all that wait to the state service together; everyone who asks while a comparison is under way shares the next
 // one. One that is slow, or never answered, does not hold back the next.
-awaitable<void> Desk::ask_loop() {
+awaitable<void> SubmissionService::ask_loop() {
     while (!questions_.empty()) {
         const auto now = wire::Clock::now();
         const auto next = last_asked_ + stagger;
@@ -350,7 +350,7 @@
 }
 
 // As many as one comparison holds, but for those that nobody waits for any more.
-Desk::Questions Desk::next_questions() {
+SubmissionService::Questions SubmissionService::next_questions() {
     Questions out;
     std::set<std::string_view> uids;
     const auto now = wire::Clock::now();
@@ -363,7 +363,7 @@
     return out;
 }
 
-awaitable<void> Desk::ask(Questions questions) {
+awaitable<void> SubmissionService::ask(Questions questions) {
     using Answer = Question::Answer;
     const bool certain = links_.certain();
     std::map<std::string, JobEvidence> held;
@@ -372,8 +372,8 @@
         const auto [it, fresh] = held.try_emplace(q->uid);
         if (fresh) {
             it->second = at_hand(q->uid);
-            txn.conditions.push_back({agent::outcome_key(q->uid), 0});
-            if (!it->second) txn.conditions.push_back({agent::work_key(q->uid, 0), 0});
+            txn.conditions.push_back({scheduler::outcome_key(q->uid), 0});
+            if (!it->second) txn.conditions.push_back({scheduler::work_key(q->uid, 0), 0});
         }
         q->held = it->second;
     }
@@ -385,11 +385,11 @@
     };
     const bool answered = result.outcome == Outcome::ok || result.outcome == Outcome::conflict;
     for (const auto& q : questions) {
-        if (answered && exists(agent::outcome_key(q->uid)))
+        if (answered && exists(scheduler::outcome_key(q->uid)))
             q->answer = Answer::over;
         else if (answered && q->held)
             q->answer = Answer::open;
-        else if (answered && exists(agent::work_key(q->uid, 0)))
+        else if (answered && exists(scheduler::work_key(q->uid, 0)))
             q->answer = Answer::work;
         else if (answered && certain)
             q->answer = Answer::none;
@@ -401,7 +401,7 @@
 // The job as it is now. Of an open job that needs others all open ones are looked at that it needs, directly or through
 // others: whoever needs a cancelled job is cancelled, and that is put on record before anybody is told, so that no
 // controller, and no later life of this one, says otherwise.
-awaitable<Desk::Look> Desk::look_through(std::string uid, TimePoint until) {
+awaitable<SubmissionService::Look> SubmissionService::look_through(std::string uid, TimePoint until) {
     std::map<std::string, JobEvidence> sure;
     for (int round = 0; round < max_rounds; ++round) {
         std::vector<std::string> open{uid}, unsure;
@@ -450,14 +450,14 @@
 
 // Puts the cancellation of an open job on record, on the condition that it has no outcome. `from`: a record of it, or
 // an absent one.
-awaitable<state::Outcome> Desk::put_cancelled(std::string uid, JobEvidence job, state::Item from) {
+awaitable<state::Outcome> SubmissionService::put_cancelled(std::string uid, JobEvidence job, state::Item from) {
     state::Item item;
-    item.key = agent::outcome_key(uid);
+    item.key = scheduler::outcome_key(uid);
     const auto* record = from.value.if_object();
     const auto* spec = record ? record->if_contains("spec") : nullptr;
     // With the time, for a leader that comes later: what is cancelled must be gone by then.
-    item.value = agent::outcome_record(form_, JobState::cancelled, links_.time_of_day_ms(),
-                                       spec ? &spec->as_object() : nullptr, job->size);
+    item.value = scheduler::outcome_record(form_, JobState::cancelled, links_.time_of_day_ms(),
+                                           spec ? &spec->as_object() : nullptr, job->size);
     state::Txn txn;
     txn.conditions.push_back({item.key, 0});
     txn.changes.push_back({item.key, item.value, 0});
@@ -471,7 +471,7 @@
     co_return result.outcome;
 }
 
-awaitable<Reply> Desk::cancel(std::string uid) {
+awaitable<Reply> SubmissionService::cancel(std::string uid) {
     if (!wire::valid_uid(uid)) co_return reply(404, wire::error_body("no such job"));
     bool read = false;
     for (int round = 0; round < max_tries; ++round) {
--- a/src/api/desk.hpp
+++ b/src/api/submission_service.hpp
@@ -6,10 +6,10 @@
 #include <memory>
 #include <set>
 
-#include "agent/job.hpp"
 #include "api/known_jobs.hpp"
 #include "config/settings.hpp"
 #include "net/http_server.hpp"
+#include "scheduler/job.hpp"
 #include "state/store.hpp"
 
 namespace flintdale::api {
@@ -27,7 +27,7 @@
     wire::JobSize size;
 };
 
-class Desk {
+class SubmissionService {
   public:
     struct Links {
         std::function<std::int64_t()> time_of_day_ms;
@@ -41,8 +41,8 @@
         std::function<std::optional<state::Item>(const std::string&)> open_record = {};
     };
     // `known`: jobs of which is kept what was read of them.
-    Desk(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form, Links links,
-         std::size_t known);
+    SubmissionService(net::Executor ex, state::Store& store, const config::Settings& settings, const state::Form& form,
+                      Links links, std::size_t known);
 
     awaitable<Reply> submit(std::string body);
     awaitable<Reply> poll(std::string uid);
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t max_counts = 20'000;
 constexpr auto begin_wait = 2500ms;
-constexpr double knocks_kept = 0.8;  // from one message of a peer to the next, a second later
+constexpr double redirects_kept = 0.8;  // from one message of a peer to the next, a second later
 const std::string catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
 
@@ -44,7 +44,7 @@
 }
 
 // The time of day alone may come twice: clocks wander by some milliseconds, and a process may be back at once.
-std::uint64_t new_life(std::int64_t time_of_day_ms) {
+std::uint64_t new_incarnation(std::int64_t time_of_day_ms) {
     const auto now = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
     return static_cast<std::uint64_t>(time_of_day_ms * 1000 + now % 1000);
 }
@@ -58,14 +58,14 @@
       tunables_(tunables),
       form_(form),
       ports_(std::move(ports)),
-      life_(new_life(ports_.time_of_day_ms())),
-      store_(ports_.state, agent::jobs_prefix,
+      incarnation_(new_incarnation(ports_.time_of_day_ms())),
+      store_(ports_.state, scheduler::jobs_prefix,
              {[this](const char* why) { keeper_.doubt(why); },
               [this](const state::Change& change, std::uint64_t revision) { keeper_.written(change, revision); },
               [this](const std::string& key) { return keeper_.memory().expected(key); },
               [](const std::string& key) {
-                  const auto work = agent::parse_work_key(key);
-                  return work ? agent::outcome_key(work->uid) : std::string();
+                  const auto work = scheduler::parse_work_key(key);
+                  return work ? scheduler::outcome_key(work->uid) : std::string();
               },
               [this](const std::string& key) { keeper_.missed(key); }}),
       cloud_(ports_.cloud),
@@ -76,85 +76,87 @@
                     if (term.gap) keeper_.doubt("a term that was seen is not on record");
                     keeper_.leads(term);
                 },
-                [this] { end_reign(); }},
+                [this] { end_term(); }},
                ports_.time_of_day_ms),
       members_(store_, settings_, form_,
                [this](const quota::Table& teams) {
                    teams_ = teams;
-                   if (reign_) reign_->overseer().set_teams(teams);
+                   if (leader_term_) leader_term_->scheduler().set_teams(teams);
                }),
-      caretaker_(settings_),
+      follower_leases_(settings_),
       cancellations_(settings_),
       fencer_(
           ex_, cloud_, ports_.workers, settings_,
           {[this](wire::TimePoint noted) { return somebody_knows(noted); },
            [this](const std::string& uid) { return keeper_.memory().machines_of(uid); }, [this] { return blind(); }}),
-      keeper_(ex_, ports_.state, store_, settings_, form_, recovery::Shelf(tunables_.snapshots), keeper_links()),
-      desk_(ex_, store_, settings_, form_,
-            {ports_.time_of_day_ms, [this](const std::string& uid) { note_cancelled(uid); },
-             [this] { return types_.empty() ? nullptr : &types_; },
-             [this](const std::string& uid) {
-                 if (reign_)
-                     if (auto c = reign_->overseer().count(uid)) return api::DisplayCount{c->done, c->running};
-                 const auto it = counts_.find(uid);
-                 return it == counts_.end() ? api::DisplayCount{} : it->second;
-             },
-             [this](const state::Item& item) {
-                 keeper_.told(item);
-                 if (reign_) reign_->job_changed(item);
-             },
-             [this](const std::string& uid) -> std::optional<api::Remembered> {
-                 auto outcome = keeper_.outcome_of(uid);
-                 // Nobody is told that a job is cancelled before it is on record: a peer's word of it is as good.
-                 if ((!outcome || outcome->state == wire::JobState::open) && cancellations_.knows(uid)) {
-                     if (!outcome) outcome.emplace();
-                     outcome->state = wire::JobState::cancelled;
-                 }
-                 if (!outcome) return std::nullopt;
-                 return api::Remembered{outcome->state, outcome->size};
-             },
-             [this] { return keeper_.certain(); },
-             [this](const std::string& uid) -> std::optional<state::Item> {
-                 const auto record = keeper_.memory().record(agent::work_key(uid, 0));
-                 // What is owed, or damaged, is read where it stands.
-                 if (!record || record->stamp <= recovery::owed_stamp) return std::nullopt;
-                 state::Item item;
-                 item.key = agent::work_key(uid, 0);
-                 boost::json::error_code ec;
-                 item.value = boost::json::parse(record->text, ec);
-                 item.stamp = record->stamp;
-                 return ec || !item.value.is_object() ? std::nullopt : std::optional(std::move(item));
-             }},
-            static_cast<std::size_t>(tunables.known_jobs)) {}
+      keeper_(ex_, ports_.state, store_, settings_, form_, recovery::SnapshotFile(tunables_.snapshots), keeper_links()),
+      submissions_(ex_, store_, settings_, form_,
+                   {ports_.time_of_day_ms, [this](const std::string& uid) { note_cancelled(uid); },
+                    [this] { return types_.empty() ? nullptr : &types_; },
+                    [this](const std::string& uid) {
+                        if (leader_term_)
+                            if (auto c = leader_term_->scheduler().count(uid))
+                                return api::DisplayCount{c->done, c->running};
+                        const auto it = counts_.find(uid);
+                        return it == counts_.end() ? api::DisplayCount{} : it->second;
+                    },
+                    [this](const state::Item& item) {
+                        keeper_.told(item);
+                        if (leader_term_) leader_term_->job_changed(item);
+                    },
+                    [this](const std::string& uid) -> std::optional<api::Remembered> {
+                        auto outcome = keeper_.outcome_of(uid);
+                        // Nobody is told that a job is cancelled before it is on record: a peer's word of it is as
+                        // good.
+                        if ((!outcome || outcome->state == wire::JobState::open) && cancellations_.knows(uid)) {
+                            if (!outcome) outcome.emplace();
+                            outcome->state = wire::JobState::cancelled;
+                        }
+                        if (!outcome) return std::nullopt;
+                        return api::Remembered{outcome->state, outcome->size};
+                    },
+                    [this] { return keeper_.certain(); },
+                    [this](const std::string& uid) -> std::optional<state::Item> {
+                        const auto record = keeper_.memory().record(scheduler::work_key(uid, 0));
+                        // What is owed, or damaged, is read where it stands.
+                        if (!record || record->stamp <= recovery::owed_stamp) return std::nullopt;
+                        state::Item item;
+                        item.key = scheduler::work_key(uid, 0);
+                        boost::json::error_code ec;
+                        item.value = boost::json::parse(record->text, ec);
+                        item.stamp = record->stamp;
+                        return ec || !item.value.is_object() ? std::nullopt : std::optional(std::move(item));
+                    }},
+                   static_cast<std::size_t>(tunables.known_jobs)) {}
 
 recovery::Keeper::Links Controller::keeper_links() {
     recovery::Keeper::Links links;
     links.time_of_day_ms = ports_.time_of_day_ms;
-    links.begin = [this](election::Term term, bool unsettled) { begin_reign(term, unsettled); };
+    links.begin = [this](election::Term term, bool unsettled) { begin_term(term, unsettled); };
     links.new_term = [this](const char* why) { elector_.again(why); };
     using Look = recovery::Keeper::Links::Look;
     links.outcomes = [this](const std::vector<state::Item>& items, wire::TimePoint began, Look look) {
-        if (look == Look::after_a_gap) caretaker_.lost_track(Clock::now());
-        caretaker_.watched(items, began);
+        if (look == Look::after_a_gap) follower_leases_.lost_track(Clock::now());
+        follower_leases_.watched(items, began);
         // After a rebuilding it is all there ever were: what of that is told anew is noted then.
         for (const auto& item : items)
-            if (look != Look::all && agent::is_cancelled(item))
+            if (look != Look::all && scheduler::is_cancelled(item))
                 note_cancelled(item.key.substr(item.key.rfind('/') + 1));
-        if (look == Look::all) caretaker_.knows_all(began);
+        if (look == Look::all) follower_leases_.knows_all(began);
     };
     links.rebuilt = [this] {
         // Jobs that were believed to be open are looked up again; keys that are not rebuilt are put in place anew.
-        desk_.forget_open();
+        submissions_.forget_open();
         kept_catalog_ = false;
         net::asio::co_spawn(ex_, members_.enroll_again(), net::asio::detached);
     };
     links.seen_term = [this] { return elector_.term(); };
-    links.life = life_;
+    links.incarnation = incarnation_;
     return links;
 }
 
-void Controller::begin_reign(election::Term term, bool unsettled) {
-    Reign::Links links;
+void Controller::begin_term(election::Term term, bool unsettled) {
+    LeaderTerm::Links links;
     links.doubt = [this] { elector_.doubt(); };
     links.time_of_day_ms = ports_.time_of_day_ms;
     links.loss = [this](const char* why, bool beyond_memory) {
@@ -186,19 +188,19 @@
     links.settled = [this] { keeper_.settled(); };
     links.seen = [this](const state::Item& item) { keeper_.told(item); };
     links.open = [this] { return keeper_.memory().open_jobs(); };
-    reign_ =
-        std::make_shared<Reign>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled, std::move(links));
-    if (teams_) reign_->overseer().set_teams(*teams_);
-    reign_->start(types_);
+    leader_term_ = std::make_shared<LeaderTerm>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled,
+                                                std::move(links));
+    if (teams_) leader_term_->scheduler().set_teams(*teams_);
+    leader_term_->start(types_);
 }
 
 // A user is about to be told so, a record says it, or a peer.
 void Controller::note_cancelled(const std::string& uid) {
     const auto now = Clock::now();
     if (!cancellations_.note(uid, now)) return;
-    caretaker_.cancelled(uid, now);
+    follower_leases_.cancelled(uid, now);
     fencer_.cancelled(uid, now - wire::to_clock(std::min(over_for(uid).value_or(wire::Seconds(0)), settings_.cancel)));
-    if (reign_) reign_->cancelled_elsewhere(uid);
+    if (leader_term_) leader_term_->cancelled_elsewhere(uid);
 }
 
 // For how long a job has been over, by the time of day on record; nothing if that is not known.
@@ -212,7 +214,7 @@
 // has heard of it sees to it. A term that has read nothing yet does not know where tasks are.
 bool Controller::somebody_knows(wire::TimePoint noted) const {
     const auto now = Clock::now();
-    if (reign_ && reign_->loaded()) return reign_->heard_out();
+    if (leader_term_ && leader_term_->loaded()) return leader_term_->heard_out();
     if (ports_.state.healthy(now)) return true;
     return std::any_of(peer_state_.begin(), peer_state_.end(), [&](const auto& entry) {
         const auto& [member, peer] = entry;
@@ -234,11 +236,11 @@
     return cancellations_.known_at(looked, Clock::now());
 }
 
-void Controller::end_reign() {
+void Controller::end_term() {
     ports_.state.set_leading(false);
     keeper_.deposed();
-    if (reign_) reign_->stop();
-    reign_.reset();
+    if (leader_term_) leader_term_->stop();
+    leader_term_.reset();
 }
 
 void Controller::start() {
@@ -257,7 +259,7 @@
         if (types && !types->empty()) {
             const bool news = types_.size() != types->size();
             types_ = std::move(*types);
-            if (reign_) reign_->catalog(types_);
+            if (leader_term_) leader_term_->catalog(types_);
             if (news || !kept_catalog_) co_await keep_catalog();
         } else if (types_.empty()) {
             co_await recall_catalog();
@@ -299,7 +301,7 @@
     auto kept = co_await store_.range(catalog_key, std::string(), state::Urgency::bookkeeping);
     if (kept.outcome != state::Outcome::ok || !types_.empty()) co_return;
     types_ = kept_types(kept.items);
-    if (reign_ && !types_.empty()) reign_->catalog(types_);
+    if (leader_term_ && !types_.empty()) leader_term_->catalog(types_);
 }
 
 // No leader is heard, and none could be elected from here.
@@ -320,21 +322,21 @@
         b.state_ok = ports_.state.healthy(Clock::now());
         b.leading = elector_.leading();
         b.writes = ports_.state.take_write_demand();
-        b.knocks = std::exchange(knocks_, 0);
+        b.redirects = std::exchange(redirects_, 0);
         b.format = static_cast<std::uint32_t>(form_.format());
         share_writes(b.writes);
-        if (reign_)
-            for (auto& [uid, c] : reign_->overseer().take_counts()) b.counts.push_back({uid, c.done, c.running});
+        if (leader_term_)
+            for (auto& [uid, c] : leader_term_->scheduler().take_counts()) b.counts.push_back({uid, c.done, c.running});
         const auto word = keeper_.own_word();
         b.generation = word.generation;
         b.history = word.id;
         b.remembers = word.remembers;
         b.rebuilding = word.rebuilding;
-        b.life = life_;
+        b.incarnation = incarnation_;
         b.word = cancellations_.say(Clock::now());
         ports_.tell_peers(b);
         resign_if_deaf();
-        // Until it is known whether anybody knows of a witness, nobody can be served.
+        // Until it is known whether anybody knows of a marker, nobody can be served.
         co_await net::sleep_for(keeper_.ready() ? 1000ms : 100ms);
     }
 }
@@ -343,22 +345,22 @@
 // Workers that it does not answer knock at the others, and in vain, for those send them back here: so where the others
 // hear clearly more workers than this leader does, one of them shall lead.
 void Controller::resign_if_deaf() {
-    if (!reign_) return;
+    if (!leader_term_) return;
     const auto now = Clock::now();
-    const auto hearing = reign_->overseer().hearing(now);
+    const auto hearing = leader_term_->scheduler().hearing(now);
     if (!hearing.deaf()) return;
-    double knocks = 0;
+    double redirects = 0;
     // Who hears no worker and no peer is cut off, and needs no other word. A few workers, as a new leader hears at
     // first when a zone is cut off and takes the other controllers with it, are reason enough to stay.
     bool alone = !settings_.peers.empty() && hearing.heard == 0;
     for (const auto& [member, peer] : peer_state_) {
         if (now - peer.heard >= 3s) continue;
         alone = false;
-        if (peer.state_ok) knocks += peer.knocks;
+        if (peer.state_ok) redirects += peer.redirects;
     }
-    spdlog::debug("event=hears_few expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
-    if (!alone && knocks < static_cast<double>(hearing.heard) + static_cast<double>(hearing.expected) / 4) return;
-    spdlog::info("event=deaf expected={} heard={} knocks={:.0f}", hearing.expected, hearing.heard, knocks);
+    spdlog::debug("event=hears_few expected={} heard={} redirects={:.0f}", hearing.expected, hearing.heard, redirects);
+    if (!alone && redirects < static_cast<double>(hearing.heard) + static_cast<double>(hearing.expected) / 4) return;
+    spdlog::info("event=deaf expected={} heard={} redirects={:.0f}", hearing.expected, hearing.heard, redirects);
     elector_.resign("workers reach the others and not this one");
 }
 
@@ -375,18 +377,19 @@
 }
 
 void Controller::received(const peer::Beat& beat) {
-    using From = peer::Lives::From;
-    const auto from = lives_.heard(beat.member, beat.life, beat.connection);
+    using From = peer::Incarnations::From;
+    const auto from = incarnations_.heard(beat.member, beat.incarnation, beat.connection);
     if (from == From::former) return;  // held on its way: what it says of itself is true of nobody
     if (from == From::next) peer_state_.erase(beat.member);
     for (const auto& uid : beat.word.lately) note_cancelled(uid);
-    cancellations_.heard(beat.member, beat.life, life_, beat.word, Clock::now());
+    cancellations_.heard(beat.member, beat.incarnation, incarnation_, beat.word, Clock::now());
     elector_.heard(beat.term, beat.leader);
     form_.all_read(beat.format);
     keeper_.heard(beat.member, {beat.generation, beat.remembers, beat.history, beat.rebuilding, {}});
     auto& peer = peer_state_[beat.member];
-    peer = {Clock::now(),       beat.state_ok, beat.leading, beat.writes, peer.knocks * knocks_kept + beat.knocks,
-            beat.generation > 0};
+    peer = {
+        Clock::now(),       beat.state_ok, beat.leading, beat.writes, peer.redirects * redirects_kept + beat.redirects,
+        beat.generation > 0};
     if (counts_.size() > max_counts) counts_.clear();
     for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
 }
@@ -426,37 +429,37 @@
     if (elector_.leading() && keeper_.ready() && r.token > std::max(term_.previous, keeper_.rebuilt_under()) &&
         r.token < term_.number)
         keeper_.doubt("a worker has seen a term that is not on record", recovery::Keeper::Loss::beyond_memory);
-    if (elector_.leading() && !reign_) {
+    if (elector_.leading() && !leader_term_) {
         // A term that was just won begins in a moment.
-        for (auto waited = 0ms; waited < begin_wait && elector_.leading() && !reign_ && !keeper_.rebuilding();
+        for (auto waited = 0ms; waited < begin_wait && elector_.leading() && !leader_term_ && !keeper_.rebuilding();
              waited += 50ms)
             co_await net::sleep_for(50ms);
-        if (!reign_ && elector_.leading()) {
+        if (!leader_term_ && elector_.leading()) {
             // The leases of workers are kept for as long as what is known of cancellations allows; what they show is
             // missed if nobody remembers it.
             keeper_.shown(r);
-            if (const auto orders = caretaker_.keep(r, Clock::now(), told_until(caretaker_.looked_at())))
+            if (const auto orders = follower_leases_.keep(r, Clock::now(), told_until(follower_leases_.looked_at())))
                 co_return reply(200, wire::report_answer(term_.number, *orders));
             co_return reply(503, wire::error_body("not entitled to answer now"));
         }
     }
-    auto reign = reign_;
-    if (!reign) {
+    auto leader_term = leader_term_;
+    if (!leader_term) {
         if (leaderless())
-            if (const auto orders = caretaker_.answer(r, Clock::now(), told_until(caretaker_.looked_at())))
+            if (const auto orders = follower_leases_.answer(r, Clock::now(), told_until(follower_leases_.looked_at())))
                 co_return reply(200, wire::report_answer(elector_.term(), *orders));
         const auto& leader = elector_.leader();
         const auto other = leader == settings_.member ? std::string_view() : std::string_view(leader);
-        if (!other.empty()) ++knocks_;
+        if (!other.empty()) ++redirects_;
         co_return reply(421, wire::redirect_body(other));
     }
     // A term that was won and not read yet, because the state service went away in between, has nobody to send the
     // worker to either.
     std::optional<wire::WorkerReport> kept;
-    if (!reign->loaded()) kept = r;
-    auto answer = co_await reign->report(std::move(r));
-    if (!answer && kept && reign == reign_ && !reign->loaded() && !ports_.state.healthy(Clock::now()))
-        if (const auto orders = caretaker_.keep(*kept, Clock::now(), told_until(caretaker_.looked_at())))
+    if (!leader_term->loaded()) kept = r;
+    auto answer = co_await leader_term->report(std::move(r));
+    if (!answer && kept && leader_term == leader_term_ && !leader_term->loaded() && !ports_.state.healthy(Clock::now()))
+        if (const auto orders = follower_leases_.keep(*kept, Clock::now(), told_until(follower_leases_.looked_at())))
             co_return reply(200, wire::report_answer(term_.number, *orders));
     if (!answer) co_return reply(503, wire::error_body("not entitled to answer now"));
     co_return reply(200, std::move(*answer));
@@ -475,7 +478,7 @@
     }
     if (path == submissions) {
         if (request.verb != verb::post) co_return wrong_method("POST");
-        co_return co_await desk_.submit(std::move(request.body));
+        co_return co_await submissions_.submit(std::move(request.body));
     }
     if (path.starts_with("/submissions/")) {
         auto uid = path.substr(submissions.size() + 1);
@@ -483,11 +486,11 @@
         if (uid.ends_with(cancel)) {
             if (request.verb != verb::post) co_return wrong_method("POST");
             uid.resize(uid.size() - cancel.size());
-            co_return co_await desk_.cancel(std::move(uid));
+            co_return co_await submissions_.cancel(std::move(uid));
         }
         if (uid.find('/') == std::string::npos) {
             if (request.verb != verb::get) co_return wrong_method("GET");
-            co_return co_await desk_.poll(std::move(uid));
+            co_return co_await submissions_.poll(std::move(uid));
         }
     }
     co_return reply(404, wire::error_body("no such path"));
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -1,15 +1,15 @@
 // Wires the packages into one controller. What it is connected to comes from outside: the network (Node), or an
 // emulated world.
 #pragma once
-#include "agent/caretaker.hpp"
-#include "api/desk.hpp"
+#include "api/submission_service.hpp"
 #include "app/fencer.hpp"
-#include "app/reign.hpp"
+#include "app/leader_term.hpp"
 #include "cloud/client.hpp"
 #include "election/members.hpp"
+#include "peer/incarnations.hpp"
 #include "peer/link.hpp"
-#include "peer/lives.hpp"
 #include "recovery/keeper.hpp"
+#include "scheduler/follower_leases.hpp"
 
 namespace flintdale::app {
 
@@ -44,8 +44,8 @@
     bool blind() const;
     std::optional<wire::Seconds> over_for(const std::string& uid) const;
     wire::TimePoint told_until(wire::TimePoint looked) const;
-    void begin_reign(election::Term term, bool unsettled);
-    void end_reign();
+    void begin_term(election::Term term, bool unsettled);
+    void end_term();
     bool leaderless() const;
     awaitable<void> keep_catalog();
     awaitable<void> recall_catalog();
@@ -58,17 +58,18 @@
     const config::Tunables& tunables_;
     state::Form& form_;
     Ports ports_;
-    std::uint64_t life_;  // what tells this life of the controller from the one before, which may have ended just now
-    peer::Lives lives_;   // of the others
+    std::uint64_t incarnation_;  // what tells this incarnation of the controller from the one before, which may have
+                                 // ended just now
+    peer::Incarnations incarnations_;  // of the others
     state::GuardedStore store_;
     cloud::Cloud& cloud_;
     election::Elector elector_;
     election::Members members_;
-    agent::Caretaker caretaker_;
+    scheduler::FollowerLeases follower_leases_;
     peer::Cancellations cancellations_;
     Fencer fencer_;
     recovery::Keeper keeper_;
-    std::shared_ptr<Reign> reign_;
+    std::shared_ptr<LeaderTerm> leader_term_;
     std::optional<quota::Table> teams_;  // figures of teams, where they differ from the settings
     election::Term term_;                // the last that was won
     std::vector<wire::MachineType> types_;
@@ -78,12 +79,12 @@
         wire::TimePoint heard{};
         bool state_ok = false, leading = false;
         double writes = 0;
-        double knocks = 0;  // of the last seconds, older ones counting less
+        double redirects = 0;  // of the last seconds, older ones counting less
         bool knows_records = false;
     };
     std::unordered_map<std::string, PeerState> peer_state_;
-    std::uint32_t knocks_ = 0;  // reports turned away to the leader since the last beat
-    api::Desk desk_;
+    std::uint32_t redirects_ = 0;  // reports turned away to the leader since the last beat
+    api::SubmissionService submissions_;
 };
 
 }  // namespace flintdale::app
--- a/src/app/fencer.cpp
+++ b/src/app/fencer.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "agent/lease_rule.hpp"
+#include "scheduler/lease_rule.hpp"
 
 namespace flintdale::app {
 
@@ -43,7 +43,7 @@
     const auto now = Clock::now();
     for (const auto& [at, job] : cancelled_) {
         const auto& uid = job.uid;
-        if (now < at + wire::to_clock(agent::give_up_silent_after(settings_) - ask_before)) break;
+        if (now < at + wire::to_clock(scheduler::give_up_silent_after(settings_) - ask_before)) break;
         if (links_.somebody_knows(job.noted)) continue;
         for (const auto& machine : links_.machines_of(uid)) {
             if (const auto it = clear_.find(machine); it != clear_.end() && it->second.contains(uid)) continue;
@@ -61,7 +61,8 @@
 // Whatever was cancelled was so before this life began. Leaders return such machines after half of cancel_s, so what is
 // left has that long at most; and leases that nobody renews run out meanwhile.
 bool Fencer::blind_for_long() const {
-    return links_.blind() && Clock::now() - began_ > wire::to_clock(agent::give_up_silent_after(settings_) - blind_before);
+    return links_.blind() &&
+           Clock::now() - began_ > wire::to_clock(scheduler::give_up_silent_after(settings_) - blind_before);
 }
 
 Fencer::Due Fencer::unknown(const std::vector<wire::ListedMachine>& listed) const {
@@ -111,7 +112,7 @@
         std::erase_if(found.jobs, [&](const auto& entry) { return !silent_before.contains(entry.first); });
     } else {
         found = due();
-        const bool early = Clock::now() < found.first + wire::to_clock(agent::give_up_silent_after(settings_));
+        const bool early = Clock::now() < found.first + wire::to_clock(scheduler::give_up_silent_after(settings_));
         if (found.jobs.empty() || early) co_return;
     }
     std::vector<std::string> names;
--- a/src/app/reign.cpp
+++ b/src/app/leader_term.cpp
@@ -1,9 +1,9 @@
-#include "app/reign.hpp"
+#include "app/leader_term.hpp"
 
 #include <spdlog/spdlog.h>
 
-#include "agent/lease_rule.hpp"
 #include "recovery/keeper.hpp"
+#include "scheduler/lease_rule.hpp"
 
 namespace flintdale::app {
 
@@ -19,16 +19,16 @@
 constexpr auto plan_gap = 200ms;
 constexpr auto tidy_gap = 500ms;
 constexpr auto missing_gap = 100ms, missing_again = 300ms;
-constexpr auto notes_gap = 10s;
+constexpr auto hints_gap = 10s;
 constexpr auto hold_step = 60ms;
 constexpr auto hold_for_plan = 420ms, hold_for_write = 1200ms;  // that an answer to a worker may wait for work
 constexpr int max_tries = 30;
 constexpr auto stall = 2500ms;  // between two turns of loops that are due within one second
 }  // namespace
 
-Reign::Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
-             const config::Tunables& tunables, const state::Form& form, election::Term term, bool unsettled,
-             Links links)
+LeaderTerm::LeaderTerm(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
+                       const config::Tunables& tunables, const state::Form& form, election::Term term, bool unsettled,
+                       Links links)
     : ex_(ex),
       store_(store),
       cloud_(cloud),
@@ -36,17 +36,17 @@
       form_(form),
       links_(std::move(links)),
       term_(term.number),
-      overseer_(settings, tunables, form, term.number, term.stamp, Clock::now()),
-      notebook_(form),
+      scheduler_(settings, tunables, form, term.number, term.stamp, Clock::now()),
+      hints_(form),
       commit_(ex),
       plan_(ex),
       last_awake_(Clock::now()) {
-    if (unsettled) overseer_.distrust_records();
+    if (unsettled) scheduler_.distrust_records();
 }
 
 namespace {
-// Keeps the reign alive for as long as one of its loops runs.
-awaitable<void> run_loop(std::shared_ptr<Reign> keep, awaitable<void> loop) {
+// Keeps the leader_term alive for as long as one of its loops runs.
+awaitable<void> run_loop(std::shared_ptr<LeaderTerm> keep, awaitable<void> loop) {
     try {
         co_await std::move(loop);
     } catch (const std::exception& e) {
@@ -57,8 +57,8 @@
 }
 }  // namespace
 
-void Reign::start(const std::vector<wire::MachineType>& types) {
-    if (!types.empty()) overseer_.catalog(types);
+void LeaderTerm::start(const std::vector<wire::MachineType>& types) {
+    if (!types.empty()) scheduler_.catalog(types);
     auto self = shared_from_this();
     net::asio::co_spawn(ex_, run_loop(self, learn_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, commit_loop()), net::asio::detached);
@@ -67,84 +67,85 @@
     net::asio::co_spawn(ex_, run_loop(self, cloud_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, tidy_loop()), net::asio::detached);
     net::asio::co_spawn(ex_, run_loop(self, missing_loop()), net::asio::detached);
-    net::asio::co_spawn(ex_, run_loop(self, notes_loop()), net::asio::detached);
-    if (overseer_.unsettled()) net::asio::co_spawn(ex_, run_loop(self, settle_loop()), net::asio::detached);
+    net::asio::co_spawn(ex_, run_loop(self, hints_loop()), net::asio::detached);
+    if (scheduler_.unsettled()) net::asio::co_spawn(ex_, run_loop(self, settle_loop()), net::asio::detached);
 }
 
-void Reign::stop() {
+void LeaderTerm::stop() {
     stopped_ = true;
     commit_.notify();
     plan_.notify();
 }
 
-void Reign::catalog(const std::vector<wire::MachineType>& types) { overseer_.catalog(types); }
+void LeaderTerm::catalog(const std::vector<wire::MachineType>& types) { scheduler_.catalog(types); }
 
-bool Reign::entitled(TimePoint now) const {
+bool LeaderTerm::entitled(TimePoint now) const {
     if (!loaded_ || stopped_) return false;
-    return agent::may_answer(settings_, now, fresh_) || agent::may_answer(settings_, now, links_.told_until(fresh_));
+    return scheduler::may_answer(settings_, now, fresh_) ||
+           scheduler::may_answer(settings_, now, links_.told_until(fresh_));
 }
 
 // The time, for whoever is about to act on what was believed before. The clock runs on while a process stands still, so
 // after a gap what was not heard says nothing about machines, and somebody else may lead by now. The loops call this at
 // least once a second; whichever runs first after a gap finds it.
-wire::TimePoint Reign::awake() {
+wire::TimePoint LeaderTerm::awake() {
     const auto now = Clock::now();
     if (const auto gap = now - last_awake_; gap > stall) {
         spdlog::info("event=stood_still seconds={:.1f}", Seconds(gap).count());
-        overseer_.stood_still(gap);
+        scheduler_.stood_still(gap);
         links_.doubt();
     }
     last_awake_ = now;
     return now;
 }
 
-awaitable<std::optional<std::string>> Reign::report(wire::WorkerReport r) {
+awaitable<std::optional<std::string>> LeaderTerm::report(wire::WorkerReport r) {
     auto self = shared_from_this();
     for (int i = 0; i < 25 && !loaded_ && !stopped_; ++i) co_await net::sleep_for(100ms);
     const auto now = awake();
     if (!entitled(now)) co_return std::nullopt;
-    const bool was_dirty = overseer_.dirty();
-    auto orders = overseer_.report(r, now);
-    if (overseer_.loss_seen()) links_.loss("a worker holds an attempt that is not on record", true);
+    const bool was_dirty = scheduler_.dirty();
+    auto orders = scheduler_.report(r, now);
+    if (scheduler_.loss_seen()) links_.loss("a worker holds an attempt that is not on record", true);
     if (!orders) co_return std::nullopt;
-    if (overseer_.dirty()) {
+    if (scheduler_.dirty()) {
         if (!was_dirty) commit_.notify();
         stir_ = true;
         plan_.notify();
     }
     // Orders travel in answers only, and the next report may be seconds away: where this one has made room, or a
     // placement is just being written, the answer waits a moment to carry the run. Workers wait for four seconds.
-    const auto passes = overseer_.passes();
-    using Prospect = agent::Overseer::Prospect;
+    const auto passes = scheduler_.passes();
+    using Prospect = scheduler::Scheduler::Prospect;
     for (auto held = 0ms; orders->empty(); held += hold_step) {
-        const auto prospect = overseer_.prospect(r, passes);
+        const auto prospect = scheduler_.prospect(r, passes);
         if (prospect == Prospect::nothing || held >= (prospect == Prospect::a_write ? hold_for_write : hold_for_plan))
             break;
         co_await net::sleep_for(hold_step);
         if (!entitled(Clock::now())) co_return std::nullopt;
-        *orders = overseer_.runs(r);
+        *orders = scheduler_.runs(r);
     }
     co_return wire::report_answer(term_, *orders);
 }
 
-void Reign::job_changed(const state::Item& item) {
+void LeaderTerm::job_changed(const state::Item& item) {
     if (!loaded_ || stopped_) return;
-    if (overseer_.job_changed(item, Clock::now(), links_.time_of_day_ms())) wake();
+    if (scheduler_.job_changed(item, Clock::now(), links_.time_of_day_ms())) wake();
 }
 
-void Reign::cancelled_elsewhere(const std::string& uid) {
+void LeaderTerm::cancelled_elsewhere(const std::string& uid) {
     if (!loaded_ || stopped_) return;
-    if (overseer_.cancelled_elsewhere(uid, Clock::now())) wake();
+    if (scheduler_.cancelled_elsewhere(uid, Clock::now())) wake();
 }
 
 // Something changed: write what must be written, and plan again.
-void Reign::wake() {
+void LeaderTerm::wake() {
     commit_.notify();
     stir_ = true;
     plan_.notify();
 }
 
-awaitable<std::optional<Reign::Everything>> Reign::read_all(std::string prefix) {
+awaitable<std::optional<LeaderTerm::Everything>> LeaderTerm::read_all(std::string prefix) {
     Everything out;
     std::string after;
     for (;;) {
@@ -163,11 +164,11 @@
     co_return std::optional<Everything>(std::move(out));
 }
 
-awaitable<bool> Reign::load() {
+awaitable<bool> LeaderTerm::load() {
     const auto began = Clock::now();
-    const auto work = co_await read_all(agent::work_prefix);
+    const auto work = co_await read_all(scheduler::work_prefix);
     if (!work) co_return false;
-    overseer_.load(work->items, Clock::now(), links_.time_of_day_ms());
+    scheduler_.load(work->items, Clock::now(), links_.time_of_day_ms());
     const bool sound = co_await check_open_jobs();
     if (!sound) {
         co_await net::sleep_for(100ms);
@@ -175,8 +176,8 @@
     }
     // A job may have been cancelled after its outcome was looked for, and the word of it have come while this was still
     // being read: the watch tells it too, but not in an outage that begins now, and told_until goes by it.
-    for (const auto& uid : overseer_.open_jobs())
-        if (links_.told_cancelled(uid)) overseer_.cancelled_elsewhere(uid, Clock::now());
+    for (const auto& uid : scheduler_.open_jobs())
+        if (links_.told_cancelled(uid)) scheduler_.cancelled_elsewhere(uid, Clock::now());
     followed_ = work->revision;
     fresh_ = began;
     if (!loaded_) loaded_at_ = Clock::now();
@@ -188,8 +189,8 @@
 }
 
 // What looks open may be of jobs that are over: their outcomes tell.
-awaitable<bool> Reign::check_open_jobs() {
-    const auto open = overseer_.open_jobs();
+awaitable<bool> LeaderTerm::check_open_jobs() {
+    const auto open = scheduler_.open_jobs();
     std::size_t most = 0;
     for (std::size_t at = 0; at < open.size(); at += most) {
         state::TxnResult result;
@@ -197,40 +198,40 @@
             most = form_.conditions();  // which may fall from one try to the next
             state::Txn txn;
             for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
-                txn.conditions.push_back({agent::outcome_key(open[i]), 0});
+                txn.conditions.push_back({scheduler::outcome_key(open[i]), 0});
             result = co_await store_.commit(std::move(txn), Urgency::leadership);
             if (stopped_) co_return false;
             if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) co_await net::sleep_for(150ms);
         } while (result.outcome != Outcome::ok && result.outcome != Outcome::conflict);
         // Many are over after a swarm of small jobs, and to read each outcome took seconds of a hand-over.
         for (std::size_t i = at; i < std::min(open.size(), at + most); ++i)
-            if (std::find(result.failed.begin(), result.failed.end(), agent::outcome_key(open[i])) !=
+            if (std::find(result.failed.begin(), result.failed.end(), scheduler::outcome_key(open[i])) !=
                 result.failed.end())
                 ended(open[i]);
     }
     co_return co_await check_remembered();
 }
 
-void Reign::ended(const std::string& uid) {
-    overseer_.ended(uid, Clock::now(), links_.cancelled_for(uid));
+void LeaderTerm::ended(const std::string& uid) {
+    scheduler_.ended(uid, Clock::now(), links_.cancelled_for(uid));
     links_.over_already(uid);
 }
 
-bool Reign::heard_out() const {
+bool LeaderTerm::heard_out() const {
     return loaded_ && Clock::now() - loaded_at_ > wire::to_clock(settings_.report * 1.25 + Seconds(3));
 }
 
 // What is remembered to be open is on record, or over by now. Where it is neither, the store passes the answer on to
 // the keeper and not here; a job that is remembered to be over and lacks its outcome has been found by the look before.
-awaitable<bool> Reign::check_remembered() {
+awaitable<bool> LeaderTerm::check_remembered() {
     std::vector<std::string> asked;
     for (auto& uid : links_.open())
-        if (!overseer_.knows(uid)) asked.push_back(std::move(uid));
+        if (!scheduler_.knows(uid)) asked.push_back(std::move(uid));
     for (std::size_t at = 0; at < asked.size();) {
         state::Txn txn;
         for (; at < asked.size() && txn.conditions.size() + 2 <= form_.conditions(); ++at) {
-            txn.conditions.push_back({agent::outcome_key(asked[at]), 0});
-            txn.conditions.push_back({agent::work_key(asked[at], 0), 0});
+            txn.conditions.push_back({scheduler::outcome_key(asked[at]), 0});
+            txn.conditions.push_back({scheduler::work_key(asked[at], 0), 0});
         }
         const auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
         if (stopped_ || (result.outcome != Outcome::ok && result.outcome != Outcome::conflict)) co_return false;
@@ -238,14 +239,14 @@
     co_return true;
 }
 
-awaitable<void> Reign::reread(const std::vector<std::string>& keys) {
+awaitable<void> LeaderTerm::reread(const std::vector<std::string>& keys) {
     for (const auto& key : keys)
         for (;;) {
             auto got = co_await store_.get(key, Urgency::leadership);
             if (stopped_) co_return;
             if (got.outcome == Outcome::ok) {
                 if (got.item.stamp) links_.seen(got.item);
-                overseer_.reread(got.item, Clock::now());
+                scheduler_.reread(got.item, Clock::now());
                 break;
             }
             co_await net::sleep_for(200ms);
@@ -253,12 +254,12 @@
         }
 }
 
-awaitable<void> Reign::learn_loop() {
+awaitable<void> LeaderTerm::learn_loop() {
     while (!stopped_ && !co_await load()) {
     }
     while (!stopped_) {
         const auto began = Clock::now();
-        auto seen = co_await store_.follow(agent::jobs_prefix, followed_, follow_hold);
+        auto seen = co_await store_.follow(scheduler::jobs_prefix, followed_, follow_hold);
         if (stopped_) break;
         if (seen.outcome == Outcome::too_old) {
             co_await load();
@@ -277,13 +278,13 @@
             if (!seen.deleted[i]) links_.seen(seen.events[i]);
         for (std::size_t i = 0; i < seen.events.size(); ++i) {
             // A record that was gone when this term read all, and was put back since, may name places where tasks are.
-            if (!seen.deleted[i] && overseer_.older_than(seen.events[i], links_.over)) {
+            if (!seen.deleted[i] && scheduler_.older_than(seen.events[i], links_.over)) {
                 links_.again("a record came back that this term has not read");
                 co_return;
             }
         }
         for (std::size_t i = 0; i < seen.events.size(); ++i)
-            news = (!seen.deleted[i] && overseer_.job_changed(seen.events[i], now, wall)) || news;
+            news = (!seen.deleted[i] && scheduler_.job_changed(seen.events[i], now, wall)) || news;
         if (news) wake();
         if (seen.events.empty()) continue;
         // Our own writes end a watch as well, and each watch is a request.
@@ -291,20 +292,20 @@
     }
 }
 
-awaitable<void> Reign::commit_loop() {
+awaitable<void> LeaderTerm::commit_loop() {
     auto last_outcome = Outcome::ok;
     while (!stopped_) {
         co_await commit_.wait(1s);
         while (!stopped_ && loaded_) {
             // In small portions: a large one would use up the writes of a second and keep users waiting for as long.
-            auto batch = overseer_.next_batch(store_.write_portion(), links_.time_of_day_ms());
+            auto batch = scheduler_.next_batch(store_.write_portion(), links_.time_of_day_ms());
             if (batch.empty()) break;
             state::Txn txn = batch.txn;
             const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
             if (stopped_) co_return;
             if (result.outcome == Outcome::ok) {
                 last_outcome = Outcome::ok;
-                if (overseer_.committed(batch, result.revision, Clock::now())) {
+                if (scheduler_.committed(batch, result.revision, Clock::now())) {
                     stir_ = true;  // what waited for that may start
                     plan_.notify();
                 }
@@ -314,7 +315,7 @@
                 std::find(result.failed.begin(), result.failed.end(), election::term_key) != result.failed.end()) {
                 spdlog::info("event=term_overtaken term={}", term_);
                 links_.doubt();
-                overseer_.retry(batch);
+                scheduler_.retry(batch);
                 co_await net::sleep_for(200ms);
                 continue;
             }
@@ -324,7 +325,7 @@
                         result.failed.size());
             last_outcome = result.outcome;
             if (result.outcome == Outcome::too_large) {
-                overseer_.rejected(batch, Clock::now());
+                scheduler_.rejected(batch, Clock::now());
                 co_await net::sleep_for(150ms);
                 continue;
             }
@@ -335,69 +336,69 @@
                 co_await reread(result.outcome == Outcome::conflict ? result.failed : batch.keys);
             }
             if (stopped_) co_return;
-            overseer_.retry(batch);
+            scheduler_.retry(batch);
         }
     }
 }
 
 // Removes what jobs that are over have left on record, when nobody else has anything to write.
-awaitable<void> Reign::tidy_loop() {
+awaitable<void> LeaderTerm::tidy_loop() {
     while (!stopped_) {
         co_await net::sleep_for(tidy_gap);
         if (stopped_ || !loaded_) continue;
-        auto txn = overseer_.leftovers(store_.write_portion());
+        auto txn = scheduler_.leftovers(store_.write_portion());
         if (txn.changes.empty()) continue;
         auto sent = txn;
         const auto result = co_await store_.commit(std::move(sent), Urgency::leftover);
         // After a conflict they are somebody else's; a later leader finds what nobody has removed.
-        if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) overseer_.keep_leftovers(txn);
+        if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) scheduler_.keep_leftovers(txn);
     }
 }
 
 // Reads what the watch will not tell again: how jobs ended that others wait for. It does so beside the hand-over, which
 // must not take longer the more there is to read.
-awaitable<void> Reign::missing_loop() {
+awaitable<void> LeaderTerm::missing_loop() {
     while (!stopped_) {
         co_await net::sleep_for(missing_gap);
         if (stopped_ || !loaded_) continue;
-        const auto keys = overseer_.missing();
+        const auto keys = scheduler_.missing();
         for (const auto& key : keys) {
             auto got = co_await store_.get(key, Urgency::bookkeeping);
             if (stopped_) co_return;
             if (got.outcome != Outcome::ok) break;
-            if (overseer_.job_changed(got.item, Clock::now())) wake();
+            if (scheduler_.job_changed(got.item, Clock::now())) wake();
         }
         if (!keys.empty()) co_await net::sleep_for(missing_again);
     }
 }
 
 // Reads what the leader before has noted of the machines, beside the hand-over, and then keeps notes for the next one.
-awaitable<void> Reign::notes_loop() {
-    const auto former = co_await read_all(agent::notes_prefix);
+awaitable<void> LeaderTerm::hints_loop() {
+    const auto former = co_await read_all(scheduler::notes_prefix);
     if (!former) co_return;
-    overseer_.ledger().recall(notebook_.read(former->items));
+    scheduler_.ledger().recall(hints_.read(former->items));
     while (!stopped_) {
-        co_await net::sleep_for(notes_gap);
+        co_await net::sleep_for(hints_gap);
         if (stopped_ || !loaded_) continue;
-        const auto notes = overseer_.ledger().notes();
-        for (const auto& page : notebook_.pages(notes)) {
+        const auto notes = scheduler_.ledger().notes();
+        for (const auto& page : hints_.pages(notes)) {
             state::Txn txn;
-            txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
+            txn.conditions.push_back({election::term_key, scheduler_.term_stamp()});
             txn.changes.push_back(page);
             const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
             if (stopped_) co_return;
             if (result.outcome != Outcome::ok) break;  // the next round tries again
-            notebook_.written(page);
+            hints_.written(page);
         }
     }
 }
 
 // Once all that may be on machines is known again, the leaders after this one need not ask.
-awaitable<void> Reign::settle_loop() {
-    while (!stopped_ && overseer_.unsettled()) co_await net::sleep_for(1s);
+awaitable<void> LeaderTerm::settle_loop() {
+    while (!stopped_ && scheduler_.unsettled()) co_await net::sleep_for(1s);
     while (!stopped_) {
         state::Txn txn;
-        txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
+        txn.conditions.push_back({election::term_key, scheduler_.term_stamp()});
         txn.changes.push_back({recovery::unsettled_key, std::nullopt, 0});
         const auto result = co_await store_.commit(std::move(txn), Urgency::bookkeeping);
         if (result.outcome == Outcome::ok) links_.settled();
@@ -408,9 +409,9 @@
 
 // A leader that was cut off or stood still may have a successor, and must not rent or return machines on what it
 // remembers: once it returned all that its successor was using. Asked before every call that changes the fleet.
-awaitable<Reign::Leads> Reign::still_leading() {
+awaitable<LeaderTerm::Leads> LeaderTerm::still_leading() {
     state::Txn txn;
-    txn.conditions.push_back({election::term_key, overseer_.term_stamp()});
+    txn.conditions.push_back({election::term_key, scheduler_.term_stamp()});
     const auto result = co_await store_.commit(std::move(txn), Urgency::leadership);
     if (result.outcome == Outcome::conflict) links_.doubt();
     if (result.outcome == Outcome::conflict || stopped_) co_return Leads::no;
@@ -418,7 +419,7 @@
 }
 
 // Plans when something changed, at most every plan_gap, and when a window closes.
-awaitable<void> Reign::tick_loop() {
+awaitable<void> LeaderTerm::tick_loop() {
     auto next_full = Clock::now(), next_summary = next_full, next_improve = next_full;
     while (!stopped_) {
         co_await plan_.wait(500ms);
@@ -427,33 +428,33 @@
         if (loaded_ && (stir_ || now >= next_full)) {
             stir_ = false;
             if (now >= next_full) next_full = now + 500ms;
-            if (overseer_.place(now)) commit_.notify();
-            if (overseer_.dirty()) commit_.notify();
+            if (scheduler_.place(now)) commit_.notify();
+            if (scheduler_.dirty()) commit_.notify();
         }
         if (loaded_ && now >= next_improve) {
             next_improve = now + 1s;
-            overseer_.improve(now);
-            if (overseer_.dirty()) commit_.notify();
+            scheduler_.improve(now);
+            if (scheduler_.dirty()) commit_.notify();
         }
         if (now >= next_summary && spdlog::should_log(spdlog::level::debug)) {
             next_summary = now + 10s;
-            spdlog::debug("event=load {}", overseer_.summary(now));
+            spdlog::debug("event=load {}", scheduler_.summary(now));
         }
         co_await net::sleep_for(plan_gap);
     }
 }
 
-awaitable<void> Reign::list_loop() {
+awaitable<void> LeaderTerm::list_loop() {
     const auto gap = wire::to_clock(std::max(settings_.list_lag, Seconds(5)));
     while (!stopped_) {
         auto list = co_await cloud_.machines();
         if (stopped_) break;
-        if (list && loaded_) overseer_.listed(*list, Clock::now());
+        if (list && loaded_) scheduler_.listed(*list, Clock::now());
         co_await net::sleep_for(list ? gap : 2s);
     }
 }
 
-awaitable<void> Reign::cloud_loop() {
+awaitable<void> LeaderTerm::cloud_loop() {
     bool again = false;
     while (!stopped_) {
         co_await net::sleep_for(again ? 50ms : 1000ms);
@@ -464,32 +465,32 @@
     }
 }
 
-awaitable<void> Reign::return_machines() {
-    if (overseer_.release(awake()).empty()) co_return;
+awaitable<void> LeaderTerm::return_machines() {
+    if (scheduler_.release(awake()).empty()) co_return;
     const auto leading = co_await still_leading();
     if (leading == Leads::no) co_return;
-    auto leaving = overseer_.release(awake());
+    auto leaving = scheduler_.release(awake());
     // In an outage nobody else can win a term, and cancelled work on a machine that hangs must be gone in time all the
     // same. If somebody could after all, a machine is returned that he uses: work is lost, and no rule broken.
     if (leading == Leads::unknown) {
         if (links_.others_reach_state()) co_return;
-        std::erase_if(leaving, [](const agent::Release& r) { return r.why != agent::cancelled_work; });
+        std::erase_if(leaving, [](const scheduler::Release& r) { return r.why != scheduler::cancelled_work; });
     }
-    overseer_.releasing(leaving);
+    scheduler_.releasing(leaving);
     std::vector<std::string> names;
     for (const auto& r : leaving) names.push_back(r.machine);
     if (names.empty()) co_return;
     const bool done = co_await cloud_.release(names);
     if (!done || stopped_) co_return;
-    overseer_.released(names, Clock::now());
+    scheduler_.released(names, Clock::now());
     wake();
 }
 
 // Rents what is wanted, first of all what an earlier request left unclear. True if a refusal leaves a need that
 // another pool may meet at once.
-awaitable<bool> Reign::rent_machines() {
+awaitable<bool> LeaderTerm::rent_machines() {
     if (unclear_.empty())
-        for (auto& order : overseer_.rent(awake())) {
+        for (auto& order : scheduler_.rent(awake())) {
             // Named after the term, so that no two leaders ever use the same name.
             unclear_.push_back({order, std::to_string(term_) + "-" + std::to_string(++rents_), 0});
         }
@@ -513,7 +514,7 @@
         if (result.outcome == cloud::Rent::granted) {
             spdlog::info("event=rented request={} type={} zone={} spot={} asked={} got={}", rental.name, pool.type,
                          pool.zone, pool.spot, rental.order.count, got);
-            overseer_.rented(pool, result.machines, now);
+            scheduler_.rented(pool, result.machines, now);
         } else if (result.outcome == cloud::Rent::unclear) {
             // Asked again under the same name: if it was granted, the same machines are named.
             if (rental.tries < max_tries) unclear_.push_back(std::move(rental));
@@ -522,7 +523,7 @@
             spdlog::info("event=rent_refused type={} zone={} spot={}", pool.type, pool.zone, pool.spot);
         }
         if (got < rental.order.count) {
-            overseer_.rent_refused(pool, now);
+            scheduler_.rent_refused(pool, now);
             again = true;
         }
     }
--- a/src/app/reign.hpp
+++ b/src/app/leader_term.hpp
@@ -1,19 +1,19 @@
-// One term of leadership: the loops that carry messages between the overseer, the state service and the cloud.
+// One term of leadership: the loops that carry messages between the scheduler, the state service and the cloud.
 #pragma once
 #include <memory>
 
-#include "agent/notebook.hpp"
-#include "agent/overseer.hpp"
 #include "cloud/client.hpp"
 #include "election/elector.hpp"
 #include "net/http_server.hpp"
+#include "scheduler/handover_hints.hpp"
+#include "scheduler/scheduler.hpp"
 #include "state/store.hpp"
 
 namespace flintdale::app {
 
 using net::awaitable;
 
-class Reign : public std::enable_shared_from_this<Reign> {
+class LeaderTerm : public std::enable_shared_from_this<LeaderTerm> {
   public:
     using TimePoint = wire::TimePoint;
     struct Links {
@@ -35,8 +35,9 @@
         std::function<void(const state::Item&)> seen;            // a record that was just written by anybody
     };
 
-    Reign(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
-          const config::Tunables& tunables, const state::Form& form, election::Term term, bool unsettled, Links links);
+    LeaderTerm(net::Executor ex, state::Store& store, cloud::Cloud& cloud, const config::Settings& settings,
+               const config::Tunables& tunables, const state::Form& form, election::Term term, bool unsettled,
+               Links links);
 
     void start(const std::vector<wire::MachineType>& types);
     void stop();
@@ -49,7 +50,7 @@
     // Whether all that was read was so long ago that whatever has not reported since is overdue.
     bool heard_out() const;
     void catalog(const std::vector<wire::MachineType>& types);
-    agent::Overseer& overseer() { return overseer_; }
+    scheduler::Scheduler& scheduler() { return scheduler_; }
 
   private:
     struct Rental {
@@ -75,7 +76,7 @@
     awaitable<void> cloud_loop();
     awaitable<void> tidy_loop();
     awaitable<void> missing_loop();
-    awaitable<void> notes_loop();
+    awaitable<void> hints_loop();
     awaitable<void> settle_loop();
     awaitable<void> return_machines();
     awaitable<bool> rent_machines();
@@ -93,8 +94,8 @@
     const state::Form& form_;
     Links links_;
     std::uint64_t term_;
-    agent::Overseer overseer_;
-    agent::Notebook notebook_;
+    scheduler::Scheduler scheduler_;
+    scheduler::HandoverHints hints_;
     net::Wakeup commit_, plan_;
     TimePoint last_awake_;
     bool stopped_ = false, loaded_ = false, stir_ = false;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -5,7 +5,7 @@
 
 #include <cmath>
 
-#include "state/witness.hpp"
+#include "state/generation_marker.hpp"
 
 namespace flintdale::emulator {
 
@@ -802,9 +802,9 @@
     look_at_jobs();
     look_at_leaders();
     look_for_forgotten();
-    if (const auto witness = state::parse_witness(keys_.get(state::witness_key));
-        witness && witness->generation > outcome_.rebuilt) {
-        outcome_.rebuilt = witness->generation;
+    if (const auto marker = state::parse_marker(keys_.get(state::marker_key));
+        marker && marker->generation > outcome_.rebuilt) {
+        outcome_.rebuilt = marker->generation;
         declared_at_ = events_.since_start().count();
     }
     if (lost_at_ && fleet_.last_start > *lost_at_ + wire::to_clock(Seconds(1))) {
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -18,8 +18,8 @@
 using asio::awaitable;
 using Executor = asio::any_io_executor;
 
-// Timers by the same clock as everything else. Under an emulated time the reactor must not sleep: it looks at its timers
-// whenever it is polled.
+// Timers by the same clock as everything else. Under an emulated time the reactor must not sleep: it looks at its
+// timers whenever it is polled.
 struct WaitTraits {
     // How long until the earliest timer of the reactor that asked last.
     static inline thread_local wire::Clock::duration earliest{};
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -17,8 +17,7 @@
   public:
     HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep = 8);
 
-    awaitable<HttpAnswer> request(http::verb verb, std::string target, std::string body,
-                                  wire::Clock::duration limit);
+    awaitable<HttpAnswer> request(http::verb verb, std::string target, std::string body, wire::Clock::duration limit);
 
   private:
     using Stream = beast::tcp_stream;
--- a/src/peer/cancellations.cpp
+++ b/src/peer/cancellations.cpp
@@ -36,26 +36,26 @@
     Word out;
     out.number = ++number_;
     said_.emplace_back(number_, now);
-    for (const auto& [member, peer] : peers_) out.heard.push_back({member, peer.life, peer.number});
+    for (const auto& [member, peer] : peers_) out.heard.push_back({member, peer.incarnation, peer.number});
     for (const auto& [at, uid] : lately_) out.lately.push_back(uid);
     out.whole = now >= not_whole_until_;
     return out;
 }
 
-void Cancellations::heard(const std::string& member, std::uint64_t life, std::uint64_t own_life, const Word& word,
-                          TimePoint now) {
-    if (!life || !word.number) return;  // a version that does not say
+void Cancellations::heard(const std::string& member, std::uint64_t incarnation, std::uint64_t own_incarnation,
+                          const Word& word, TimePoint now) {
+    if (!incarnation || !word.number) return;  // a version that does not say
     auto& peer = peers_[member];
-    if (peer.life != life) {
+    if (peer.incarnation != incarnation) {
         peer = {};
-        peer.life = life;
-        peer.life_since = now;
+        peer.incarnation = incarnation;
+        peer.incarnation_since = now;
     }
     if (word.number < peer.number) return;
     peer.number = word.number;
     peer.whole = word.whole;
     for (const auto& h : word.heard) {
-        if (h.member != settings_.member || h.life != own_life) continue;
+        if (h.member != settings_.member || h.incarnation != own_incarnation) continue;
         const auto at = std::lower_bound(said_.begin(), said_.end(), h.number,
                                          [](const auto& said, std::uint64_t n) { return said.first < n; });
         if (at != said_.end() && at->first == h.number) peer.answers = std::max(peer.answers, at->second);
@@ -73,7 +73,7 @@
     auto out = TimePoint::max();
     for (const auto& p : settings_.peers) {
         const auto it = peers_.find(p.member);
-        if (it == peers_.end() || !it->second.whole || it->second.life_since > looked) return looked;
+        if (it == peers_.end() || !it->second.whole || it->second.incarnation_since > looked) return looked;
         out = std::min(out, it->second.answers);
     }
     return std::max(looked, out);
--- a/src/peer/cancellations.hpp
+++ b/src/peer/cancellations.hpp
@@ -5,10 +5,10 @@
 // it has told, this one knows all that was told until it asked, whatever the state service does. Nothing rests on such
 // a word arriving: without it the age counts from the last look at the records, as ever.
 //
-// Each message bears a number of its sender's life and names the newest one heard of each peer, so that it is an answer
-// to that one, however late it comes: what the peer had told before that number left is in the list, for the list is
-// made after it came. A life that began after the last look at the records proves nothing, for the one before it may
-// have told what nobody else knows.
+// Each message bears a number of its sender's incarnation and names the newest one heard of each peer, so that it is an
+// answer to that one, however late it comes: what the peer had told before that number left is in the list, for the
+// list is made after it came. A incarnation that began after the last look at the records proves nothing, for the one
+// before it may have told what nobody else knows.
 #pragma once
 #include <deque>
 #include <map>
@@ -23,10 +23,10 @@
 
 // What a message says of them.
 struct Word {
-    std::uint64_t number = 0;  // of the message in its sender's life, from 1; 0: a version that does not say
+    std::uint64_t number = 0;  // of the message in its sender's incarnation, from 1; 0: a version that does not say
     struct Heard {
         std::string member;
-        std::uint64_t life = 0, number = 0;
+        std::uint64_t incarnation = 0, number = 0;
     };
     std::vector<Heard> heard;         // the newest message of each peer
     std::vector<std::string> lately;  // cancelled, as the sender learned in the last span()
@@ -45,8 +45,9 @@
     // For a message to the peers, which must leave after this call.
     Word say(wire::TimePoint now);
 
-    // A message of a peer, of that life of it: what it told has been noted already. `own_life`: this controller's.
-    void heard(const std::string& member, std::uint64_t life, std::uint64_t own_life, const Word& word,
+    // A message of a peer, of that incarnation of it: what it told has been noted already. `own_incarnation`: this
+    // controller's.
+    void heard(const std::string& member, std::uint64_t incarnation, std::uint64_t own_incarnation, const Word& word,
                wire::TimePoint now);
 
     // Whatever users were told before then is noted here, if all that was on record at `looked` is known.
@@ -58,9 +59,9 @@
 
   private:
     struct Peer {
-        std::uint64_t life = 0, number = 0;  // newest heard of it
-        wire::TimePoint life_since{};        // when that life was first heard
-        wire::TimePoint answers{};           // when the newest message left that it is known to have heard
+        std::uint64_t incarnation = 0, number = 0;  // newest heard of it
+        wire::TimePoint incarnation_since{};        // when that incarnation was first heard
+        wire::TimePoint answers{};                  // when the newest message left that it is known to have heard
         bool whole = false;
     };
 
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -30,19 +30,19 @@
     b.setStateOk(beat.state_ok);
     b.setLeading(beat.leading);
     b.setWrites(beat.writes);
-    b.setKnocks(beat.knocks);
+    b.setKnocks(beat.redirects);
     b.setFormat(beat.format);
     b.setGeneration(beat.generation);
     b.setHistory(beat.history);
     b.setRemembers(beat.remembers);
     b.setRebuilding(beat.rebuilding);
-    b.setLife(beat.life);
+    b.setLife(beat.incarnation);
     b.setNumber(beat.word.number);
     b.setWhole(beat.word.whole);
     auto heard = b.initHeard(static_cast<unsigned>(beat.word.heard.size()));
     for (unsigned i = 0; i < heard.size(); ++i) {
         heard[i].setMember(beat.word.heard[i].member);
-        heard[i].setLife(beat.word.heard[i].life);
+        heard[i].setLife(beat.word.heard[i].incarnation);
         heard[i].setNumber(beat.word.heard[i].number);
     }
     auto cancelled = b.initCancelled(static_cast<unsigned>(beat.word.lately.size()));
@@ -72,13 +72,13 @@
         beat.state_ok = b.getStateOk();
         beat.leading = b.getLeading();
         beat.writes = b.getWrites();
-        beat.knocks = b.getKnocks();
+        beat.redirects = b.getKnocks();
         beat.format = b.getFormat();
         beat.generation = b.getGeneration();
         beat.history = b.getHistory().cStr();
         beat.remembers = b.getRemembers();
         beat.rebuilding = b.getRebuilding();
-        beat.life = b.getLife();
+        beat.incarnation = b.getLife();
         beat.word.number = b.getNumber();
         beat.word.whole = b.getWhole();
         for (const auto h : b.getHeard()) beat.word.heard.push_back({h.getMember().cStr(), h.getLife(), h.getNumber()});
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -20,16 +20,16 @@
     std::string member, leader;
     std::uint64_t term = 0;
     bool state_ok = false, leading = false;
-    double writes = 0;         // to the state service, that it lately asked for
-    std::uint32_t knocks = 0;  // reports that it turned away to the leader since its last message
-    std::uint32_t format = 0;  // that it knows every controller to read
+    double writes = 0;            // to the state service, that it lately asked for
+    std::uint32_t redirects = 0;  // reports that it turned away to the leader since its last message
+    std::uint32_t format = 0;     // that it knows every controller to read
     // What it remembers of the records of jobs: see recovery::Keeper.
     std::uint64_t generation = 0, remembers = 0, rebuilding = 0;
     std::string history;
     std::vector<Count> counts;
-    Word word;                     // of cancellations
-    std::uint64_t life = 0;        // of the sender: each time that it is started another; 0 from versions without
-    std::uint64_t connection = 0;  // not on the wire: which of those accepted here it came on
+    Word word;                      // of cancellations
+    std::uint64_t incarnation = 0;  // of the sender: each time that it is started another; 0 from versions without
+    std::uint64_t connection = 0;   // not on the wire: which of those accepted here it came on
 };
 
 std::string encode(const Beat& beat);
--- a/src/recovery/inquiry.cpp
+++ b/src/recovery/inquiry.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "agent/job.hpp"
+#include "scheduler/job.hpp"
 
 namespace flintdale::recovery {
 
@@ -13,7 +13,7 @@
     const auto mark = memory_.mark();
     const auto newest = newest_();
     const auto from = after;
-    const bool all = prefix == agent::jobs_prefix;
+    const bool all = prefix == scheduler::jobs_prefix;
     Page out;
     out.read = co_await store_.range(std::move(prefix), std::move(after), urgency);
     if (out.read.outcome != Outcome::ok || !memory_.holds(mark)) co_return out;
@@ -52,8 +52,8 @@
     // At one revision: it is what was just read, and its job has no outcome that would let it be removed.
     state::Txn txn;
     txn.conditions.push_back({out.key, got.item.stamp});
-    const auto work = agent::parse_work_key(out.key);
-    const auto outcome = work ? agent::outcome_key(work->uid) : std::string();
+    const auto work = scheduler::parse_work_key(out.key);
+    const auto outcome = work ? scheduler::outcome_key(work->uid) : std::string();
     if (work) txn.conditions.push_back({outcome, 0});
     const auto at_once = co_await store_.commit(std::move(txn), urgency);
     if (!memory_.holds(mark)) co_return out;
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "agent/job.hpp"
+#include "scheduler/job.hpp"
 #include "wire/archive.hpp"
 
 namespace flintdale::recovery {
@@ -24,10 +24,10 @@
 constexpr std::size_t most_suspects = 1000;  // keys that are to be looked at again; the rest will be missed again
 constexpr std::size_t most_put_back = 16;    // single records; where more are gone nobody knows how much is
 constexpr auto look_gap = 1000ms;            // between two looks at what changed
-constexpr auto check_gap = 5s;               // between two looks at the witness while nothing points to a loss
+constexpr auto check_gap = 5s;               // between two looks at the marker while nothing points to a loss
 constexpr auto try_again = 300ms;            // after a request that was refused or had no answer
 constexpr auto stand_gap = 250ms;            // while somebody else rebuilds
-constexpr auto first_wait = 6s;              // for the peers' word that they know of no witness either
+constexpr auto first_wait = 6s;              // for the peers' word that they know of no marker either
 constexpr auto peer_fresh = 3s;              // a peer that was heard so lately is waited for
 constexpr auto offers_at_least = 3s;         // that all others are waited for, heard or not
 constexpr auto offers_at_most = 20s;
@@ -41,8 +41,10 @@
 constexpr std::size_t max_shown = 20'000;
 constexpr std::size_t first_page = 256;  // records; fewer where a value cannot hold them
 
-bool is_outcome(const std::string& key) { return key.starts_with(agent::over_prefix); }
-std::string uid_of(const std::string& outcome) { return outcome.substr(std::string_view(agent::over_prefix).size()); }
+bool is_outcome(const std::string& key) { return key.starts_with(scheduler::over_prefix); }
+std::string uid_of(const std::string& outcome) {
+    return outcome.substr(std::string_view(scheduler::over_prefix).size());
+}
 
 std::uint64_t number(const boost::json::object& o, std::string_view field) {
     const auto* v = o.if_contains(field);
@@ -92,12 +94,12 @@
 }  // namespace
 
 Keeper::Keeper(net::Executor ex, state::Store& raw, state::GuardedStore& guarded, const config::Settings& settings,
-               const state::Form& form, Shelf shelf, Links links)
+               const state::Form& form, SnapshotFile snapshot_file, Links links)
     : raw_(raw),
       guarded_(guarded),
       settings_(settings),
       form_(form),
-      shelf_(std::move(shelf)),
+      snapshot_file_(std::move(snapshot_file)),
       links_(std::move(links)),
       wake_(ex),
       began_(Clock::now()),
@@ -168,40 +170,40 @@
     for (const auto& t : report.tasks) shown_.insert(t.id.uid);
 }
 
-// --- the witness ---
+// --- the marker ---
 
 awaitable<void> Keeper::run() {
-    if (const auto kept = shelf_.newest()) {
+    if (const auto kept = snapshot_file_.newest()) {
         memory_.recall(*kept);
         spdlog::info("event=snapshot_read records={} generation={} revision={}", kept->records.size(), kept->generation,
                      kept->revision);
     }
     for (;;) {
         const auto known = histories();
-        const auto got = co_await raw_.get(state::witness_key, Urgency::leadership);
+        const auto got = co_await raw_.get(state::marker_key, Urgency::leadership);
         if (got.outcome != Outcome::ok) {
             co_await wake_.wait(try_again);
             continue;
         }
         checked_at_ = Clock::now();
         recheck_ = false;
-        const auto witness = state::parse_witness(got.item);
+        const auto marker = state::parse_marker(got.item);
         // What was doubted is settled once somebody rebuilds, or has.
-        if (witness && (!witness->whole() || (known_ && witness->generation > known_->generation))) forget_doubt();
-        if (!witness) {
+        if (marker && (!marker->whole() || (known_ && marker->generation > known_->generation))) forget_doubt();
+        if (!marker) {
             guarded_.close();
             if (got.item.stamp)
-                co_await declare(got.item.stamp, 0, "the witness is damaged");
+                co_await declare(got.item.stamp, 0, "the marker is damaged");
             else
-                co_await without_witness(known);
-        } else if (!witness->whole()) {
-            co_await stand_by(*witness);
+                co_await without_marker(known);
+        } else if (!marker->whole()) {
+            co_await stand_by(*marker);
         } else if (doubt_) {
-            co_await declare(witness->stamp, witness->generation, *doubt_);
-        } else if (outdated(*witness, known)) {
-            co_await declare(witness->stamp, witness->generation, "another history than this was known before");
+            co_await declare(marker->stamp, marker->generation, *doubt_);
+        } else if (outdated(*marker, known)) {
+            co_await declare(marker->stamp, marker->generation, "another history than this was known before");
         } else {
-            co_await attend(*witness);
+            co_await attend(*marker);
         }
     }
 }
@@ -222,17 +224,17 @@
     return newest;
 }
 
-// Whether a history was known, when this witness was asked for, that it cannot be of. What became known while its
-// answer was on the way says nothing: the witness may have been made, or replaced, meanwhile. And whatever is concluded
-// is written on the condition that the witness still stands.
-bool Keeper::outdated(const Witness& w, const std::vector<History>& known) {
+// Whether a history was known, when this marker was asked for, that it cannot be of. What became known while its
+// answer was on the way says nothing: the marker may have been made, or replaced, meanwhile. And whatever is concluded
+// is written on the condition that the marker still stands.
+bool Keeper::outdated(const GenerationMarker& w, const std::vector<History>& known) {
     return std::any_of(known.begin(), known.end(), [&](const History& h) {
         return h.generation > w.generation || (h.generation == w.generation && !h.id.empty() && h.id != w.id);
     });
 }
 
-// On a service that never had a witness one may be made: at the first start of all, or when the first controller of a
-// version comes that knows of it. A service that lost its witness looks the same, so nobody makes one before the others
+// On a service that never had a marker one may be made: at the first start of all, or when the first controller of a
+// version comes that knows of it. A service that lost its marker looks the same, so nobody makes one before the others
 // have said that they know of none either, or long enough have said nothing.
 bool Keeper::may_create() const {
     if (Clock::now() - began_ > first_wait) return true;
@@ -240,46 +242,46 @@
                        [&](const auto& peer) { return peers_.contains(peer.member); });
 }
 
-awaitable<void> Keeper::without_witness(const std::vector<History>& known) {
+awaitable<void> Keeper::without_marker(const std::vector<History>& known) {
     if (!known.empty() || doubt_) {
-        co_await declare(0, 0, doubt_.value_or("the witness is gone"));
+        co_await declare(0, 0, doubt_.value_or("the marker is gone"));
         co_return;
     }
     if (!may_create() || newest_generation() > 0) {
         co_await wake_.wait(50ms);
         co_return;
     }
-    Witness w;
+    GenerationMarker w;
     w.generation = 1;
     w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
     const auto stamp = co_await put(w);
     if (stamp)
-        spdlog::info("event=witness_made id={}", w.id);
+        spdlog::info("event=marker_made id={}", w.id);
     else
         co_await wake_.wait(try_again);
 }
 
-// Puts the witness in place of the one with its stamp. The new stamp, or 0: then it has to be read again.
-awaitable<std::uint64_t> Keeper::put(const Witness& w) {
+// Puts the marker in place of the one with its stamp. The new stamp, or 0: then it has to be read again.
+awaitable<std::uint64_t> Keeper::put(const GenerationMarker& w) {
     std::vector<state::Change> nothing;
     co_return co_await put_with(w, std::move(nothing));
 }
 
-awaitable<std::uint64_t> Keeper::put_with(const Witness& w, std::vector<state::Change> with) {
+awaitable<std::uint64_t> Keeper::put_with(const GenerationMarker& w, std::vector<state::Change> with) {
     state::Txn txn;
     if (w.term)
         txn.conditions = leading_conditions(w);
     else
-        txn.conditions.push_back({state::witness_key, w.stamp});
+        txn.conditions.push_back({state::marker_key, w.stamp});
     txn.changes = std::move(with);
-    txn.changes.push_back({state::witness_key, state::witness_record(w), 0});
+    txn.changes.push_back({state::marker_key, state::marker_record(w), 0});
     const auto r = co_await raw_.commit(std::move(txn), Urgency::leadership);
     co_return r.outcome == Outcome::ok ? r.revision : 0;
 }
 
-std::vector<state::Condition> Keeper::leading_conditions(const Witness& w) const {
+std::vector<state::Condition> Keeper::leading_conditions(const GenerationMarker& w) const {
     std::vector<state::Condition> out;
-    out.push_back({state::witness_key, w.stamp});
+    out.push_back({state::marker_key, w.stamp});
     // Without a term of its own nobody rebuilds; the condition that cannot hold says so.
     out.push_back({election::term_key, term_ ? term_->stamp : 0});
     return out;
@@ -289,10 +291,10 @@
 awaitable<void> Keeper::declare(std::uint64_t over, std::uint64_t generation, std::string why) {
     guarded_.close();
     rebuilding_ = true;
-    Witness w;
+    GenerationMarker w;
     w.generation = std::max(newest_generation(), generation) + 1;
     w.id = settings_.member + "-" + std::to_string(links_.time_of_day_ms());
-    w.phase = Witness::Phase::merging;
+    w.phase = GenerationMarker::Phase::merging;
     w.beyond_memory = beyond_memory_;
     w.keys_only = doubt_ && records_only_;
     w.stamp = over;
@@ -307,7 +309,7 @@
 
 // --- while the records are whole ---
 
-awaitable<void> Keeper::attend(Witness w) {
+awaitable<void> Keeper::attend(GenerationMarker w) {
     const bool news = !known_ || known_->generation != w.generation || known_->id != w.id;
     if (news) {
         certain_at_ = Clock::now();
@@ -367,7 +369,7 @@
             co_await look();
             if (doubt_) break;
             co_await fill();
-            if (shelf_.in_use()) shelve();
+            if (snapshot_file_.in_use()) shelve();
         }
         if (former_ && !late_added_ && memory_.whole() && Clock::now() >= next_late_) {
             next_late_ = Clock::now() + try_again;
@@ -403,11 +405,11 @@
     }
 }
 
-// A term may go by the records once the witness was seen after it was won: whatever is lost later takes the term's own
+// A term may go by the records once the marker was seen after it was won: whatever is lost later takes the term's own
 // stamp with it, or shows in a revision that went back.
-awaitable<bool> Keeper::confirm(const Witness& w) {
+awaitable<bool> Keeper::confirm(const GenerationMarker& w) {
     const auto term = *term_;
-    const auto asked = co_await inquiry_.page(state::witness_key, std::string(), Urgency::leadership);
+    const auto asked = co_await inquiry_.page(state::marker_key, std::string(), Urgency::leadership);
     const auto& got = asked.read;
     if (got.outcome != Outcome::ok) {
         co_await wake_.wait(100ms);
@@ -415,7 +417,7 @@
     }
     bool same = false, unsettled = false;
     for (const auto& item : got.items) {
-        same = same || (item.key == state::witness_key && item.stamp == w.stamp);
+        same = same || (item.key == state::marker_key && item.stamp == w.stamp);
         unsettled = unsettled || item.key == unsettled_key;
     }
     if (!same) co_return false;
@@ -446,11 +448,11 @@
     const auto began = Clock::now();
     if (!following_) {
         // No key comes after this one: the answer only tells where the service stands.
-        const auto here =
-            co_await raw_.range(agent::jobs_prefix, std::string(agent::jobs_prefix) + "~", Urgency::bookkeeping);
+        const auto here = co_await raw_.range(scheduler::jobs_prefix, std::string(scheduler::jobs_prefix) + "~",
+                                              Urgency::bookkeeping);
         if (here.outcome != Outcome::ok) co_return;
         if (here.revision < known_->stamp) {
-            doubt("its revisions went back: the witness is of " + std::to_string(known_->stamp) + ", it stands at " +
+            doubt("its revisions went back: the marker is of " + std::to_string(known_->stamp) + ", it stands at " +
                   std::to_string(here.revision));
             co_return;
         }
@@ -464,7 +466,7 @@
         links_.outcomes({}, began, Look::after_a_gap);
         co_return;
     }
-    auto asked = co_await inquiry_.changes(agent::jobs_prefix);
+    auto asked = co_await inquiry_.changes(scheduler::jobs_prefix);
     auto& seen = asked.seen;
     if (seen.outcome == Outcome::too_old) {
         following_ = false;
@@ -494,7 +496,7 @@
 // it tell whether what there is is what there was. One that knew the former records reads a page each time.
 awaitable<void> Keeper::fill() {
     while (fill_at_) {
-        const auto asked = co_await inquiry_.page(agent::jobs_prefix, *fill_at_, Urgency::bookkeeping);
+        const auto asked = co_await inquiry_.page(scheduler::jobs_prefix, *fill_at_, Urgency::bookkeeping);
         const auto& page = asked.read;
         if (page.outcome != Outcome::ok || !fill_at_) co_return;
         if (asked.went_back) {
@@ -568,8 +570,8 @@
     std::size_t added = 0, lost = 0;
     bool all = true;
     for (const auto& [key, record] : former.records) {
-        const auto work = agent::parse_work_key(key);
-        const auto uid = work ? work->uid : key.substr(std::string_view(agent::over_prefix).size());
+        const auto work = scheduler::parse_work_key(key);
+        const auto uid = work ? work->uid : key.substr(std::string_view(scheduler::over_prefix).size());
         const auto present = memory_.outcome_of(uid);
         const bool cancelled = is_outcome(key) && present && present->state == wire::JobState::open;
         if (present && !cancelled) continue;
@@ -583,8 +585,8 @@
             }
         }
         state::Txn txn;
-        txn.conditions.push_back({agent::outcome_key(uid), 0});
-        if (!cancelled) txn.conditions.push_back({agent::work_key(uid, 0), 0});
+        txn.conditions.push_back({scheduler::outcome_key(uid), 0});
+        if (!cancelled) txn.conditions.push_back({scheduler::work_key(uid, 0), 0});
         txn.changes.push_back({key, std::move(value), 0});
         const auto r = co_await guarded_.commit(std::move(txn), Urgency::user);
         added += r.outcome == Outcome::ok;
@@ -604,7 +606,7 @@
             auto& uids = owed_[item.key];
             for (const auto& r : wire::decode_archive_text(std::string_view(item.value.as_string()))) {
                 memory.written({r.key, boost::json::parse(r.text), 0}, owed_stamp);
-                uids.push_back(r.key.substr(std::string_view(agent::over_prefix).size()));
+                uids.push_back(r.key.substr(std::string_view(scheduler::over_prefix).size()));
             }
         } catch (const std::exception& e) {
             spdlog::error("event=record_unreadable key={} why=\"{}\"", item.key, e.what());
@@ -615,21 +617,21 @@
 // Outcomes go back to their places when nobody else has anything to write, and then their page may go.
 awaitable<void> Keeper::pay_back() {
     auto page = owed_.begin();
-    const auto witness = *known_;
+    const auto marker = *known_;
     auto& uids = page->second;
     while (!uids.empty() && !doubt_ && term_ && begun_) {
         state::Txn txn;
         const auto most = std::min(raw_.write_portion(), form_.limits().txn_ops);
         std::size_t taken = 0;
         for (; taken < uids.size() && txn.changes.size() < most; ++taken) {
-            const auto key = agent::outcome_key(uids[uids.size() - 1 - taken]);
+            const auto key = scheduler::outcome_key(uids[uids.size() - 1 - taken]);
             const auto record = memory_.record(key);
             if (!record || record->stamp > owed_stamp) continue;  // it has its place already
             txn.conditions.push_back({key, 0});
             txn.changes.push_back({key, boost::json::parse(record->text), 0});
         }
         if (!txn.changes.empty()) {
-            for (const auto& c : leading_conditions(witness))
+            for (const auto& c : leading_conditions(marker))
                 if (c.key == election::term_key) txn.conditions.push_back(c);
             const auto r = co_await guarded_.commit(std::move(txn), Urgency::bookkeeping);
             if (r.outcome == Outcome::conflict) {
@@ -643,11 +645,11 @@
     }
     if (!uids.empty() || !term_ || !begun_ || doubt_) co_return;
     state::Txn txn;
-    txn.conditions = leading_conditions(witness);
+    txn.conditions = leading_conditions(marker);
     txn.changes.push_back({page->first, std::nullopt, 0});
     const auto r = co_await raw_.commit(std::move(txn), Urgency::bookkeeping);
     if (r.outcome == Outcome::ok) owed_.erase(owed_.begin());
-    if (owed_.empty()) spdlog::info("event=outcomes_back generation={}", witness.generation);
+    if (owed_.empty()) spdlog::info("event=outcomes_back generation={}", marker.generation);
 }
 
 // Whether what is neither on record nor remembered never was. Somebody who was not heard when the records were rebuilt
@@ -665,7 +667,7 @@
 // Data can go without any sign. Whoever does not lead reads the records again, a page now and then, and holds them
 // against what it remembers.
 awaitable<void> Keeper::scrub() {
-    const auto asked = co_await inquiry_.page(agent::jobs_prefix, scrub_at_, Urgency::bookkeeping);
+    const auto asked = co_await inquiry_.page(scheduler::jobs_prefix, scrub_at_, Urgency::bookkeeping);
     const auto& page = asked.read;
     if (page.outcome != Outcome::ok || doubt_ || !memory_.whole()) co_return;
     if (asked.went_back) {
@@ -680,7 +682,7 @@
 // What looked missing, once more, and judged by a memory that was told of everything up to that second look. If single
 // records are gone that are remembered here, they are put back. Nothing is closed for it, and no term ends: as long as
 // they are gone, GuardedStore passes on no answer that rests on their absence. If more is gone, nobody knows how much.
-awaitable<void> Keeper::examine(const Witness& w) {
+awaitable<void> Keeper::examine(const GenerationMarker& w) {
     if (!memory_.whole() || !following_) co_return;
     std::vector<Inquiry::Finding> gone;
     bool swept = false;
@@ -726,7 +728,7 @@
 awaitable<bool> Keeper::sweep() {
     std::string at;
     for (;;) {
-        const auto asked = co_await inquiry_.page(agent::jobs_prefix, at, Urgency::user);
+        const auto asked = co_await inquiry_.page(scheduler::jobs_prefix, at, Urgency::user);
         if (doubt_ || !memory_.whole() || asked.read.outcome != Outcome::ok) co_return false;
         suspects_.insert(asked.missing.begin(), asked.missing.end());
         if (!asked.read.more || asked.read.items.empty()) co_return true;
@@ -737,15 +739,15 @@
 // By conditioned writes: on this history, on what was found there, and on no outcome that somebody wrote meanwhile.
 // What is written is the newest that ever was on record, since the memory was told of everything up to the finding, and
 // from then on whoever wrote it conditioned on the stamp that was lost has failed.
-awaitable<void> Keeper::put_back_few(const Witness& w, std::vector<Inquiry::Finding> gone) {
+awaitable<void> Keeper::put_back_few(const GenerationMarker& w, std::vector<Inquiry::Finding> gone) {
     for (auto& f : gone) {
         const auto record = memory_.record(f.key);
         if (!record) continue;
         state::Txn txn;
-        txn.conditions.push_back({state::witness_key, w.stamp});
+        txn.conditions.push_back({state::marker_key, w.stamp});
         txn.conditions.push_back({f.key, f.there});
-        if (const auto work = agent::parse_work_key(f.key))
-            txn.conditions.push_back({agent::outcome_key(work->uid), 0});
+        if (const auto work = scheduler::parse_work_key(f.key))
+            txn.conditions.push_back({scheduler::outcome_key(work->uid), 0});
         txn.changes.push_back({f.key, boost::json::parse(record->text), 0});
         // The digest counts outcomes by stamps; the leader writes another when it sees that one came back.
         if (is_outcome(f.key)) txn.changes.push_back({digest_key, std::nullopt, 0});
@@ -766,12 +768,12 @@
     const auto now = Clock::now();
     if (!memory_.whole() || now - shelved_at_ < shelve_gap) return;
     shelved_at_ = now;
-    shelf_.put(memory_.source("memory"));
+    snapshot_file_.put(memory_.source("memory"));
 }
 
 // --- while they are not ---
 
-awaitable<void> Keeper::stand_by(Witness w) {
+awaitable<void> Keeper::stand_by(GenerationMarker w) {
     guarded_.close();
     if (!rebuilding_ || rebuild_began_ == wire::TimePoint{}) {
         rebuild_began_ = Clock::now();
@@ -786,7 +788,8 @@
             co_return;
         }
         links_.new_term("the state service lost data");
-    } else if (w.phase == Witness::Phase::merging && !w.by.empty() && offered_to_ != w.id + std::to_string(w.stamp)) {
+    } else if (w.phase == GenerationMarker::Phase::merging && !w.by.empty() &&
+               offered_to_ != w.id + std::to_string(w.stamp)) {
         const bool offered = co_await offer(w);
         if (offered) offered_to_ = w.id + std::to_string(w.stamp);
     }
@@ -824,7 +827,7 @@
 
 // What this controller remembers and the rebuilder may not, page by page, and then a key that says so. The rebuilder
 // puts down all of its own before it waits for others: if all end meanwhile, the next one finds it.
-awaitable<bool> Keeper::offer(const Witness& w) {
+awaitable<bool> Keeper::offer(const GenerationMarker& w) {
     const std::string mine = offers_prefix + settings_.member;
     // What a former life of this controller put down is all that is left of what that remembered.
     const auto before = co_await raw_.get(mine, Urgency::user);
@@ -842,11 +845,12 @@
     for (const auto& source : own_sources(its_own ? std::string() : w.of, w.remembers)) {
         if (source.records.empty() && !source.whole) continue;
         // Pages of a former life may still be on their way, and must not take the place of these.
-        const auto prefix = mine + "/" + std::to_string(links_.life) + "." + std::to_string(sources.size()) + ".";
+        const auto prefix =
+            mine + "/" + std::to_string(links_.incarnation) + "." + std::to_string(sources.size()) + ".";
         const auto all = pages(prefix, source);
         for (const auto& [key, text] : all) {
             state::Txn txn;
-            txn.conditions.push_back({state::witness_key, w.stamp});
+            txn.conditions.push_back({state::marker_key, w.stamp});
             txn.changes.push_back({key, boost::json::string(text), 0});
             const auto r = co_await raw_.commit(std::move(txn), Urgency::user);
             if (r.outcome != Outcome::ok) co_return false;
@@ -859,7 +863,7 @@
                      source.revision);
     }
     state::Txn txn;
-    txn.conditions.push_back({state::witness_key, w.stamp});
+    txn.conditions.push_back({state::marker_key, w.stamp});
     txn.conditions.push_back({mine, before.item.stamp});  // nor must a former life's list, or an earlier one
     boost::json::object header{{"for", w.stamp},
                                {"led", led},
@@ -897,8 +901,8 @@
     return s;
 }
 
-// The offers that were made for this witness; nothing while one is still to be waited for.
-std::optional<Keeper::Gathered> Keeper::read_offers(const Witness& w, const std::vector<Item>& items,
+// The offers that were made for this marker; nothing while one is still to be waited for.
+std::optional<Keeper::Gathered> Keeper::read_offers(const GenerationMarker& w, const std::vector<Item>& items,
                                                     bool last_call) const {
     Gathered out;
     out.sources = own_sources({}, 0);
@@ -935,7 +939,7 @@
     return out;
 }
 
-awaitable<std::optional<Keeper::Gathered>> Keeper::gather(const Witness& w) {
+awaitable<std::optional<Keeper::Gathered>> Keeper::gather(const GenerationMarker& w) {
     const auto until = Clock::now() + offers_at_most;
     for (;;) {
         const bool last_call = Clock::now() >= until;
@@ -966,7 +970,7 @@
 }
 
 awaitable<std::optional<Keeper::Present>> Keeper::present() {
-    auto items = co_await read_all(agent::jobs_prefix);
+    auto items = co_await read_all(scheduler::jobs_prefix);
     if (!items) co_return std::nullopt;
     Present out;
     out.source.from = "state service";
@@ -977,12 +981,12 @@
     co_return std::optional(std::move(out));
 }
 
-awaitable<void> Keeper::rebuild(Witness w) {
+awaitable<void> Keeper::rebuild(GenerationMarker w) {
     const auto term = term_->number;
     const auto still = [&] { return term_ && term_->number == term; };
     if (rebuild_began_ == wire::TimePoint{}) rebuild_began_ = Clock::now();
     // 1. Say who rebuilds, and up to where this controller itself remembers.
-    w.phase = Witness::Phase::merging;
+    w.phase = GenerationMarker::Phase::merging;
     w.by = settings_.member;
     w.term = term;
     w.of = memory_.whole() ? memory_.id() : std::string();
@@ -1022,7 +1026,7 @@
         }
     links_.outcomes(outcomes, Clock::now(), gathered->missing.empty() ? Look::all : Look::changes);
     // 3. Write it back.
-    w.phase = Witness::Phase::restoring;
+    w.phase = GenerationMarker::Phase::restoring;
     const auto second = co_await put(w);
     if (!second || !still()) co_return;
     w.stamp = second;
@@ -1040,11 +1044,12 @@
     // 4. Open again.
     std::size_t missed = 0;
     for (const auto& uid : shown_)
-        if (!merged.records.contains(agent::outcome_key(uid)) && !merged.records.contains(agent::work_key(uid, 0))) {
+        if (!merged.records.contains(scheduler::outcome_key(uid)) &&
+            !merged.records.contains(scheduler::work_key(uid, 0))) {
             ++missed;
             spdlog::error("event=job_lost job={} why=\"a worker shows it, and nobody remembers it\"", uid);
         }
-    w.phase = Witness::Phase::whole;
+    w.phase = GenerationMarker::Phase::whole;
     w.missing = gathered->missing;
     std::vector<state::Change> with;
     with.push_back({digest_key, std::nullopt, 0});
@@ -1060,7 +1065,7 @@
     clear_offers_ = true;
 }
 
-awaitable<std::optional<std::size_t>> Keeper::restore(const Witness& w, const Merged& merged, Present there) {
+awaitable<std::optional<std::size_t>> Keeper::restore(const GenerationMarker& w, const Merged& merged, Present there) {
     std::vector<std::pair<int, state::Change>> missing;
     Source owed;
     for (const auto& [key, text] : merged.records) {
@@ -1076,7 +1081,8 @@
         // place. One that is there and differs is put right at once, and so is one whose job looks open: a service that
         // was set back shows work that had been removed.
         const auto uid = key.substr(key.rfind('/') + 1);
-        if (order == 9 && kept == there.source.records.end() && !there.source.records.contains(agent::work_key(uid, 0)))
+        if (order == 9 && kept == there.source.records.end() &&
+            !there.source.records.contains(scheduler::work_key(uid, 0)))
             owed.records.emplace(key, Record{1, text});
         else
             missing.emplace_back(order, state::Change{key, std::move(value), 0});
@@ -1124,7 +1130,7 @@
 }
 
 // Until they are on record, or somebody else rebuilds.
-awaitable<bool> Keeper::put_back(const Witness& w, std::vector<state::Change> changes,
+awaitable<bool> Keeper::put_back(const GenerationMarker& w, std::vector<state::Change> changes,
                                  std::map<std::string, std::uint64_t>& stamps) {
     for (;;) {
         state::Txn txn;
@@ -1144,7 +1150,7 @@
         const auto failed = [&](const char* key) {
             return std::find(r.failed.begin(), r.failed.end(), key) != r.failed.end();
         };
-        if (failed(state::witness_key) || failed(election::term_key)) co_return false;
+        if (failed(state::marker_key) || failed(election::term_key)) co_return false;
         if (r.outcome == Outcome::too_large) {
             // One record that is never taken must not keep all others away.
             if (changes.size() == 1) {
--- a/src/recovery/keeper.hpp
+++ b/src/recovery/keeper.hpp
@@ -1,5 +1,5 @@
 // Keeps watch over what the state service holds, and rebuilds it after a loss. One runs in every controller. It knows
-// the witness, remembers the records of jobs, and opens or closes them for everybody else in the process; while the
+// the marker, remembers the records of jobs, and opens or closes them for everybody else in the process; while the
 // records are lost, the one that leads gathers what all remember, merges it and writes it back. docs/rebuilding.md.
 #pragma once
 #include <functional>
@@ -10,10 +10,10 @@
 #include "election/elector.hpp"
 #include "recovery/inquiry.hpp"
 #include "recovery/memory.hpp"
-#include "recovery/shelf.hpp"
+#include "recovery/snapshot_file.hpp"
 #include "state/form.hpp"
+#include "state/generation_marker.hpp"
 #include "state/guarded_store.hpp"
-#include "state/witness.hpp"
 
 namespace flintdale::recovery {
 
@@ -39,12 +39,12 @@
         std::function<void(const std::vector<state::Item>&, wire::TimePoint began, Look look)> outcomes;
         std::function<void()> rebuilt;  // the records are whole again, and may be others
         std::function<std::uint64_t()> seen_term;
-        std::uint64_t life = 0;  // of this controller: another one each time that it is started
+        std::uint64_t incarnation = 0;  // of this controller: another one each time that it is started
     };
 
     // `raw` is the service itself, `guarded` what the rest of the process uses.
     Keeper(net::Executor ex, state::Store& raw, state::GuardedStore& guarded, const config::Settings& settings,
-           const state::Form& form, Shelf shelf, Links links);
+           const state::Form& form, SnapshotFile snapshot_file, Links links);
 
     awaitable<void> run();
 
@@ -81,7 +81,7 @@
 
     // Whether a job that is neither on record nor remembered never was.
     bool certain() const;
-    // The witness is known: it was whole since this controller began.
+    // The marker is known: it was whole since this controller began.
     bool ready() const { return known_.has_value(); }
     bool rebuilding() const { return rebuilding_; }
     // The term under which the records were rebuilt last; of those below it none need be on record.
@@ -89,7 +89,7 @@
     const Memory& memory() const { return memory_; }
 
   private:
-    using Witness = state::Witness;
+    using GenerationMarker = state::GenerationMarker;
     using Item = state::Item;
     struct Present {
         Source source;
@@ -102,73 +102,75 @@
         bool placements_known = false;
     };
 
-    // The witness: made, doubted, replaced.
+    // The marker: made, doubted, replaced.
     struct History {
         std::uint64_t generation = 0;
         std::string id;
     };
     std::vector<History> histories() const;
-    awaitable<void> without_witness(const std::vector<History>& known);
+    awaitable<void> without_marker(const std::vector<History>& known);
     bool may_create() const;
     std::uint64_t newest_generation() const;
     // The records were rebuilt without the last placements, and nobody here has seen that all machines were heard
     // since.
     bool unsettled() const { return known_ && known_->beyond_memory && !settled_; }
     std::uint64_t newest_remembered() const;
-    static bool outdated(const Witness& witness, const std::vector<History>& known);
+    static bool outdated(const GenerationMarker& marker, const std::vector<History>& known);
     void forget_doubt();
     void saw(std::uint64_t term);
     awaitable<void> declare(std::uint64_t over, std::uint64_t generation, std::string why);
-    awaitable<std::uint64_t> put(const Witness& witness);
-    awaitable<std::uint64_t> put_with(const Witness& witness, std::vector<state::Change> with);
+    awaitable<std::uint64_t> put(const GenerationMarker& marker);
+    awaitable<std::uint64_t> put_with(const GenerationMarker& marker, std::vector<state::Change> with);
 
     // While the records are whole.
-    awaitable<void> attend(Witness witness);
+    awaitable<void> attend(GenerationMarker marker);
     awaitable<bool> read_owed(Memory& memory);
-    awaitable<bool> confirm(const Witness& witness);
+    awaitable<bool> confirm(const GenerationMarker& marker);
     awaitable<void> look();
     awaitable<void> fill();
     awaitable<bool> verify();
     awaitable<void> scrub();
-    awaitable<void> examine(const Witness& witness);
+    awaitable<void> examine(const GenerationMarker& marker);
     awaitable<bool> sweep();
-    awaitable<void> put_back_few(const Witness& witness, std::vector<Inquiry::Finding> gone);
+    awaitable<void> put_back_few(const GenerationMarker& marker, std::vector<Inquiry::Finding> gone);
     awaitable<void> write_digest();
     awaitable<bool> add_late();
     awaitable<void> pay_back();
     void shelve();
 
     // While they are not.
-    awaitable<void> stand_by(Witness witness);
-    awaitable<bool> offer(const Witness& witness);
+    awaitable<void> stand_by(GenerationMarker marker);
+    awaitable<bool> offer(const GenerationMarker& marker);
     std::vector<Source> own_sources(const std::string& of, std::uint64_t remembers) const;
-    awaitable<void> rebuild(Witness witness);
-    awaitable<std::optional<Gathered>> gather(const Witness& witness);
+    awaitable<void> rebuild(GenerationMarker marker);
+    awaitable<std::optional<Gathered>> gather(const GenerationMarker& marker);
     Source offered(const std::string& member, std::size_t k, const boost::json::value& entry,
                    const std::map<std::string, const Item*>& by_key) const;
-    std::optional<Gathered> read_offers(const Witness& witness, const std::vector<Item>& items, bool last_call) const;
+    std::optional<Gathered> read_offers(const GenerationMarker& marker, const std::vector<Item>& items,
+                                        bool last_call) const;
     awaitable<std::optional<Present>> present();
     // How many records were missing, or nothing if it was interrupted.
-    awaitable<std::optional<std::size_t>> restore(const Witness& witness, const Merged& merged, Present present);
-    awaitable<bool> put_back(const Witness& witness, std::vector<state::Change> changes,
+    awaitable<std::optional<std::size_t>> restore(const GenerationMarker& marker, const Merged& merged,
+                                                  Present present);
+    awaitable<bool> put_back(const GenerationMarker& marker, std::vector<state::Change> changes,
                              std::map<std::string, std::uint64_t>& stamps);
     awaitable<std::optional<std::vector<Item>>> read_all(std::string prefix);
     awaitable<void> remove_all(std::string prefix, std::vector<state::Condition> conditions);
     std::vector<std::pair<std::string, std::string>> pages(const std::string& prefix, const Source& source) const;
-    std::vector<state::Condition> leading_conditions(const Witness& witness) const;
+    std::vector<state::Condition> leading_conditions(const GenerationMarker& marker) const;
 
     state::Store& raw_;
     state::GuardedStore& guarded_;
     const config::Settings& settings_;
     const state::Form& form_;
-    Shelf shelf_;
+    SnapshotFile snapshot_file_;
     Links links_;
     net::Wakeup wake_;
 
-    std::optional<Witness> known_;                      // the newest that was whole
+    std::optional<GenerationMarker> known_;             // the newest that was whole
     std::optional<std::string> doubt_;                  // why it may be so no more
     bool beyond_memory_ = false, records_only_ = true;  // all that has been doubted
-    bool recheck_ = false;                              // the witness should be read again
+    bool recheck_ = false;                              // the marker should be read again
     wire::TimePoint began_{}, checked_at_{}, shelved_at_{}, rebuild_began_{};
     std::unordered_map<std::string, PeerWord> peers_;
 
@@ -187,12 +189,12 @@
     std::map<std::string, std::vector<std::string>> owed_;  // page -> jobs whose outcomes are in it
 
     std::optional<election::Term> term_;
-    bool begun_ = false;            // the reign of that term
+    bool begun_ = false;            // the leader_term of that term
     bool settled_ = false;          // as far as this controller has seen, since the last rebuilding
     std::uint64_t led_ = 0;         // the last term in the history of memory_ that it reigned in,
     std::set<std::uint64_t> seen_;  // and the highest that were about
     bool rebuilding_ = false, clear_offers_ = false;
-    std::string offered_to_;  // the witness, by identity and stamp
+    std::string offered_to_;  // the marker, by identity and stamp
     std::set<std::string> shown_;
 };
 
--- a/src/recovery/memory.cpp
+++ b/src/recovery/memory.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/crc.hpp>
 
-#include "agent/job.hpp"
+#include "scheduler/job.hpp"
 #include "wire/json.hpp"
 
 namespace flintdale::recovery {
@@ -12,8 +12,8 @@
 
 namespace json = boost::json;
 
-bool is_final(const std::string& key) { return key.starts_with(agent::over_prefix); }
-std::string uid_of_final(const std::string& key) { return key.substr(std::string_view(agent::over_prefix).size()); }
+bool is_final(const std::string& key) { return key.starts_with(scheduler::over_prefix); }
+std::string uid_of_final(const std::string& key) { return key.substr(std::string_view(scheduler::over_prefix).size()); }
 
 // Where an outcome says by itself how many tasks of which shape there were, nothing else in it is ever read again.
 bool has_size(const json::object& o) { return o.if_contains("shape") && o.if_contains("shards"); }
@@ -92,10 +92,10 @@
         }
         // Work is removed when a job is over, and outcomes never are. While not everything has been read, an outcome
         // may merely not be known yet.
-        const auto work = agent::parse_work_key(e.key);
-        const bool ordered = work && (!whole_ || over(work->uid) || work_.contains(agent::outcome_key(work->uid)));
+        const auto work = scheduler::parse_work_key(e.key);
+        const bool ordered = work && (!whole_ || over(work->uid) || work_.contains(scheduler::outcome_key(work->uid)));
         // Without its first record a piece is nobody's, and leaders clear such away.
-        const bool nobodys = work && !work->first() && !work_.contains(agent::work_key(work->uid, 0));
+        const bool nobodys = work && !work->first() && !work_.contains(scheduler::work_key(work->uid, 0));
         if (!ordered && !nobodys) {
             oddities.push_back(e.key);
             continue;  // it is remembered all the more
@@ -114,7 +114,8 @@
 }
 
 bool Memory::knows(const std::string& uid) const {
-    return finals_.contains(uid) || work_.contains(agent::work_key(uid, 0)) || work_.contains(agent::outcome_key(uid));
+    return finals_.contains(uid) || work_.contains(scheduler::work_key(uid, 0)) ||
+           work_.contains(scheduler::outcome_key(uid));
 }
 
 std::optional<Memory::Outcome> Memory::outcome_of(const std::string& uid) const {
@@ -142,8 +143,8 @@
 std::vector<std::string> Memory::open_jobs() const {
     std::vector<std::string> out;
     for (const auto& [key, record] : work_) {
-        const auto work = agent::parse_work_key(key);
-        if (work && work->first() && !over(work->uid) && !work_.contains(agent::outcome_key(work->uid)))
+        const auto work = scheduler::parse_work_key(key);
+        if (work && work->first() && !over(work->uid) && !work_.contains(scheduler::outcome_key(work->uid)))
             out.push_back(work->uid);
     }
     return out;
@@ -161,8 +162,8 @@
 }
 
 std::uint64_t Memory::expected(const std::string& key) const {
-    if (const auto work = agent::parse_work_key(key);
-        work && (over(work->uid) || work_.contains(agent::outcome_key(work->uid))))
+    if (const auto work = scheduler::parse_work_key(key);
+        work && (over(work->uid) || work_.contains(scheduler::outcome_key(work->uid))))
         return 0;
     const auto stamp = stamp_of(key);
     return stamp <= owed_stamp ? 0 : stamp;
@@ -170,7 +171,7 @@
 
 std::size_t Memory::jobs_at(std::uint64_t revision) const {
     std::size_t n = digest(revision).outcomes;
-    for (const auto& uid : open_jobs()) n += work_.at(agent::work_key(uid, 0)).stamp <= revision;
+    for (const auto& uid : open_jobs()) n += work_.at(scheduler::work_key(uid, 0)).stamp <= revision;
     return n;
 }
 
@@ -190,8 +191,8 @@
     for (auto it = work_.upper_bound(from); it != work_.end() && (to.empty() || it->first <= to); ++it)
         check(it->first, it->second.stamp);
     // Outcomes are remembered in no order: they are gone through only for pages that reach into them.
-    if (from < agent::work_prefix)
-        for (const auto& [uid, f] : finals_) check(agent::outcome_key(uid), f.stamp);
+    if (from < scheduler::work_prefix)
+        for (const auto& [uid, f] : finals_) check(scheduler::outcome_key(uid), f.stamp);
     return out;
 }
 
@@ -220,7 +221,7 @@
         for (const auto& r : wire::ranges_from_record(tasks->get_array()))
             if (!r.machine.empty()) out.insert(r.machine);
     };
-    const auto first = agent::work_key(uid, 0);
+    const auto first = scheduler::work_key(uid, 0);
     if (const auto it = work_.find(first); it != work_.end()) add(it->second.text);
     for (auto it = work_.lower_bound(first + "/"); it != work_.end() && it->first.starts_with(first + "/"); ++it)
         add(it->second.text);
@@ -238,7 +239,7 @@
         if (record.stamp > after) out.records.emplace(key, record);
     for (const auto& [uid, f] : finals_) {
         if (f.stamp <= after) continue;
-        out.records.emplace(agent::outcome_key(uid), Record{f.stamp, text_of(f)});
+        out.records.emplace(scheduler::outcome_key(uid), Record{f.stamp, text_of(f)});
     }
     return out;
 }
--- a/src/recovery/merge.cpp
+++ b/src/recovery/merge.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <tuple>
 
-#include "agent/job.hpp"
+#include "scheduler/job.hpp"
 
 namespace flintdale::recovery {
 
@@ -13,7 +13,7 @@
 
 namespace json = boost::json;
 
-bool is_final(const std::string& key) { return key.starts_with(agent::over_prefix); }
+bool is_final(const std::string& key) { return key.starts_with(scheduler::over_prefix); }
 
 std::optional<json::object> object_of(const std::string& text) {
     json::error_code ec;
@@ -107,8 +107,8 @@
                 if (is_final(key) || held.generation != s->generation || held.record->stamp > s->revision ||
                     s->records.contains(key))
                     return false;
-                const auto work = agent::parse_work_key(key);
-                return work && s->records.contains(agent::outcome_key(work->uid));
+                const auto work = scheduler::parse_work_key(key);
+                return work && s->records.contains(scheduler::outcome_key(work->uid));
             });
         }
     }
@@ -116,8 +116,8 @@
     // Whether somebody who knows everything up to its end knew the job.
     bool known_to_whole(const std::string& uid) const {
         return std::any_of(used_.begin(), used_.end(), [&](const Source* s) {
-            return s->whole &&
-                   (s->records.contains(agent::outcome_key(uid)) || s->records.contains(agent::work_key(uid, 0)));
+            return s->whole && (s->records.contains(scheduler::outcome_key(uid)) ||
+                                s->records.contains(scheduler::work_key(uid, 0)));
         });
     }
 
@@ -129,7 +129,7 @@
             }
             if (out_.records.contains(key)) continue;
             if (!is_final(key)) {
-                const auto work = agent::parse_work_key(key);
+                const auto work = scheduler::parse_work_key(key);
                 // Set back, the service may show what had long been removed.
                 if (!work || known_to_whole(work->uid)) continue;
             }
@@ -142,12 +142,12 @@
         std::erase_if(out_.records, [&](const auto& entry) {
             const auto& key = entry.first;
             if (is_final(key)) return false;
-            const auto work = agent::parse_work_key(key);
+            const auto work = scheduler::parse_work_key(key);
             if (!work) return true;
-            const auto outcome = out_.records.find(agent::outcome_key(work->uid));
+            const auto outcome = out_.records.find(scheduler::outcome_key(work->uid));
             if (outcome != out_.records.end()) return state_of(outcome->second) == wire::JobState::done;
-            if (work->first() || held_.contains(agent::work_key(work->uid, 0)) ||
-                out_.records.contains(agent::work_key(work->uid, 0)))
+            if (work->first() || held_.contains(scheduler::work_key(work->uid, 0)) ||
+                out_.records.contains(scheduler::work_key(work->uid, 0)))
                 return false;
             lost.insert(work->uid);
             return true;
--- a/src/recovery/shelf.cpp
+++ b/src/recovery/snapshot_file.cpp
@@ -1,4 +1,4 @@
-#include "recovery/shelf.hpp"
+#include "recovery/snapshot_file.hpp"
 
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -117,7 +117,7 @@
 
 }  // namespace
 
-bool Shelf::put(const Source& source) {
+bool SnapshotFile::put(const Source& source) {
     const auto target = directory_ / name_of(source);
     const auto temporary = directory_ / (name_of(source) + ".part");
     try {
@@ -137,7 +137,7 @@
     }
 }
 
-std::optional<Source> Shelf::newest() const {
+std::optional<Source> SnapshotFile::newest() const {
     if (!in_use()) return std::nullopt;
     for (const auto& path : snapshots(directory_)) try {
             return read(path);
--- a/src/recovery/shelf.hpp
+++ b/src/recovery/snapshot_file.hpp
@@ -7,10 +7,10 @@
 
 namespace flintdale::recovery {
 
-class Shelf {
+class SnapshotFile {
   public:
     // An empty path: no snapshots are kept.
-    explicit Shelf(std::filesystem::path directory = {}) : directory_(std::move(directory)) {}
+    explicit SnapshotFile(std::filesystem::path directory = {}) : directory_(std::move(directory)) {}
 
     bool in_use() const { return !directory_.empty(); }
     // Writes it beside the former one, which is removed only when this one is whole on the disk: a crash at any moment,
--- a/src/agent/caretaker.cpp
+++ b/src/scheduler/follower_leases.cpp
@@ -1,9 +1,9 @@
-#include "agent/caretaker.hpp"
+#include "scheduler/follower_leases.hpp"
 
-#include "agent/job.hpp"
-#include "agent/lease_rule.hpp"
+#include "scheduler/job.hpp"
+#include "scheduler/lease_rule.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 namespace {
 // Whoever was sent to a leader that does not answer is back by then: four seconds and one for each other controller.
@@ -14,7 +14,7 @@
 constexpr std::size_t max_machines = 100'000;
 }  // namespace
 
-void Caretaker::watched(const std::vector<state::Item>& outcomes, wire::TimePoint began) {
+void FollowerLeases::watched(const std::vector<state::Item>& outcomes, wire::TimePoint began) {
     fresh_ = began;
     for (const auto& item : outcomes)
         if (is_cancelled(item)) cancelled(item.key.substr(item.key.rfind('/') + 1), began);
@@ -25,17 +25,17 @@
     }
 }
 
-void Caretaker::cancelled(const std::string& uid, wire::TimePoint now) {
+void FollowerLeases::cancelled(const std::string& uid, wire::TimePoint now) {
     if (cancelled_.insert(uid).second) cancelled_at_.emplace_back(now, uid);
 }
 
-bool Caretaker::knows_enough(wire::TimePoint now, wire::TimePoint told_until) const {
+bool FollowerLeases::knows_enough(wire::TimePoint now, wire::TimePoint told_until) const {
     return since_ && fresh_ - *since_ >= wire::to_clock(settings_.cancel) &&
            may_answer(settings_, now, std::max(fresh_, told_until), drift);
 }
 
-std::optional<std::vector<wire::Order>> Caretaker::answer(const wire::WorkerReport& report, wire::TimePoint now,
-                                                          wire::TimePoint told_until) {
+std::optional<std::vector<wire::Order>> FollowerLeases::answer(const wire::WorkerReport& report, wire::TimePoint now,
+                                                               wire::TimePoint told_until) {
     if (sent_on_.size() > max_machines) sent_on_.clear();
     const auto [it, first] = sent_on_.try_emplace(report.machine, now);
     const bool back = !first && now - it->second < back_within;
@@ -43,8 +43,8 @@
     return back ? keep(report, now, told_until) : std::nullopt;
 }
 
-std::optional<std::vector<wire::Order>> Caretaker::keep(const wire::WorkerReport& report, wire::TimePoint now,
-                                                        wire::TimePoint told_until) const {
+std::optional<std::vector<wire::Order>> FollowerLeases::keep(const wire::WorkerReport& report, wire::TimePoint now,
+                                                             wire::TimePoint told_until) const {
     if (!knows_enough(now, told_until)) return std::nullopt;
     std::vector<wire::Order> orders;
     for (const auto& t : report.tasks)
@@ -53,4 +53,4 @@
     return orders;
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/caretaker.hpp
+++ b/src/scheduler/follower_leases.hpp
@@ -15,11 +15,11 @@
 #include "state/store.hpp"
 #include "wire/types.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
-class Caretaker {
+class FollowerLeases {
   public:
-    explicit Caretaker(const config::Settings& settings) : settings_(settings) {}
+    explicit FollowerLeases(const config::Settings& settings) : settings_(settings) {}
 
     // A look at the outcomes that began then told these changes since the one before, and no others were missed.
     void watched(const std::vector<state::Item>& outcomes, wire::TimePoint began);
@@ -54,4 +54,4 @@
     std::unordered_map<std::string, wire::TimePoint> sent_on_;          // machines, when they were last here
 };
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/notebook.cpp
+++ b/src/scheduler/handover_hints.cpp
@@ -1,13 +1,13 @@
-#include "agent/notebook.hpp"
+#include "scheduler/handover_hints.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <set>
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
-std::vector<state::Change> Notebook::pages(std::span<const wire::MachineNote> notes) {
+std::vector<state::Change> HandoverHints::pages(std::span<const wire::MachineNote> notes) {
     std::vector<state::Change> out;
     std::set<std::string> needed;
     for (std::size_t at = 0, n = 0; at < notes.size(); ++n) {
@@ -27,14 +27,14 @@
     return out;
 }
 
-void Notebook::written(const state::Change& page) {
+void HandoverHints::written(const state::Change& page) {
     if (page.value)
         on_record_[page.key] = std::string(page.value->as_string());
     else
         on_record_.erase(page.key);
 }
 
-std::vector<wire::MachineNote> Notebook::read(const std::vector<state::Item>& items) {
+std::vector<wire::MachineNote> HandoverHints::read(const std::vector<state::Item>& items) {
     std::vector<wire::MachineNote> out;
     for (const auto& item : items) {
         on_record_[item.key].clear();
@@ -48,4 +48,4 @@
     return out;
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/notebook.hpp
+++ b/src/scheduler/handover_hints.hpp
@@ -10,13 +10,13 @@
 #include "state/store.hpp"
 #include "wire/notes.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 inline constexpr const char* notes_prefix = "notes/";
 
-class Notebook {
+class HandoverHints {
   public:
-    explicit Notebook(const state::Form& form) : form_(form) {}
+    explicit HandoverHints(const state::Form& form) : form_(form) {}
 
     // The pages that differ from what was last written, each within the limit on values, and pages that are no longer
     // needed as deletions. Machines are in the order of their names.
@@ -32,4 +32,4 @@
     std::map<std::string, std::string> on_record_;  // text of each page; empty where it is not known
 };
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/job.cpp
+++ b/src/scheduler/job.cpp
@@ -1,8 +1,8 @@
-#include "agent/job.hpp"
+#include "scheduler/job.hpp"
 
 #include <charconv>
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 std::string outcome_key(const std::string& uid) { return over_prefix + uid; }
 
@@ -156,4 +156,4 @@
     return o;
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/job.hpp
+++ b/src/scheduler/job.hpp
@@ -7,7 +7,7 @@
 #include "state/store.hpp"
 #include "wire/json.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 using fleet::Machine;
 using fleet::TaskKey;
@@ -124,4 +124,4 @@
 std::optional<JobSpec> spec_from_records(const boost::json::object& first,
                                          const std::map<std::uint32_t, std::string>& pieces);
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/lease_rule.hpp
+++ b/src/scheduler/lease_rule.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include "config/settings.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 // Whether a leader may keep workers' leases alive. Work of a job cancelled elsewhere must be gone in time, and
 // a task dies at the latest a lease after the last answer; so what is known of cancellations must be younger
@@ -17,4 +17,4 @@
 // controllers that ended meanwhile and know nothing: they ask all silent machines after as long (app::Fencer).
 inline wire::Seconds give_up_silent_after(const config::Settings& s) { return s.cancel * 0.5; }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/prerequisites.cpp
+++ b/src/scheduler/prerequisites.cpp
@@ -1,8 +1,8 @@
-#include "agent/prerequisites.hpp"
+#include "scheduler/prerequisites.hpp"
 
 #include <algorithm>
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 namespace {
 constexpr std::size_t max_past = 10'000;
@@ -177,4 +177,4 @@
     }
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/prerequisites.hpp
+++ b/src/scheduler/prerequisites.hpp
@@ -11,7 +11,7 @@
 
 #include "wire/types.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 class Prerequisites {
   public:
@@ -64,4 +64,4 @@
     std::deque<std::string> past_;  // that are over, oldest first; what is forgotten is read again
 };
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/overseer.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -1,11 +1,11 @@
-#include "agent/overseer.hpp"
+#include "scheduler/scheduler.hpp"
 
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 using namespace std::chrono_literals;
 using wire::Cause;
@@ -23,8 +23,8 @@
 constexpr Seconds write_later{8};  // how long the record of ended tasks may wait for other changes of the job
 }  // namespace
 
-Overseer::Overseer(const config::Settings& settings, const config::Tunables& tunables, const state::Form& form,
-                   std::uint64_t term, std::uint64_t term_stamp, TimePoint now)
+Scheduler::Scheduler(const config::Settings& settings, const config::Tunables& tunables, const state::Form& form,
+                     std::uint64_t term, std::uint64_t term_stamp, TimePoint now)
     : settings_(settings),
       form_(form),
       tunables_(tunables),
@@ -37,23 +37,23 @@
 
 // --- jobs ---
 
-Job* Overseer::find(const std::string& uid) {
+Job* Scheduler::find(const std::string& uid) {
     const auto it = jobs_.find(uid);
     return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-const Job* Overseer::job(const std::string& uid) const {
+const Job* Scheduler::job(const std::string& uid) const {
     const auto it = jobs_.find(uid);
     return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-std::int64_t Overseer::window_at(std::int64_t ms) const {
+std::int64_t Scheduler::window_at(std::int64_t ms) const {
     using std::chrono::milliseconds;
     const auto window = std::chrono::duration_cast<milliseconds>(wire::to_clock(tunables_.window)).count();
     return ms / std::max<std::int64_t>(1, window);
 }
 
-Job& Overseer::create(JobSpec spec, TimePoint now, bool known_before) {
+Job& Scheduler::create(JobSpec spec, TimePoint now, bool known_before) {
     auto job = std::make_unique<Job>();
     job->tasks.resize(spec.tasks);
     job->chunks.resize((spec.tasks + job->page - 1) / job->page);
@@ -72,7 +72,7 @@
     return ref;
 }
 
-void Overseer::cancel(Job& job, TimePoint at) {
+void Scheduler::cancel(Job& job, TimePoint at) {
     if (job.cancelled) {
         job.cancelled_at = std::min(job.cancelled_at, at);
         return;
@@ -87,20 +87,20 @@
     mark_dirty(job.spec.uid);
 }
 
-std::vector<std::string> Overseer::open_jobs() const {
+std::vector<std::string> Scheduler::open_jobs() const {
     std::vector<std::string> out;
     for (const auto& [uid, job] : jobs_)
         if (!job->cancelled && !job->finished) out.push_back(uid);
     return out;
 }
 
-std::optional<JobCount> Overseer::count(const std::string& uid) const {
+std::optional<JobCount> Scheduler::count(const std::string& uid) const {
     const auto* j = job(uid);
     if (!j) return std::nullopt;
     return JobCount{j->done, j->running};
 }
 
-std::vector<std::pair<std::string, JobCount>> Overseer::take_counts() {
+std::vector<std::pair<std::string, JobCount>> Scheduler::take_counts() {
     std::vector<std::pair<std::string, JobCount>> out;
     for (const auto& uid : counts_changed_)
         if (auto c = count(uid)) out.emplace_back(uid, *c);
@@ -110,11 +110,11 @@
 
 // --- tasks ---
 
-void Overseer::mark_dirty(const std::string& uid) {
+void Scheduler::mark_dirty(const std::string& uid) {
     if (dirty_set_.insert(uid).second) dirty_.push_back(uid);
 }
 
-void Overseer::mark_urgent(const std::string& uid) {
+void Scheduler::mark_urgent(const std::string& uid) {
     if (dirty_set_.insert(uid).second)
         dirty_.push_front(uid);
     else if (const auto it = std::find(dirty_.begin(), dirty_.end(), uid); it != dirty_.begin()) {
@@ -123,7 +123,7 @@
     }
 }
 
-void Overseer::touch(Job& job, std::uint32_t task, Write when, TimePoint now) {
+void Scheduler::touch(Job& job, std::uint32_t task, Write when, TimePoint now) {
     job.tasks[task].generation = ++job.generation;
     job.chunks[job.chunk_of(task)].changed = job.generation;
     counts_changed_.insert(job.spec.uid);
@@ -133,7 +133,7 @@
         due_later_.emplace_back(after(now, write_later), job.spec.uid);
 }
 
-void Overseer::mark_due(TimePoint now) {
+void Scheduler::mark_due(TimePoint now) {
     while (!due_later_.empty() && now >= due_later_.front().first) {
         mark_dirty(due_later_.front().second);
         later_set_.erase(due_later_.front().second);
@@ -141,7 +141,7 @@
     }
 }
 
-void Overseer::set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now) {
+void Scheduler::set_placed(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, TimePoint now) {
     auto& t = job.tasks[task];
     t.state = State::placed;
     t.machine = &m;
@@ -156,7 +156,7 @@
     teams_.placed(job.spec.team, job.spec.need);
 }
 
-void Overseer::leave(Job& job, std::uint32_t task, State next, TimePoint now) {
+void Scheduler::leave(Job& job, std::uint32_t task, State next, TimePoint now) {
     auto& t = job.tasks[task];
     if (t.state == State::placed) {
         ledger_.unassign(*t.machine, {job.spec.uid, task}, job.spec, now);
@@ -178,7 +178,7 @@
     if (left == 0 && prerequisites_.needed(job.spec.uid)) mark_urgent(job.spec.uid);
 }
 
-void Overseer::lost(Job& job, std::uint32_t task, TimePoint now) {
+void Scheduler::lost(Job& job, std::uint32_t task, TimePoint now) {
     spdlog::debug("event=task_lost task={}/{} attempt={} machine={}", job.spec.uid, task, job.tasks[task].attempt,
                   job.tasks[task].machine ? job.tasks[task].machine->name : "");
     // Members of a running gang notice and exit; before the start a replacement can complete the gang.
@@ -186,13 +186,13 @@
     leave(job, task, State::waiting, now);
 }
 
-void Overseer::all_lost(Machine& m, bool only_sent, TimePoint now) {
+void Scheduler::all_lost(Machine& m, bool only_sent, TimePoint now) {
     const auto tasks = m.tasks;
     for (const auto& [uid, i] : tasks)
         if (auto* job = find(uid); job && (!only_sent || job->tasks[i].sent)) lost(*job, i, now);
 }
 
-void Overseer::task_done(Job& job, std::uint32_t task, TimePoint now) {
+void Scheduler::task_done(Job& job, std::uint32_t task, TimePoint now) {
     if (job.tasks[task].state == State::done) return;
     std::erase(job.again, task);
     if (job.doubtful()) {
@@ -204,7 +204,7 @@
     ++job.done;
 }
 
-void Overseer::exited(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, TimePoint now) {
+void Scheduler::exited(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, TimePoint now) {
     spdlog::debug("event=task_exited task={}/{} attempt={} machine={} cause={}", job.spec.uid, task, r.attempt, m.name,
                   static_cast<int>(r.cause));
     if (r.cause == Cause::done) {
@@ -239,7 +239,7 @@
 
 // A machine where several jobs failed that went well elsewhere is at fault. A job that fails wherever it goes says
 // nothing about machines, and what it was the first to say is taken back.
-void Overseer::blame(Job& job, Machine& m, TimePoint now) {
+void Scheduler::blame(Job& job, Machine& m, TimePoint now) {
     job.failed_on.insert(m.name);
     ++job.errors;
     m.failed_jobs.insert(job.spec.uid);
@@ -265,7 +265,7 @@
 // Where fetching takes longer on some machines than a member waits for the others, an attempt that is given up as a
 // whole loses what the slow ones have fetched so far, and the next one goes the same way. So a member that gave up
 // keeps its place, and when the last one has its image all start under the next attempt where they are.
-void Overseer::regroup(Job& job, TimePoint now) {
+void Scheduler::regroup(Job& job, TimePoint now) {
     if (job.parked == 0 || job.placed < job.spec.tasks || job.gang_started || job.gang_failing || job.cancelled) return;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
         const auto& t = job.tasks[i];
@@ -285,7 +285,7 @@
 
 // A member that was lost may find no room for as long as others hold theirs for it: work that fits was left waiting
 // beside such a place for over 90 s.
-void Overseer::unpark(TimePoint now) {
+void Scheduler::unpark(TimePoint now) {
     std::erase_if(parked_, [&](const std::string& uid) {
         auto* job = find(uid);
         if (!job || job->parked == 0) return true;
@@ -301,8 +301,8 @@
 
 // --- reports ---
 
-void Overseer::held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<Order>& orders,
-                    TimePoint now) {
+void Scheduler::held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<Order>& orders,
+                     TimePoint now) {
     auto& t = job.tasks[task];
     t.seen = t.sent = true;
     if (r.status != TaskStatus::fetching) {
@@ -328,7 +328,7 @@
     }
 }
 
-void Overseer::absent(Job& job, std::uint32_t task, Machine& m, std::vector<Order>& orders, TimePoint now) {
+void Scheduler::absent(Job& job, std::uint32_t task, Machine& m, std::vector<Order>& orders, TimePoint now) {
     auto& t = job.tasks[task];
     if (t.seen) {
         lost(job, task, now);
@@ -343,7 +343,7 @@
     }
 }
 
-void Overseer::order_run(Job& job, std::uint32_t task, const Machine& m, std::vector<Order>& orders) {
+void Scheduler::order_run(Job& job, std::uint32_t task, const Machine& m, std::vector<Order>& orders) {
     if (!job.durable(task) || m.releasing || orders.size() >= max_orders) return;
     // The intent is on record, so a leader after this one knows where to look for the task.
     job.tasks[task].sent = true;
@@ -353,7 +353,7 @@
 // An attempt above the one on record: no `run` leaves before its placement is on record, so the record was lost. While
 // the records are known to lack something, what a worker shows under this term is where the task is; a later attempt
 // cannot exist, for it would have needed the evidence that this one is gone.
-bool Overseer::adopt(Job& job, Machine& m, const wire::TaskReport& r, TimePoint now) {
+bool Scheduler::adopt(Job& job, Machine& m, const wire::TaskReport& r, TimePoint now) {
     if (!unsettled_) {
         loss_seen_ = loss_seen_ || !job.cancelled;
         return false;
@@ -384,24 +384,24 @@
 // With the last placements lost, any task that waits may be on any machine that was not heard. A list names all
 // machines that are older than it lags; younger ones are named by a later one.
 // A list may be twice as old as usual: one that came so long after this term began shows what there was in it.
-wire::Clock::duration Overseer::list_age() const { return wire::to_clock(settings_.list_lag * 2 + Seconds(2)); }
+wire::Clock::duration Scheduler::list_age() const { return wire::to_clock(settings_.list_lag * 2 + Seconds(2)); }
 
 // Whether all is known that may be on the machine: it has shown what it holds under this term, or it was still starting
 // after this term had begun, so that no earlier leader's order can have reached it.
-bool Overseer::heard(const Machine& m) const {
+bool Scheduler::heard(const Machine& m) const {
     return (m.current && !with_strays_.contains(m.name)) || m.starting_at - list_age() >= since_;
 }
 
-bool Overseer::all_listed() const { return listed_at_ - since_ >= list_age(); }
+bool Scheduler::all_listed() const { return listed_at_ - since_ >= list_age(); }
 
-bool Overseer::all_heard() const {
+bool Scheduler::all_heard() const {
     return all_listed() && std::all_of(ledger_.all().begin(), ledger_.all().end(),
                                        [&](const auto& entry) { return heard(*entry.second); });
 }
 
 // What is unsettled shrinks with every machine that is heard: a job none of whose tasks can be on one that was not is
 // as certain as ever. What a team may use is certain only in the end.
-std::vector<Job*> Overseer::certain(std::vector<Job*> jobs) const {
+std::vector<Job*> Scheduler::certain(std::vector<Job*> jobs) const {
     std::set<placement::Id> unheard;
     bool anywhere = false;
     for (const auto& [name, m] : ledger_.all()) {
@@ -417,7 +417,7 @@
     return jobs;
 }
 
-std::optional<std::vector<Order>> Overseer::report(const wire::WorkerReport& r, TimePoint now) {
+std::optional<std::vector<Order>> Scheduler::report(const wire::WorkerReport& r, TimePoint now) {
     if (ledger_.gone(r.machine)) return std::nullopt;
     auto& m = ledger_.add(r.machine, r.type, r.zone, r.spot, now);
     if (m.reported && std::pair(r.tenure, r.tick) <= std::pair(m.tenure, m.tick)) return std::nullopt;
@@ -504,7 +504,7 @@
     return orders;
 }
 
-Overseer::Prospect Overseer::prospect(const wire::WorkerReport& r, std::uint64_t passes) const {
+Scheduler::Prospect Scheduler::prospect(const wire::WorkerReport& r, std::uint64_t passes) const {
     const auto* m = ledger_.find(r.machine);
     if (!m || !m->current || m->releasing || std::pair(m->tenure, m->tick) != std::pair(r.tenure, r.tick))
         return Prospect::nothing;
@@ -514,7 +514,7 @@
     return waiting_ && passes == passes_ && !m->cordoned && m->in_use() < 1 ? Prospect::a_plan : Prospect::nothing;
 }
 
-std::vector<Order> Overseer::runs(const wire::WorkerReport& r) {
+std::vector<Order> Scheduler::runs(const wire::WorkerReport& r) {
     std::vector<Order> out;
     auto* m = ledger_.find(r.machine);
     if (!m || !m->current || std::pair(m->tenure, m->tick) != std::pair(r.tenure, r.tick)) return out;
@@ -535,13 +535,13 @@
     return out;
 }
 
-std::size_t Overseer::machines_up(TimePoint now) const {
+std::size_t Scheduler::machines_up(TimePoint now) const {
     std::size_t n = 0;
     for (const auto& [name, m] : ledger_.all()) n += usable(*m, now);
     return n;
 }
 
-std::string Overseer::summary(TimePoint now) const {
+std::string Scheduler::summary(TimePoint now) const {
     std::map<std::string, std::uint32_t> waiting;
     for (const auto& [uid, job] : jobs_)
         if (job->runnable() && job->waiting()) waiting[job->spec.job_class] += job->waiting();
@@ -567,4 +567,4 @@
     return out;
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/overseer.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -5,13 +5,13 @@
 #include <functional>
 #include <unordered_map>
 
-#include "agent/job.hpp"
-#include "agent/prerequisites.hpp"
 #include "config/settings.hpp"
 #include "quota/ledger.hpp"
+#include "scheduler/job.hpp"
+#include "scheduler/prerequisites.hpp"
 #include "state/store.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 struct Batch {
     struct Part {
@@ -47,10 +47,10 @@
 
 inline TimePoint after(TimePoint t, Seconds s) { return t + wire::to_clock(s); }
 
-class Overseer {
+class Scheduler {
   public:
-    Overseer(const config::Settings& settings, const config::Tunables& tunables, const state::Form& form,
-             std::uint64_t term, std::uint64_t term_stamp, TimePoint now);
+    Scheduler(const config::Settings& settings, const config::Tunables& tunables, const state::Form& form,
+              std::uint64_t term, std::uint64_t term_stamp, TimePoint now);
 
     // --- What others tell it ---
     // All records of open work, read after the term was won. May come again; jobs already known are left alone. `at` is
@@ -277,4 +277,4 @@
     TimePoint spare_since_{};   // since when more room has been spare than is wanted
 };
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/overseer_fleet.cpp
+++ b/src/scheduler/scheduler_fleet.cpp
@@ -1,13 +1,13 @@
-// What the overseer rents and returns.
+// What the scheduler rents and returns.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cmath>
 
-#include "agent/lease_rule.hpp"
-#include "agent/overseer.hpp"
+#include "scheduler/lease_rule.hpp"
+#include "scheduler/scheduler.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 using placement::Host;
 using placement::JobHosts;
@@ -30,7 +30,7 @@
 constexpr double silent_reports = 1.7;  // report intervals that a machine must at least be silent to be given up
 }  // namespace
 
-Seconds Overseer::target_of(const wire::JobSpec& spec) const {
+Seconds Scheduler::target_of(const wire::JobSpec& spec) const {
     Seconds best{0};
     for (const auto& o : settings_.objectives)
         if (o.kind == "finished" && o.job_class == spec.job_class && o.within.count() > 0 &&
@@ -41,7 +41,7 @@
 }
 
 // Tasks of an array follow one another on a machine; only what does not fit into its time needs room at once.
-std::uint32_t Overseer::wanted_now(const Job& job) const {
+std::uint32_t Scheduler::wanted_now(const Job& job) const {
     const auto waiting = std::min(job.waiting(), max_planned_tasks);
     if (!job.is(Shape::array) || job.spec.estimate.count() <= 0) return waiting;
     const auto span = std::max(target_of(job.spec) * tunables_.horizon, job.spec.estimate);
@@ -51,15 +51,15 @@
 }
 
 // What one round of renting has put together.
-struct Overseer::Basket {
+struct Scheduler::Basket {
     std::map<fleet::Pool, int> ordered;
     std::set<fleet::Pool> late;      // pools of which most machines on their way should be up by now
     std::vector<unsigned> per_zone;  // machines there, ordered ones included
     std::vector<bool> quiet_zones;   // that are cut off: what is rented there could not be heard
 };
 
-std::optional<fleet::Pool> Overseer::cheapest(const Job& job, const JobHosts& hosts, std::uint32_t count,
-                                              const Basket& basket, TimePoint now) const {
+std::optional<fleet::Pool> Scheduler::cheapest(const Job& job, const JobHosts& hosts, std::uint32_t count,
+                                               const Basket& basket, TimePoint now) const {
     const auto& ask = ask_of(job);
     auto& directory = ledger_.directory();
     std::optional<fleet::Pool> best;
@@ -104,7 +104,7 @@
 }
 
 // Puts one machine more into the basket and into the plan.
-std::size_t Overseer::put_in(Basket& basket, const fleet::Pool& pool, Planner& plan) const {
+std::size_t Scheduler::put_in(Basket& basket, const fleet::Pool& pool, Planner& plan) const {
     const auto* type = ledger_.type(pool.type);
     Host h;
     h.slot = Planner::no_slot;
@@ -120,7 +120,7 @@
 }
 
 // Room for a whole gang: all in one zone if it asks for that, with as many machines as it takes.
-void Overseer::rent_for_gang(const Job& job, Basket& basket, Planner& plan, TimePoint now) const {
+void Scheduler::rent_for_gang(const Job& job, Basket& basket, Planner& plan, TimePoint now) const {
     const auto tasks = job.spec.tasks;
     if (within_limit(job, tasks) < tasks) return;
     const auto& ask = ask_of(job);
@@ -144,7 +144,7 @@
     }
 }
 
-std::vector<fleet::Order> Overseer::rent(TimePoint now) {
+std::vector<fleet::Order> Scheduler::rent(TimePoint now) {
     if (unsettled_ || !round_heard(now) || hearing(now).deaf()) return {};
     auto plan = planner(now);
     Basket basket;
@@ -209,15 +209,15 @@
     return out;
 }
 
-void Overseer::rented(const fleet::Pool& pool, const std::vector<std::string>& machines, TimePoint now) {
+void Scheduler::rented(const fleet::Pool& pool, const std::vector<std::string>& machines, TimePoint now) {
     ledger_.granted(pool);
     for (const auto& name : machines)
         if (!ledger_.gone(name)) ledger_.add(name, pool.type, pool.zone, pool.spot, now);
 }
 
-void Overseer::catalog(std::vector<wire::MachineType> types) { ledger_.set_types(std::move(types)); }
+void Scheduler::catalog(std::vector<wire::MachineType> types) { ledger_.set_types(std::move(types)); }
 
-void Overseer::listed(const std::vector<wire::ListedMachine>& machines, TimePoint now) {
+void Scheduler::listed(const std::vector<wire::ListedMachine>& machines, TimePoint now) {
     listed_at_ = now;
     for (const auto& l : machines) {
         // The list lags: what it still shows may be gone already, and then it must not come back.
@@ -236,7 +236,7 @@
             !names.contains(name) && now - m->known_since > wire::to_clock(settings_.list_lag * 3 + Seconds(2));
 }
 
-Hearing Overseer::hearing(TimePoint now) const {
+Hearing Scheduler::hearing(TimePoint now) const {
     Hearing out;
     for (const auto& [name, m] : ledger_.all()) {
         if (m->releasing || m->unlisted || m->listed_failed || (!m->reported && m->tasks.empty())) continue;
@@ -249,7 +249,7 @@
 // A zone that is cut off falls silent as a whole, and that shows before the first of its machines has been silent for
 // long: in half a report interval half of them should report. Single machines, or many that died, change that share
 // little.
-std::vector<bool> Overseer::quiet_zones(TimePoint now) const {
+std::vector<bool> Scheduler::quiet_zones(TimePoint now) const {
     struct Count {
         std::size_t expected = 0, heard = 0;
     };
@@ -270,18 +270,19 @@
 // Cancelled work must be gone in time, whatever else is out of reach: a machine that hangs does not even end it when
 // its lease has run out. After half of the time it is given up once it has missed three reports, and where the time is
 // nearly over, for a leader that came late, as soon as its report is overdue.
-bool Overseer::must_go(const Machine& m, Seconds unheard, TimePoint now) const {
+bool Scheduler::must_go(const Machine& m, Seconds unheard, TimePoint now) const {
     if (unheard <= overdue()) return false;
     for (const auto& [uid, i] : m.tasks) {
         const auto* j = job(uid);
         if (!j || !j->cancelled) continue;
-        if (unheard > settings_.report * 3 && now > after(j->cancelled_at, give_up_silent_after(settings_))) return true;
+        if (unheard > settings_.report * 3 && now > after(j->cancelled_at, give_up_silent_after(settings_)))
+            return true;
         if (now > after(j->cancelled_at, settings_.cancel - settings_.report * 1.25 - Seconds(5))) return true;
     }
     return false;
 }
 
-std::vector<Release> Overseer::release(TimePoint now) const {
+std::vector<Release> Scheduler::release(TimePoint now) const {
     // Many machines silent at once more likely means that this controller is cut off than that all have died.
     std::map<bool, std::pair<int, int>> silent;  // by spot: silent, all
     for (const auto& [name, m] : ledger_.all()) {
@@ -343,7 +344,7 @@
     return out;
 }
 
-void Overseer::releasing(const std::vector<Release>& machines) {
+void Scheduler::releasing(const std::vector<Release>& machines) {
     for (const auto& [name, why] : machines) {
         auto* m = ledger_.find(name);
         if (!m || m->releasing) continue;
@@ -353,12 +354,12 @@
     }
 }
 
-void Overseer::stood_still(wire::Clock::duration gap) {
+void Scheduler::stood_still(wire::Clock::duration gap) {
     since_ += gap;
     for (auto& [name, m] : ledger_.all()) m->last_report += gap;
 }
 
-void Overseer::released(const std::vector<std::string>& machines, TimePoint now) {
+void Scheduler::released(const std::vector<std::string>& machines, TimePoint now) {
     for (const auto& name : machines) {
         auto* m = ledger_.find(name);
         if (!m) continue;
@@ -367,4 +368,4 @@
     }
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/overseer_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -1,12 +1,12 @@
-// What the overseer moves to a better place, and which machines it lets run empty.
+// What the scheduler moves to a better place, and which machines it lets run empty.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cmath>
 
-#include "agent/overseer.hpp"
+#include "scheduler/scheduler.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 using placement::JobHosts;
 using placement::Planner;
@@ -20,7 +20,7 @@
 constexpr int max_retiring = 3;      // machines emptied at a time
 }  // namespace
 
-JobHosts Overseer::hosts_without(const Job& job, std::uint32_t task) const {
+JobHosts Scheduler::hosts_without(const Job& job, std::uint32_t task) const {
     auto hosts = hosts_of(job);
     const auto& m = *job.tasks[task].machine;
     --hosts.per_zone[m.row.zone];
@@ -29,7 +29,7 @@
     return hosts;
 }
 
-void Overseer::start_move(const Job& job, std::uint32_t task, placement::Id to, TimePoint now) {
+void Scheduler::start_move(const Job& job, std::uint32_t task, placement::Id to, TimePoint now) {
     spdlog::debug("event=move task={}/{} from={} to={}", job.spec.uid, task, job.tasks[task].machine->name,
                   ledger_.at(to)->name);
     find(job.spec.uid)->tasks[task].draining = true;
@@ -37,7 +37,7 @@
 }
 
 // A task that moves starts at its goal as soon as it is gone from where it was; until then its room is kept.
-void Overseer::finish_moves(Planner& plan, TimePoint now, bool& any) {
+void Scheduler::finish_moves(Planner& plan, TimePoint now, bool& any) {
     std::erase_if(moves_, [&](const Move& move) {
         auto* job = find(move.uid);
         if (!job || job->cancelled || job->finished || now > move.until) return true;
@@ -59,7 +59,7 @@
 }
 
 // A task that still waits for its image starts sooner on a machine that has got it meanwhile.
-void Overseer::move_fetching(Planner& plan, TimePoint now) {
+void Scheduler::move_fetching(Planner& plan, TimePoint now) {
     for (auto& [uid, job] : jobs_) {
         if (!job->is(Shape::service) || job->cancelled || job->finished || job->placed <= job->running) continue;
         for (std::uint32_t i = 0; i < job->spec.tasks; ++i) {
@@ -80,7 +80,7 @@
 }
 
 // The machine whose services pay most for their slots and would all find a place, with their image, on others.
-Machine* Overseer::sparsest(Planner& plan, TimePoint now) {
+Machine* Scheduler::sparsest(Planner& plan, TimePoint now) {
     Machine* worst = nullptr;
     double worst_price = 0;
     for (auto& [name, m] : ledger_.all()) {
@@ -110,7 +110,7 @@
 }
 
 // Where all tasks of a machine could go at once, their room taken from the plan; empty if one of them could not.
-std::vector<placement::Id> Overseer::rehouse(const Machine& m, Planner& plan) const {
+std::vector<placement::Id> Scheduler::rehouse(const Machine& m, Planner& plan) const {
     std::vector<placement::Id> out;
     for (const auto& [uid, i] : m.tasks) {
         const auto* j = job(uid);
@@ -124,7 +124,7 @@
 }
 
 // When load has fallen, a machine that only a few services keep costs more than moving them does.
-void Overseer::consolidate(Planner& plan, TimePoint now) {
+void Scheduler::consolidate(Planner& plan, TimePoint now) {
     if (!moves_.empty() || now < after(short_at_, calm)) return;
     for (int k = 0; k < max_retiring; ++k) {
         auto* m = sparsest(plan, now);
@@ -138,7 +138,7 @@
     }
 }
 
-void Overseer::improve(TimePoint now) {
+void Scheduler::improve(TimePoint now) {
     if (unsettled_) return;
     if (!round_heard(now)) return;
     unpark(now);
@@ -155,7 +155,7 @@
 // The least loaded machine takes the next task, so that in a large fleet none ever gets empty by itself, however little
 // there is to do. Where more room has been spare for a while than the ups and downs of the load need (which in a fleet
 // of n go by the root of n), the dearest of what is spare gets no new work and goes when it is empty.
-void Overseer::shrink(TimePoint now) {
+void Scheduler::shrink(TimePoint now) {
     if (unsettled_) return;
     if (now < after(no_room_at_, calm)) {
         spare_since_ = now;
@@ -208,8 +208,8 @@
 }
 
 // Room is wanted again.
-void Overseer::uncordon() {
+void Scheduler::uncordon() {
     for (auto& [name, m] : ledger_.all()) m->cordoned = false;
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/overseer_place.cpp
+++ b/src/scheduler/scheduler_place.cpp
@@ -1,12 +1,12 @@
-// What the overseer places where, and which tasks it stops for that.
+// What the scheduler places where, and which tasks it stops for that.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <cmath>
 
-#include "agent/overseer.hpp"
+#include "scheduler/scheduler.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 using namespace std::chrono_literals;
 using placement::Host;
@@ -24,12 +24,12 @@
 constexpr double nearly_all = 0.95;  // of the machines with work, that a new leader wants to have heard
 }  // namespace
 
-bool Overseer::usable(const Machine& m, TimePoint now) const {
+bool Scheduler::usable(const Machine& m, TimePoint now) const {
     return m.reported && !m.releasing && !m.retiring && !m.cordoned && !m.suspect && !m.taken_at && !m.listed_failed &&
            now - m.last_report < wire::to_clock(settings_.report * quiet_reports);
 }
 
-const placement::Ask& Overseer::ask_of(const Job& job) const {
+const placement::Ask& Scheduler::ask_of(const Job& job) const {
     // Pools become known as machines of theirs appear.
     if (job.ask.pools.size() != ledger_.directory().pools().size() || !job.ask.spec)
         job.ask = placement::make_ask(job.spec, rules_, ledger_.directory());
@@ -37,7 +37,7 @@
     return job.ask;
 }
 
-JobHosts Overseer::hosts_of(const Job& job) const {
+JobHosts Scheduler::hosts_of(const Job& job) const {
     JobHosts out;
     if (job.placed)
         for (const auto& t : job.tasks)
@@ -54,7 +54,7 @@
     return out;
 }
 
-std::vector<Job*> Overseer::queue(TimePoint now, bool eligible_only) {
+std::vector<Job*> Scheduler::queue(TimePoint now, bool eligible_only) {
     std::vector<std::pair<placement::Waiting, Job*>> waiting;
     const bool guarantees = teams_.any_guarantee();
     for (auto& [uid, job] : jobs_) {
@@ -78,7 +78,7 @@
     return out;
 }
 
-Planner Overseer::planner(TimePoint now) const {
+Planner Scheduler::planner(TimePoint now) const {
     std::vector<Host> hosts;
     for (const auto& [name, m] : ledger_.all())
         if (usable(*m, now) && (!unsettled_ || heard(*m))) hosts.push_back(m->row);
@@ -86,11 +86,11 @@
 }
 
 // How many of so many tasks the team's limit leaves room for. All tasks that may be on a machine count.
-std::uint32_t Overseer::within_limit(const Job& job, std::uint32_t tasks) const {
+std::uint32_t Scheduler::within_limit(const Job& job, std::uint32_t tasks) const {
     return teams_.room(job.spec.team, job.spec.need, tasks);
 }
 
-std::uint32_t Overseer::take_waiting(Job& job) {
+std::uint32_t Scheduler::take_waiting(Job& job) {
     while (!job.again.empty()) {
         const auto i = job.again.front();
         job.again.pop_front();
@@ -100,7 +100,7 @@
     return job.fresh++;
 }
 
-void Overseer::place_gang(Job& job, Planner& plan, TimePoint now, bool& any) {
+void Scheduler::place_gang(Job& job, Planner& plan, TimePoint now, bool& any) {
     const auto& ask = ask_of(job);
     if (job.placed > 0) {
         // Tasks of an attempt that is ending must all be gone before the next one starts. Until an attempt has
@@ -143,7 +143,7 @@
     any = true;
 }
 
-void Overseer::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
+void Scheduler::place_each(Job& job, Planner& plan, TimePoint now, bool& any) {
     const auto& ask = ask_of(job);
     auto hosts = hosts_of(job);
     auto most = within_limit(job, std::min(job.waiting(), max_planned_tasks));
@@ -180,12 +180,12 @@
 
 // An array that may use spot machines leaves the others, for half of its time, to gangs that may not and found no room:
 // those would be rented room at several times the price, while arrays hold the machines that suit them.
-bool Overseer::leaves_ordinary(const Job& job, TimePoint now) const {
+bool Scheduler::leaves_ordinary(const Job& job, TimePoint now) const {
     return gangs_wait_ && job.spec.spot && job.is(Shape::array) && job.rank <= Rank::normal &&
            now - job.arrived < wire::to_clock(target_of(job.spec) * 0.5);
 }
 
-placement::Ask Overseer::at_least(const Job& job, unsigned slots) const {
+placement::Ask Scheduler::at_least(const Job& job, unsigned slots) const {
     auto ask = ask_of(job);
     const auto& pools = ledger_.directory().pools();
     for (std::size_t i = 0; i < ask.pools.size(); ++i)
@@ -197,7 +197,7 @@
 
 // A new leader hears one round of reports first: until then it does not know the load. If no work was on record
 // when it began, there is no load to hear of.
-bool Overseer::round_heard(TimePoint now) const {
+bool Scheduler::round_heard(TimePoint now) const {
     if (unsettled_ && !all_listed()) return false;
     if (!inherited_ || now >= after(since_, settings_.report * 1.25 + 500ms)) return true;
     // Workers hurry to a higher term. Some are gone for good, and the rest need not wait for those.
@@ -209,9 +209,9 @@
     return heard >= working * nearly_all;
 }
 
-std::vector<TaskKey> Overseer::victims(const Job& job, const Machine& m, Host& host, const Planner& plan,
-                                       const JobHosts& hosts, const std::vector<TaskKey>& spared, TimePoint now,
-                                       Seconds& loss) const {
+std::vector<TaskKey> Scheduler::victims(const Job& job, const Machine& m, Host& host, const Planner& plan,
+                                        const JobHosts& hosts, const std::vector<TaskKey>& spared, TimePoint now,
+                                        Seconds& loss) const {
     const auto& ask = ask_of(job);
     std::vector<std::pair<Seconds, TaskKey>> stoppable;
     for (const auto& key : m.tasks) {
@@ -239,7 +239,7 @@
 }
 
 // Whether tasks of arrays of a lower rank than that are placed anywhere.
-bool Overseer::lower_arrays(Rank rank) const {
+bool Scheduler::lower_arrays(Rank rank) const {
     for (std::size_t r = 0; r < static_cast<std::size_t>(rank); ++r)
         if (array_tasks_[r] > 0) return true;
     return false;
@@ -247,7 +247,7 @@
 
 // Within a team by rank. What one team is guaranteed gives way to no other, and other teams' work beyond their own
 // guarantee gives way to it, of whatever rank.
-bool Overseer::gives_way(const Job& other, const Job& job) const {
+bool Scheduler::gives_way(const Job& other, const Job& job) const {
     if (other.spec.team != job.spec.team) {
         if (guaranteed(other)) return false;
         if (guaranteed(job)) return true;
@@ -256,7 +256,7 @@
 }
 
 // What is being stopped already, by team.
-std::map<std::string, quota::Amount> Overseer::stopping() const {
+std::map<std::string, quota::Amount> Scheduler::stopping() const {
     std::map<std::string, quota::Amount> out;
     for (const auto& [name, m] : ledger_.all())
         for (const auto& [uid, i] : m->tasks)
@@ -268,7 +268,7 @@
     return out;
 }
 
-void Overseer::stop_for(const Job& job, const std::vector<TaskKey>& tasks) {
+void Scheduler::stop_for(const Job& job, const std::vector<TaskKey>& tasks) {
     std::map<std::string, quota::Amount> on_the_way;
     if (guaranteed(job)) on_the_way = stopping();
     for (const auto& [uid, i] : tasks) {
@@ -288,7 +288,7 @@
 // Makes room for tasks that found none: stops tasks of arrays of lower rank, where that loses the least work, until all
 // that waits would fit; of a gang all or nothing. What is stopped can never do the same in turn, so this cannot go on
 // in circles. Without it a guest's idle tasks, on for minutes, keep gangs from machines whose accelerators lie idle.
-void Overseer::preempt(Job& job, const Planner& plan, TimePoint now) {
+void Scheduler::preempt(Job& job, const Planner& plan, TimePoint now) {
     if (now < job.preempt_again || job.doubtful() || !(lower_arrays(job.rank) || guaranteed(job))) return;
     const bool together = job.is(Shape::gang);
     if (together && (job.gang_failing || job.gang_started)) return;
@@ -347,8 +347,8 @@
 
 // How many tasks of a critical service wait for room that is being made on machines that have its image. Where there is
 // room now the image may take minutes; to stop a task of an array that saves costs seconds.
-std::uint32_t Overseer::room_with_image(Job& job, const Planner& plan, const JobHosts& hosts, std::uint32_t tasks,
-                                        TimePoint now) {
+std::uint32_t Scheduler::room_with_image(Job& job, const Planner& plan, const JobHosts& hosts, std::uint32_t tasks,
+                                         TimePoint now) {
     if (job.rank != Rank::critical || !job.is(Shape::service) || tasks == 0) return 0;
     const auto& ask = ask_of(job);
     const auto at = plan.peek(ask, hosts);
@@ -379,7 +379,7 @@
     return static_cast<std::uint32_t>(rooms.size());
 }
 
-bool Overseer::place(TimePoint now) {
+bool Scheduler::place(TimePoint now) {
     mark_due(now);
     if (unsettled_ && all_heard()) {
         spdlog::info("event=settled term={} seconds={:.1f}", term_, Seconds(now - since_).count());
@@ -414,4 +414,4 @@
     return any;
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/agent/overseer_records.cpp
+++ b/src/scheduler/scheduler_records.cpp
@@ -1,12 +1,12 @@
-// What the overseer puts on record.
+// What the scheduler puts on record.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-#include "agent/overseer.hpp"
 #include "election/elector.hpp"
+#include "scheduler/scheduler.hpp"
 
-namespace flintdale::agent {
+namespace flintdale::scheduler {
 
 using namespace std::chrono_literals;
 
@@ -17,13 +17,13 @@
 constexpr std::chrono::seconds try_again{10};  // after which a rejected record is tried again
 }  // namespace
 
-struct Overseer::Found {
+struct Scheduler::Found {
     std::vector<std::pair<WorkKey, const state::Item*>> records;
 };
 
 // --- what is on record ---
 
-void Overseer::load(const std::vector<state::Item>& work, TimePoint now, std::int64_t at) {
+void Scheduler::load(const std::vector<state::Item>& work, TimePoint now, std::int64_t at) {
     std::map<std::string, Found> found;
     for (const auto& item : work)
         if (auto key = parse_work_key(item.key)) found[key->uid].records.emplace_back(std::move(*key), &item);
@@ -40,7 +40,7 @@
     }
 }
 
-void Overseer::recover(const std::string& uid, Found& found, TimePoint now, std::int64_t at) {
+void Scheduler::recover(const std::string& uid, Found& found, TimePoint now, std::int64_t at) {
     auto& records = found.records;
     const auto is_first = [](const auto& r) { return r.first.first(); };
     if (std::none_of(records.begin(), records.end(), is_first)) {
@@ -96,7 +96,7 @@
     need(*job, job->fresh ? std::vector<std::string>{} : job->spec.prerequisites, now);
 }
 
-bool Overseer::older_than(const state::Item& item, const std::function<bool(const std::string&)>& over) const {
+bool Scheduler::older_than(const state::Item& item, const std::function<bool(const std::string&)>& over) const {
     const auto key = parse_work_key(item.key);
     const auto* tasks = key && item.value.is_object() ? item.value.get_object().if_contains("tasks") : nullptr;
     // Our own writes are seen here as well, those of jobs that are over and forgotten included.
@@ -115,7 +115,7 @@
 }
 
 // The new job that this record completes, if it does.
-Job* Overseer::assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering) {
+Job* Scheduler::assembled(const WorkKey& key, const state::Item& item, TimePoint now, bool recovering) {
     const auto& o = item.value.as_object();
     if (find(key.uid) || (!key.first() && !key.piece)) return nullptr;
     Cut cut;
@@ -150,7 +150,7 @@
     return &job;
 }
 
-bool Overseer::job_changed(const state::Item& item, TimePoint now, std::int64_t wall) {
+bool Scheduler::job_changed(const state::Item& item, TimePoint now, std::int64_t wall) {
     if (!item.stamp || !item.value.is_object()) return false;
     try {
         if (item.key.starts_with(work_prefix)) {
@@ -185,14 +185,14 @@
     return false;
 }
 
-bool Overseer::cancelled_elsewhere(const std::string& uid, TimePoint now) {
+bool Scheduler::cancelled_elsewhere(const std::string& uid, TimePoint now) {
     auto* job = find(uid);
     if (!job || job->cancelled || job->finished) return false;
     cancel(*job, now);
     return true;
 }
 
-void Overseer::ended(const std::string& uid, TimePoint now, Seconds ago) {
+void Scheduler::ended(const std::string& uid, TimePoint now, Seconds ago) {
     if (auto* job = find(uid); job && !job->finished) {
         prerequisites_.over_somehow(uid);
         cancel(*job, now - wire::to_clock(ago));
@@ -201,7 +201,7 @@
 
 // --- prerequisites ---
 
-void Overseer::need(Job& job, const std::vector<std::string>& prerequisites, TimePoint now) {
+void Scheduler::need(Job& job, const std::vector<std::string>& prerequisites, TimePoint now) {
     const auto& uid = job.spec.uid;
     const auto news = prerequisites_.opened(uid, job.spec.rank, prerequisites);
     job.rank = prerequisites_.rank(uid);
@@ -210,7 +210,7 @@
     take_in(news, now);
 }
 
-bool Overseer::take_in(const Prerequisites::News& news, TimePoint now) {
+bool Scheduler::take_in(const Prerequisites::News& news, TimePoint now) {
     for (const auto& uid : news.ready) {
         auto* job = find(uid);
         if (!job) continue;
@@ -233,7 +233,7 @@
     return !news.ready.empty() || !news.doomed.empty();
 }
 
-std::vector<std::string> Overseer::missing() const {
+std::vector<std::string> Scheduler::missing() const {
     std::vector<std::string> out;
     for (const auto& uid : prerequisites_.unknown()) out.push_back(outcome_key(uid));
     for (const auto& [uid, cut] : cut_)
@@ -249,12 +249,12 @@
 
 // --- what has to be put there ---
 
-boost::json::object Overseer::outcome(const Job& job, wire::JobState state, std::int64_t at) const {
+boost::json::object Scheduler::outcome(const Job& job, wire::JobState state, std::int64_t at) const {
     const auto spec = wire::spec_to_record(job.spec);
     return outcome_record(form_, state, at, &spec, {job.spec.shape, job.spec.tasks});
 }
 
-std::vector<std::pair<std::uint32_t, boost::json::object>> Overseer::changed_records(Job& job) {
+std::vector<std::pair<std::uint32_t, boost::json::object>> Scheduler::changed_records(Job& job) {
     std::vector<std::pair<std::uint32_t, boost::json::object>> out;
     for (std::uint32_t c = 0; c < job.chunks.size(); ++c) {
         if (job.chunks[c].durable >= job.chunks[c].changed) continue;
@@ -269,7 +269,7 @@
     return out;
 }
 
-Batch Overseer::next_batch(std::size_t most, std::int64_t at) {
+Batch Scheduler::next_batch(std::size_t most, std::int64_t at) {
     Batch batch;
     most = std::clamp<std::size_t>(most, 2, form_.limits().txn_ops);
     if (singles_ > 0) {
@@ -331,7 +331,7 @@
 
 // The job is over and none of its tasks is anywhere. Workers that still show one are told to clear it. Its records may
 // stay for a while: what reads them looks for an outcome as well.
-void Overseer::forget(const std::string& uid) {
+void Scheduler::forget(const std::string& uid) {
     // The first record goes last: as long as it is there, the others are known to be somebody's.
     auto& job = *find(uid);
     job.use_pages(job.page);
@@ -341,7 +341,7 @@
     jobs_.erase(uid);
 }
 
-state::Txn Overseer::leftovers(std::size_t most) {
+state::Txn Scheduler::leftovers(std::size_t most) {
     state::Txn txn;
     most = std::min(most, form_.limits().txn_ops);
     for (; !leftovers_.empty() && txn.changes.size() < most; leftovers_.pop_back()) {
@@ -353,12 +353,12 @@
     return txn;
 }
 
-void Overseer::keep_leftovers(const state::Txn& txn) {
+void Scheduler::keep_leftovers(const state::Txn& txn) {
     for (std::size_t i = 0; i < txn.changes.size(); ++i)
         leftovers_.emplace_back(txn.conditions[i].key, txn.conditions[i].stamp);
 }
 
-bool Overseer::committed(const Batch& batch, std::uint64_t revision, TimePoint now) {
+bool Scheduler::committed(const Batch& batch, std::uint64_t revision, TimePoint now) {
     bool ready = false;
     for (const auto& p : batch.parts) {
         auto* job = find(p.uid);
@@ -387,7 +387,7 @@
 
 // One record that is never taken must not stop all others: each is tried alone, and the one at fault is cut smaller, or
 // left for a while.
-void Overseer::rejected(const Batch& batch, TimePoint now) {
+void Scheduler::rejected(const Batch& batch, TimePoint now) {
     if (batch.parts.size() > 1) {
         singles_ = batch.parts.size();
         for (auto p = batch.parts.rbegin(); p != batch.parts.rend(); ++p) mark_urgent(p->uid);
@@ -406,7 +406,7 @@
     }
 }
 
-void Overseer::reread(const state::Item& item, TimePoint now) {
+void Scheduler::reread(const state::Item& item, TimePoint now) {
     if (const auto key = parse_work_key(item.key)) {
         auto* job = find(key->uid);
         if (job && !key->piece && key->page == job->page && key->chunk < job->chunks.size())
@@ -416,8 +416,8 @@
     job_changed(item, now);
 }
 
-void Overseer::retry(const Batch& batch) {
+void Scheduler::retry(const Batch& batch) {
     for (const auto& p : batch.parts) mark_dirty(p.uid);
 }
 
-}  // namespace flintdale::agent
+}  // namespace flintdale::scheduler
--- a/src/state/form.hpp
+++ b/src/state/form.hpp
@@ -45,7 +45,7 @@
         return true;
     }
 
-    // That a transaction on jobs may hold beside the one on the witness.
+    // That a transaction on jobs may hold beside the one on the marker.
     std::size_t conditions() const { return limits_.txn_ops * 4 - 1; }
 
     // Whether such a value is taken. The service may print what it keeps with spaces and longer numbers.
--- a/src/state/witness.cpp
+++ b/src/state/generation_marker.cpp
@@ -1,4 +1,4 @@
-#include "state/witness.hpp"
+#include "state/generation_marker.hpp"
 
 #include <array>
 
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-boost::json::object witness_record(const Witness& w) {
+boost::json::object marker_record(const GenerationMarker& w) {
     json::object o{{"generation", w.generation}, {"id", w.id}, {"phase", phases[static_cast<std::size_t>(w.phase)]}};
     if (!w.missing.empty()) o["missing"] = json::array(w.missing.begin(), w.missing.end());
     if (w.term) o["term"] = w.term;
@@ -41,10 +41,10 @@
     return o;
 }
 
-std::optional<Witness> parse_witness(const Item& item) {
+std::optional<GenerationMarker> parse_marker(const Item& item) {
     if (!item.stamp || !item.value.is_object()) return std::nullopt;
     const auto& o = item.value.get_object();
-    Witness w;
+    GenerationMarker w;
     w.generation = number(o, "generation");
     w.id = text(o, "id");
     w.by = text(o, "by");
@@ -63,7 +63,7 @@
     const auto phase = text(o, "phase");
     for (std::size_t i = 0; i < phases.size(); ++i)
         if (phase == phases[i]) {
-            w.phase = static_cast<Witness::Phase>(i);
+            w.phase = static_cast<GenerationMarker::Phase>(i);
             return w.generation ? std::optional(w) : std::nullopt;
         }
     return std::nullopt;
--- a/src/state/witness.hpp
+++ b/src/state/generation_marker.hpp
@@ -1,5 +1,5 @@
-// The witness: one key that stands for the history of what the state service keeps. Whoever answers users or writes
-// records of jobs does so on the condition that the witness is still the one it knows, so that after a loss nobody goes
+// The marker: one key that stands for the history of what the state service keeps. Whoever answers users or writes
+// records of jobs does so on the condition that the marker is still the one it knows, so that after a loss nobody goes
 // on as if what is missing had never been. docs/rebuilding.md has the argument.
 #pragma once
 #include <optional>
@@ -10,9 +10,9 @@
 
 namespace flintdale::state {
 
-inline constexpr const char* witness_key = "recovery/witness";
+inline constexpr const char* marker_key = "recovery/witness";
 
-struct Witness {
+struct GenerationMarker {
     enum class Phase : std::uint8_t {
         whole,      // the records are what they should be
         merging,    // data were lost: what everybody remembers is gathered, and nobody answers or writes
@@ -34,8 +34,8 @@
     bool whole() const { return phase == Phase::whole; }
 };
 
-boost::json::object witness_record(const Witness& witness);
-// Nothing if the key is absent or is no witness.
-std::optional<Witness> parse_witness(const Item& item);
+boost::json::object marker_record(const GenerationMarker& marker);
+// Nothing if the key is absent or is no marker.
+std::optional<GenerationMarker> parse_marker(const Item& item);
 
 }  // namespace flintdale::state
--- a/src/state/guarded_store.cpp
+++ b/src/state/guarded_store.cpp
@@ -2,23 +2,23 @@
 
 #include <algorithm>
 
-#include "state/witness.hpp"
+#include "state/generation_marker.hpp"
 
 namespace flintdale::state {
 
 GuardedStore::GuardedStore(Store& inner, std::string guarded_prefix, Events events)
     : inner_(inner), prefix_(std::move(guarded_prefix)), events_(std::move(events)) {}
 
-void GuardedStore::open(std::uint64_t witness_stamp) {
-    if (witness_stamp == witness_stamp_) return;
-    witness_stamp_ = witness_stamp;
-    newest_ = witness_stamp;
+void GuardedStore::open(std::uint64_t marker_stamp) {
+    if (marker_stamp == marker_stamp_) return;
+    marker_stamp_ = marker_stamp;
+    newest_ = marker_stamp;
     ++opening_;
 }
 
 void GuardedStore::close() {
-    if (!witness_stamp_) return;
-    witness_stamp_ = 0;
+    if (!marker_stamp_) return;
+    marker_stamp_ = 0;
     ++opening_;
 }
 
@@ -116,23 +116,23 @@
         co_return r;
     }
     if (guarded) {
-        Condition witness;
-        witness.key = witness_key;
-        witness.stamp = witness_stamp_;
-        txn.conditions.push_back(std::move(witness));
+        Condition marker;
+        marker.key = marker_key;
+        marker.stamp = marker_stamp_;
+        txn.conditions.push_back(std::move(marker));
         changes = txn.changes;
     }
     const auto conditions = expected.empty() ? std::vector<Condition>() : txn.conditions;
     r = co_await inner_.commit(std::move(txn), urgency);
     if (r.outcome != Outcome::ok && r.outcome != Outcome::conflict) co_return r;
     const bool other =
-        r.outcome == Outcome::conflict && std::find(r.failed.begin(), r.failed.end(), witness_key) != r.failed.end();
+        r.outcome == Outcome::conflict && std::find(r.failed.begin(), r.failed.end(), marker_key) != r.failed.end();
     if (!guarded) {
         sound(sent, r.revision);
         co_return r;
     }
     if (other) {
-        if (sent.opening == opening_) doubt("its witness is another");
+        if (sent.opening == opening_) doubt("its marker is another");
         r.outcome = Outcome::refused;
     } else if (!sound(sent, r.revision)) {
         // It was carried out, but by a service that is not what it was: whoever asked must not take it for an answer.
--- a/src/state/guarded_store.hpp
+++ b/src/state/guarded_store.hpp
@@ -1,6 +1,6 @@
 // The state service for everybody who relies on what it keeps. Transactions on guarded keys are conditioned on the
-// witness, and every answer's revision is held against those seen before: a service that lost data shows a lower one,
-// or another witness, or none. Then the guarded keys are closed, users are told to come back, and the keeper
+// marker, and every answer's revision is held against those seen before: a service that lost data shows a lower one,
+// or another marker, or none. Then the guarded keys are closed, users are told to come back, and the keeper
 // (recovery::Keeper) finds out what happened.
 // What is remembered of a guarded key when a request is sent holds for its answer: one that shows the key absent, or
 // older, is not passed on, and the keeper looks at that key again. What becomes known while a request is under way is
@@ -28,14 +28,14 @@
     };
     GuardedStore(Store& inner, std::string guarded_prefix, Events events);
 
-    // The witness has that stamp, and the records are whole.
-    void open(std::uint64_t witness_stamp);
+    // The marker has that stamp, and the records are whole.
+    void open(std::uint64_t marker_stamp);
     void close();
-    bool is_open() const { return witness_stamp_ != 0; }
+    bool is_open() const { return marker_stamp_ != 0; }
 
     awaitable<GetResult> get(std::string key, Urgency urgency) override;
     awaitable<RangeResult> range(std::string prefix, std::string after, Urgency urgency) override;
-    // On guarded keys: `refused` while closed, or if the witness was another, in which case nothing was carried out; or
+    // On guarded keys: `refused` while closed, or if the marker was another, in which case nothing was carried out; or
     // if its conditions held though one of them cannot, in which case there was nothing to carry out. Changes on a
     // condition that cannot hold by what is remembered are not sent: `conflict`.
     awaitable<TxnResult> commit(Txn txn, Urgency urgency) override;
@@ -64,9 +64,9 @@
     Store& inner_;
     std::string prefix_;
     Events events_;
-    std::uint64_t witness_stamp_ = 0;  // 0: closed
-    std::uint64_t opening_ = 0;        // counts openings and closings
-    std::uint64_t newest_ = 0;         // revision seen since the opening
+    std::uint64_t marker_stamp_ = 0;  // 0: closed
+    std::uint64_t opening_ = 0;       // counts openings and closings
+    std::uint64_t newest_ = 0;        // revision seen since the opening
 };
 
 }  // namespace flintdale::state
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -1,9 +1,9 @@
 // What controllers tell each other of cancellations, and until when a leader may go by it.
 #include "peer/cancellations.hpp"
 
-#include "agent/caretaker.hpp"
-#include "agent/lease_rule.hpp"
 #include "peer/link.hpp"
+#include "scheduler/follower_leases.hpp"
+#include "scheduler/lease_rule.hpp"
 #include "world.hpp"
 
 namespace flintdale::test {
@@ -14,7 +14,7 @@
 struct Three : ::testing::Test {
     struct One {
         config::Settings settings;
-        std::uint64_t life = 1;
+        std::uint64_t incarnation = 1;
         std::unique_ptr<peer::Cancellations> knows;
         std::set<std::string> heard_of;
     };
@@ -33,13 +33,13 @@
         }
     }
     peer::Word say(const std::string& who) { return all[who].knows->say(now); }
-    void hear(const std::string& who, const std::string& from, std::uint64_t life, const peer::Word& word) {
+    void hear(const std::string& who, const std::string& from, std::uint64_t incarnation, const peer::Word& word) {
         auto& one = all[who];
         for (const auto& uid : word.lately)
             if (one.knows->note(uid, now)) one.heard_of.insert(uid);
-        one.knows->heard(from, life, one.life, word, now);
+        one.knows->heard(from, incarnation, one.incarnation, word, now);
     }
-    void tell(const std::string& from, const std::string& to) { hear(to, from, all[from].life, say(from)); }
+    void tell(const std::string& from, const std::string& to) { hear(to, from, all[from].incarnation, say(from)); }
     // Everybody hears everybody, each second.
     void talk(int seconds) {
         for (; seconds > 0; --seconds, now += 1s)
@@ -49,7 +49,7 @@
     }
     void back(const std::string& who) {  // it ended, and is back at once
         auto& one = all[who];
-        ++one.life;
+        ++one.incarnation;
         one.knows = std::make_unique<peer::Cancellations>(one.settings);
     }
     TimePoint known(TimePoint looked) { return all["a"].knows->known_at(looked, now); }
@@ -74,7 +74,7 @@
     back("b");
     talk(30);
     EXPECT_EQ(known(looked), looked);
-    // Once the records have been read again, nothing depends on that life any more.
+    // Once the records have been read again, nothing depends on that incarnation any more.
     const auto again = now;
     talk(20);
     EXPECT_GT(known(again), again + 15s);
@@ -95,7 +95,7 @@
     const auto held = say("b");
     const auto then = now;
     for (int i = 0; i < 40; ++i, now += 1s) tell("a", "c"), tell("c", "a"), tell("a", "b");
-    hear("a", "b", all["b"].life, held);
+    hear("a", "b", all["b"].incarnation, held);
     EXPECT_LE(known(looked), then);
 }
 
@@ -113,8 +113,8 @@
     back("a");
     const auto looked = now;
     for (int i = 0; i < 5; ++i, now += 1s) say("a");
-    hear("a", "b", all["b"].life, to_former);
-    hear("a", "c", all["c"].life, say("c"));
+    hear("a", "b", all["b"].incarnation, to_former);
+    hear("a", "c", all["c"].incarnation, say("c"));
     EXPECT_EQ(known(looked), looked);
 }
 
@@ -170,7 +170,7 @@
     EXPECT_EQ(there.word.lately, std::vector<std::string>{"run-1"});
     ASSERT_EQ(there.word.heard.size(), 2u);
     EXPECT_EQ(there.word.heard[0].member, "a");
-    EXPECT_EQ(there.word.heard[0].life, 1u);
+    EXPECT_EQ(there.word.heard[0].incarnation, 1u);
     EXPECT_EQ(there.word.heard[0].number, b.word.heard[0].number);
 }
 
@@ -192,7 +192,7 @@
     ASSERT_EQ(w.machine_of("run-1", 0), m.name);
     // Told here; the machine hangs from now on.
     state::Item outcome;
-    outcome.key = agent::outcome_key("run-1");
+    outcome.key = scheduler::outcome_key("run-1");
     outcome.stamp = 1'000'000;
     outcome.value = boost::json::object{{"state", "aborted"}, {"at", w.wall_ms}, {"shape", "standing"}, {"shards", 1}};
     const auto told = w.now;
@@ -203,7 +203,7 @@
     // For that reason, the only one that counts in an outage.
     for (; w.now < told + wire::to_clock(w.settings.cancel * 2) && given_up == TimePoint::max(); w.pass(Seconds(1)))
         for (const auto& r : w.leader->release(w.now))
-            if (r.why == agent::cancelled_work) given_up = w.now;
+            if (r.why == scheduler::cancelled_work) given_up = w.now;
     EXPECT_LT(given_up, told + wire::to_clock(w.settings.cancel) - 5s);
 }
 
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -7,9 +7,9 @@
 class FakeStore : public state::Store {
   public:
     Keys keys;
-    bool refuse = false;   // an outage, or a refusal of this controller alone
-    int lose_answers = 0;  // so many transactions are carried out, but their answers are lost
-    int stall = 0;         // so many transactions are carried out, and their answers never come
+    bool refuse = false;         // an outage, or a refusal of this controller alone
+    int lose_answers = 0;        // so many transactions are carried out, but their answers are lost
+    int stall = 0;               // so many transactions are carried out, and their answers never come
     std::string refuse_changes;  // with this prefix, as under a limit on writes
     int commits = 0, gets = 0;
     std::optional<state::FollowResult> tell;  // what the next watch is told
--- a/tests/fencer_test.cpp
+++ b/tests/fencer_test.cpp
@@ -14,9 +14,7 @@
 struct FencerStory : ::testing::Test, cloud::Cloud, worker::Workers {
     TimePoint now{std::chrono::seconds(1000)};
     const bool emulated = (wire::Clock::emulated = &now) != nullptr;
-    FencerStory() {
-        net::asio::co_spawn(io, fencer.run(), net::asio::detached);
-    }
+    FencerStory() { net::asio::co_spawn(io, fencer.run(), net::asio::detached); }
     ~FencerStory() override { wire::Clock::emulated = nullptr; }
 
     net::asio::io_context io;
