--- a/tests/format_test.cpp
+++ b/tests/format_test.cpp
@@ -63,7 +63,7 @@
         const auto* j = reader.leader->job("run-1");
         if (!j) return out;
         for (const auto& t : j->tasks)
-            out.push_back(t.state == agent::Task::State::done ? "done" : t.machine ? t.machine->name : "");
+            out.push_back(t.state == scheduler::Task::State::done ? "done" : t.machine ? t.machine->name : "");
         return out;
     }
 };
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -1,6 +1,6 @@
 // What one leader leaves to the next, and who looks after workers while there is none.
-#include "agent/caretaker.hpp"
-#include "agent/notebook.hpp"
+#include "scheduler/follower_leases.hpp"
+#include "scheduler/handover_hints.hpp"
 #include "world.hpp"
 
 namespace flintdale::test {
@@ -35,7 +35,7 @@
 }
 
 state::Item outcome(const std::string& uid, const char* state) {
-    return {agent::outcome_key(uid), boost::json::object{{"state", state}}, 1};
+    return {scheduler::outcome_key(uid), boost::json::object{{"state", state}}, 1};
 }
 
 wire::WorkerReport with_task(const std::string& uid) {
@@ -61,24 +61,24 @@
     return w.place();
 }
 
-// A caretaker that has watched for as long as it must, at `now`.
+// A follower that has watched for as long as it must, at `now`.
 struct Watching : ::testing::Test {
     config::Settings settings = test::settings();  // lease 18 s, cancellations 48 s
-    agent::Caretaker caretaker{settings};
+    scheduler::FollowerLeases follower{settings};
     TimePoint now{1000s};
     void watch(Seconds s) {
         for (; s.count() > 0; s -= Seconds(1)) {
             now += 1s;
-            caretaker.watched({}, now);
+            follower.watched({}, now);
         }
     }
     void SetUp() override {
-        caretaker.lost_track(now);
+        follower.lost_track(now);
         watch(settings.cancel);
     }
     std::optional<std::vector<Order>> asked_twice(const wire::WorkerReport& r) {
-        EXPECT_FALSE(caretaker.answer(r, now)) << "it may reach the leader, and is sent there first";
-        return caretaker.answer(r, now);
+        EXPECT_FALSE(follower.answer(r, now)) << "it may reach the leader, and is sent there first";
+        return follower.answer(r, now);
     }
 };
 
@@ -133,7 +133,7 @@
     auto settings = test::settings();
     settings.limits.value_bytes = 2048;
     const state::Form form(settings);
-    agent::Notebook book(form);
+    scheduler::HandoverHints book(form);
     auto notes = many_notes(1500);
     const auto pages = book.pages(notes);
     ASSERT_GT(pages.size(), 2u);
@@ -144,7 +144,7 @@
     EXPECT_TRUE(book.pages(notes).empty());
     notes.back().suspect = !notes.back().suspect;
     EXPECT_EQ(book.pages(notes).size(), 1u);
-    agent::Notebook next(form);
+    scheduler::HandoverHints next(form);
     EXPECT_EQ(next.read(as_items(pages)).size(), 1500u);
     notes.resize(3);
     const auto fewer = next.pages(notes);
@@ -155,10 +155,10 @@
 TEST(Notes, one_page_that_cannot_be_read_spoils_no_other) {
     auto settings = test::settings();
     const state::Form form(settings);
-    auto items = as_items(agent::Notebook(form).pages(many_notes(600)));
+    auto items = as_items(scheduler::HandoverHints(form).pages(many_notes(600)));
     ASSERT_GE(items.size(), 2u);
     items.front().value = 7;
-    EXPECT_FALSE(agent::Notebook(form).read(items).empty());
+    EXPECT_FALSE(scheduler::HandoverHints(form).read(items).empty());
 }
 
 // After each hand-over tasks were placed as if no machine held any image, and fetched for a minute or two what lay on
@@ -222,9 +222,9 @@
     w.elect();
     EXPECT_EQ(w.leader->job("run-1")->arrived, w.now) << "where the time of day is not told";
     for (const std::int64_t at : {w.wall_ms + 90'000, w.wall_ms - 5'000}) {
-        Overseer next(w.settings, w.tunables, w.form, 99, 1, w.now);
+        Scheduler next(w.settings, w.tunables, w.form, 99, 1, w.now);
         next.catalog(types());
-        next.load(w.keys.range(agent::work_prefix), w.now, at);
+        next.load(w.keys.range(scheduler::work_prefix), w.now, at);
         const auto waited = w.now - next.job("run-1")->arrived;
         EXPECT_EQ(waited, at > w.wall_ms ? wire::Clock::duration(90s) : wire::Clock::duration(0))
             << "a clock that runs behind makes nobody older";
@@ -278,13 +278,13 @@
 }
 
 TEST_F(Watching, cancelled_work_is_stopped) {
-    caretaker.watched({outcome("run-1", "aborted"), outcome("run-2", "done")}, now);
+    follower.watched({outcome("run-1", "aborted"), outcome("run-2", "done")}, now);
     const auto orders = asked_twice(with_task("run-1"));
     ASSERT_TRUE(orders);
     ASSERT_EQ(orders->size(), 1u);
     EXPECT_EQ(orders->at(0).verb, Verb::kill);
     EXPECT_EQ(orders->at(0).attempt, 3u);
-    EXPECT_TRUE(caretaker.answer(with_task("run-2"), now)->empty());
+    EXPECT_TRUE(follower.answer(with_task("run-2"), now)->empty());
 }
 
 // Whoever's task is cancelled elsewhere after the last look must see it gone within cancel_s: the lease that the last
@@ -293,23 +293,23 @@
     const auto looked = now;
     TimePoint last{};
     for (; now < looked + wire::to_clock(settings.cancel); now += 500ms)
-        if (caretaker.answer(with_task("run-1"), now)) last = now;
+        if (follower.answer(with_task("run-1"), now)) last = now;
     ASSERT_GT(last, looked);
     EXPECT_LT(last + wire::to_clock(settings.lease), looked + wire::to_clock(settings.cancel));
 }
 
 TEST_F(Watching, what_was_cancelled_before_it_watched_may_still_run_so_it_waits) {
-    caretaker.lost_track(now);
+    follower.lost_track(now);
     watch(settings.cancel - Seconds(1));
     EXPECT_FALSE(asked_twice(with_task("run-1")));
     watch(Seconds(1));
-    EXPECT_TRUE(caretaker.answer(with_task("run-1"), now));
+    EXPECT_TRUE(follower.answer(with_task("run-1"), now));
 }
 
 TEST_F(Watching, who_was_here_long_ago_is_sent_to_the_leader_again) {
     ASSERT_TRUE(asked_twice(with_task("run-1")));
     watch(Seconds(30));
-    EXPECT_FALSE(caretaker.answer(with_task("run-1"), now));
+    EXPECT_FALSE(follower.answer(with_task("run-1"), now));
 }
 
 // A cut zone's machines were returned one by one before a third of their kind was overdue, images and all.
--- a/tests/lives_test.cpp
+++ b/tests/incarnations_test.cpp
@@ -1,5 +1,5 @@
-// A process that is back before anybody noticed: what its former life left behind is not taken for its own.
-#include "peer/lives.hpp"
+// A process that is back before anybody noticed: what its former incarnation left behind is not taken for its own.
+#include "peer/incarnations.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,27 +9,27 @@
 
 namespace flintdale::test {
 
-using From = peer::Lives::From;
+using From = peer::Incarnations::From;
 
 TEST(LivesStory, a_message_that_was_held_does_not_speak_for_the_life_after_it) {
-    peer::Lives lives;
-    EXPECT_EQ(lives.heard("one", 70, 1), From::next);
-    EXPECT_EQ(lives.heard("one", 70, 1), From::present);
-    EXPECT_EQ(lives.heard("one", 65, 4), From::next)
+    peer::Incarnations incarnations;
+    EXPECT_EQ(incarnations.heard("one", 70, 1), From::next);
+    EXPECT_EQ(incarnations.heard("one", 70, 1), From::present);
+    EXPECT_EQ(incarnations.heard("one", 65, 4), From::next)
         << "the clock may have wandered back: what counts is the connection";
-    EXPECT_EQ(lives.heard("one", 70, 1), From::former);
-    EXPECT_EQ(lives.heard("one", 65, 6), From::present) << "it has dialled again";
-    EXPECT_EQ(lives.heard("one", 70, 3), From::former);
-    EXPECT_EQ(lives.heard("one", 65, 4), From::present) << "its own, held a little";
-    EXPECT_EQ(lives.heard("two", 0, 2), From::next) << "a version that does not tell";
-    EXPECT_EQ(lives.heard("two", 0, 5), From::present);
+    EXPECT_EQ(incarnations.heard("one", 70, 1), From::former);
+    EXPECT_EQ(incarnations.heard("one", 65, 6), From::present) << "it has dialled again";
+    EXPECT_EQ(incarnations.heard("one", 70, 3), From::former);
+    EXPECT_EQ(incarnations.heard("one", 65, 4), From::present) << "its own, held a little";
+    EXPECT_EQ(incarnations.heard("two", 0, 2), From::next) << "a version that does not tell";
+    EXPECT_EQ(incarnations.heard("two", 0, 5), From::present);
 }
 
 TEST(LivesStory, a_life_travels_with_every_message) {
     peer::Beat beat;
     beat.member = "one";
-    beat.life = 1'700'000'000'000'123;
-    EXPECT_EQ(peer::decode(peer::encode(beat)).life, beat.life);
+    beat.incarnation = 1'700'000'000'000'123;
+    EXPECT_EQ(peer::decode(peer::encode(beat)).incarnation, beat.incarnation);
 }
 
 TEST(PortStory, a_port_that_is_taken_is_named_and_a_free_one_is_had) {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -179,7 +179,7 @@
 // Whoever is elected while the leader is refused has read nothing yet when the service goes away for all, and the old
 // leader gives way to the higher term: the leases are kept by what all have said.
 TEST(Meeting, a_leader_that_was_elected_and_has_read_nothing_yet_keeps_what_runs_through_the_outage) {
-    // Before it has looked at the witness, and while it reads.
+    // Before it has looked at the marker, and while it reads.
     for (const char* after : {"0.0", "0.02"}) {
         SCOPED_TRACE(after);
         const auto o = play(std::string(refused) + R"(
--- a/tests/prerequisites_test.cpp
+++ b/tests/prerequisites_test.cpp
@@ -1,5 +1,5 @@
 // Who waits for whom, and what follows.
-#include "agent/prerequisites.hpp"
+#include "scheduler/prerequisites.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 
 namespace flintdale::test {
 
-using agent::Prerequisites;
+using scheduler::Prerequisites;
 using wire::Rank;
 using Names = std::vector<std::string>;
 using Fate = Prerequisites::Fate;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -5,7 +5,7 @@
 #include <cstdlib>
 #include <fstream>
 
-#include "api/desk.hpp"
+#include "api/submission_service.hpp"
 #include "fake_store.hpp"
 #include "recovery/keeper.hpp"
 #include "wire/archive.hpp"
@@ -291,17 +291,17 @@
     EXPECT_THROW(wire::decode_archive_text("no page"), wire::BadBody);
 }
 
-TEST(ShelfStory, every_torn_prefix_of_a_snapshot_leaves_the_former_one) {
+TEST(SnapshotFileStory, every_torn_prefix_of_a_snapshot_leaves_the_former_one) {
     TemporaryDirectory dir;
-    recovery::Shelf shelf(dir.path);
-    EXPECT_FALSE(shelf.newest());
+    recovery::SnapshotFile snapshot_file(dir.path);
+    EXPECT_FALSE(snapshot_file.newest());
     auto one = source(1, 10, true, {{"jobs/work/run-1", {4, work(1)}}});
     auto two = source(1, 20, true, {{"jobs/work/run-1", {14, work(2)}}, {"jobs/over/run-2", {15, done}}});
-    ASSERT_TRUE(shelf.put(one));
-    ASSERT_TRUE(shelf.put(two));
-    EXPECT_EQ(shelf.newest()->records, two.records);
-    EXPECT_EQ(shelf.newest()->revision, 20u);
-    EXPECT_EQ(shelf.newest()->id, "history-1");
+    ASSERT_TRUE(snapshot_file.put(one));
+    ASSERT_TRUE(snapshot_file.put(two));
+    EXPECT_EQ(snapshot_file.newest()->records, two.records);
+    EXPECT_EQ(snapshot_file.newest()->revision, 20u);
+    EXPECT_EQ(snapshot_file.newest()->id, "history-1");
     std::vector<fs::path> files;
     for (const auto& entry : fs::directory_iterator(dir.path)) files.push_back(entry.path());
     std::sort(files.begin(), files.end());
@@ -310,23 +310,23 @@
     const std::string bytes{std::istreambuf_iterator<char>(in), {}};
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         std::ofstream(files[1], std::ios::binary | std::ios::trunc) << bytes.substr(0, n);
-        ASSERT_TRUE(shelf.newest());
-        EXPECT_EQ(shelf.newest()->records, one.records) << n;
+        ASSERT_TRUE(snapshot_file.newest());
+        EXPECT_EQ(snapshot_file.newest()->records, one.records) << n;
     }
     // A crash before the rename leaves a part, which is nobody's.
     std::ofstream(files[1], std::ios::binary | std::ios::trunc) << bytes;
     std::ofstream(dir.path / "00000000000000000009-00000000000000000001.records.part") << bytes;
-    EXPECT_EQ(shelf.newest()->records, two.records);
+    EXPECT_EQ(snapshot_file.newest()->records, two.records);
 }
 
-TEST(ShelfStory, two_generations_are_kept_and_a_directory_that_cannot_be_written_harms_nothing) {
+TEST(SnapshotFileStory, two_generations_are_kept_and_a_directory_that_cannot_be_written_harms_nothing) {
     TemporaryDirectory dir;
-    recovery::Shelf shelf(dir.path);
-    for (std::uint64_t n = 1; n <= 5; ++n) ASSERT_TRUE(shelf.put(source(n / 3, n, true, {})));
+    recovery::SnapshotFile snapshot_file(dir.path);
+    for (std::uint64_t n = 1; n <= 5; ++n) ASSERT_TRUE(snapshot_file.put(source(n / 3, n, true, {})));
     EXPECT_EQ(std::distance(fs::directory_iterator(dir.path), fs::directory_iterator()), 2);
-    EXPECT_EQ(shelf.newest()->revision, 5u);
+    EXPECT_EQ(snapshot_file.newest()->revision, 5u);
     std::ofstream(dir.path / "file") << "not a directory";
-    recovery::Shelf nowhere(dir.path / "file");
+    recovery::SnapshotFile nowhere(dir.path / "file");
     EXPECT_FALSE(nowhere.put(source(1, 1, true, {})));
     EXPECT_FALSE(nowhere.newest());
 }
@@ -367,12 +367,12 @@
         txn.conditions.push_back({key, 0});
         return run(store.commit(std::move(txn), state::Urgency::user));
     }
-    std::uint64_t make_witness() {
+    std::uint64_t make_marker() {
         state::Txn txn;
-        state::Witness w;
+        state::GenerationMarker w;
         w.generation = 1;
         w.id = "one";
-        txn.changes.push_back({state::witness_key, state::witness_record(w), 0});
+        txn.changes.push_back({state::marker_key, state::marker_record(w), 0});
         return inner.keys.commit(txn).revision;
     }
 };
@@ -389,28 +389,28 @@
     EXPECT_TRUE(doubts.empty());
 }
 
-TEST_F(GuardStory, under_another_witness_nothing_is_carried_out_and_the_guard_closes) {
-    store.open(make_witness());
+TEST_F(GuardStory, under_another_marker_nothing_is_carried_out_and_the_guard_closes) {
+    store.open(make_marker());
     EXPECT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
     EXPECT_EQ(written.at("jobs/work/run-1"), inner.keys.revision());
-    make_witness();
+    make_marker();
     EXPECT_EQ(put("jobs/work/run-2").outcome, Outcome::refused);
     EXPECT_EQ(inner.keys.get("jobs/work/run-2").stamp, 0u);
     EXPECT_FALSE(store.is_open());
     EXPECT_EQ(doubts.size(), 1u);
 }
 
-// The proof that a job was never accepted: the records of both keys are absent, and so is the witness.
+// The proof that a job was never accepted: the records of both keys are absent, and so is the marker.
 TEST_F(GuardStory, forgotten_a_wiped_service_does_not_prove_that_there_is_no_such_job) {
-    store.open(make_witness());
+    store.open(make_marker());
     ASSERT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
     inner.keys = Keys();
     EXPECT_EQ(ask("jobs/work/run-1").outcome, Outcome::refused);
     EXPECT_EQ(doubts.size(), 1u);
 }
 
-TEST_F(GuardStory, an_answer_under_a_lower_revision_is_no_answer_though_the_witness_is_the_same) {
-    store.open(make_witness());
+TEST_F(GuardStory, an_answer_under_a_lower_revision_is_no_answer_though_the_marker_is_the_same) {
+    store.open(make_marker());
     const auto copy = inner.keys;
     ASSERT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
     ASSERT_EQ(put("jobs/work/run-2").outcome, Outcome::ok);
@@ -422,7 +422,7 @@
 }
 
 TEST_F(GuardStory, no_alarm_by_conflicts_refusals_lost_answers_or_what_was_sent_before_the_opening) {
-    store.open(make_witness());
+    store.open(make_marker());
     ASSERT_EQ(put("jobs/work/run-1").outcome, Outcome::ok);
     EXPECT_EQ(put("jobs/work/run-1").outcome, Outcome::conflict);
     inner.refuse = true;
@@ -447,14 +447,14 @@
         {[this](const char* why) { doubts.push_back(why); }, [](const state::Change&, std::uint64_t) {},
          [this](const std::string& key) { return remembered[key]; },
          [](const std::string& key) {
-             const auto work = agent::parse_work_key(key);
-             return work ? agent::outcome_key(work->uid) : std::string();
+             const auto work = scheduler::parse_work_key(key);
+             return work ? scheduler::outcome_key(work->uid) : std::string();
          },
          [this](const std::string& key) { missed.push_back(key); }}};
     state::TxnResult neither(const std::string& uid, bool at_once = true) {
         state::Txn txn;
-        txn.conditions.push_back({agent::outcome_key(uid), 0});
-        txn.conditions.push_back({agent::work_key(uid, 0), 0});
+        txn.conditions.push_back({scheduler::outcome_key(uid), 0});
+        txn.conditions.push_back({scheduler::work_key(uid, 0), 0});
         if (at_once) return run(guard.commit(std::move(txn), state::Urgency::user));
         // The job is accepted elsewhere, and told here, after this was carried out and before its answer is here.
         state::TxnResult out;
@@ -462,11 +462,11 @@
                             [&](std::exception_ptr, state::TxnResult r) { out = std::move(r); });
         io.restart();
         io.run_one();
-        remembered[agent::work_key(uid, 0)] = inner.keys.revision() + 1;
+        remembered[scheduler::work_key(uid, 0)] = inner.keys.revision() + 1;
         io.run();
         return out;
     }
-    void SetUp() override { guard.open(make_witness()); }
+    void SetUp() override { guard.open(make_marker()); }
 };
 
 }  // namespace
@@ -603,7 +603,7 @@
         "jobs/",
         {[this](const char* why) { keeper.doubt(why); },
          [this](const state::Change& c, std::uint64_t revision) { keeper.written(c, revision); }}};
-    recovery::Keeper keeper{io.get_executor(), service, guarded, cluster, form, recovery::Shelf(""), links()};
+    recovery::Keeper keeper{io.get_executor(), service, guarded, cluster, form, recovery::SnapshotFile(""), links()};
 
     static recovery::Keeper::Links links() {
         recovery::Keeper::Links l;
@@ -613,7 +613,7 @@
         l.outcomes = [](const std::vector<state::Item>&, wire::TimePoint, recovery::Keeper::Links::Look) {};
         l.rebuilt = [] {};
         l.seen_term = [] { return std::uint64_t{0}; };
-        l.life = 1;
+        l.incarnation = 1;
         return l;
     }
     void pass(double seconds) {
@@ -653,11 +653,11 @@
     const auto revision = service.keys.revision();
     service.keys = Keys();
     while (service.keys.revision() < revision + 10) put("other", 1);
-    state::Witness w;
+    state::GenerationMarker w;
     w.generation = 2;
     w.id = "rebuilt";
     w.missing = {cluster.member};
-    put(state::witness_key, state::witness_record(w));
+    put(state::marker_key, state::marker_record(w));
     service.refuse_changes = "jobs/";
     pass(8);
     ASSERT_EQ(keeper.own_word().generation, 2u);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,7 +1,7 @@
 // A story for each rule that a day must not break: the danger, and that the guard holds.
 #include <algorithm>
 
-#include "agent/lease_rule.hpp"
+#include "scheduler/lease_rule.hpp"
 #include "world.hpp"
 
 namespace flintdale::test {
@@ -37,7 +37,7 @@
         for (auto* w : workers) beat(*w);
     }
     bool on_record(const std::string& uid, const std::string& machine) const {
-        return boost::json::serialize(keys.get(agent::work_key(uid, 0)).value).find(machine) != std::string::npos;
+        return boost::json::serialize(keys.get(scheduler::work_key(uid, 0)).value).find(machine) != std::string::npos;
     }
     static wire::JobSpec replica(const std::string& uid) {
         auto s = job(uid, Shape::service, 1);
@@ -308,9 +308,9 @@
 TEST_F(Story, ran_cancelled_a_leader_cut_off_from_the_state_service_falls_silent_in_time) {
     const auto known = now;
     const auto room = settings.cancel - settings.lease;  // a task dies a lease after the last answer
-    EXPECT_TRUE(agent::may_answer(settings, known + 10s, known));
-    EXPECT_FALSE(agent::may_answer(settings, known + wire::to_clock(room), known));
-    EXPECT_FALSE(agent::may_answer(settings, known + wire::to_clock(room - Seconds(3)), known));
+    EXPECT_TRUE(scheduler::may_answer(settings, known + 10s, known));
+    EXPECT_FALSE(scheduler::may_answer(settings, known + wire::to_clock(room), known));
+    EXPECT_FALSE(scheduler::may_answer(settings, known + wire::to_clock(room - Seconds(3)), known));
 }
 
 // Found by the lab: a machine hung, the state service was away, and the leader that came after the outage counted the
@@ -370,7 +370,7 @@
         EXPECT_LE(going.size(), 100u);
         if (!first && !going.empty()) first = now;
         for (const auto& r : going)
-            if (r.machine == last.name && r.why == agent::cancelled_work && !named) named = now;
+            if (r.machine == last.name && r.why == scheduler::cancelled_work && !named) named = now;
     }
     ASSERT_TRUE(first) << "the silent ones are to be returned as well";
     ASSERT_TRUE(named);
@@ -453,12 +453,12 @@
     pass(Seconds(settings.cancel * 0.6));
     auto going = leader->release(now);
     ASSERT_EQ(going.size(), 1u);
-    EXPECT_EQ(going[0].why, agent::cancelled_work);
+    EXPECT_EQ(going[0].why, scheduler::cancelled_work);
     leader->releasing(going);
     pass(2s);
     going = leader->release(now);
     ASSERT_EQ(going.size(), 1u);
-    EXPECT_EQ(going[0].why, agent::cancelled_work);
+    EXPECT_EQ(going[0].why, scheduler::cancelled_work);
 }
 
 // Nobody knows whether a machine with a notice is gone when it falls silent; it may as well hang.
@@ -472,7 +472,7 @@
     pass(Seconds(settings.cancel * 0.6));
     const auto going = leader->release(now);
     ASSERT_EQ(going.size(), 1u);
-    EXPECT_EQ(going[0].why, agent::cancelled_work);
+    EXPECT_EQ(going[0].why, scheduler::cancelled_work);
 }
 
 TEST_F(Story, not_done_a_job_is_done_only_when_its_last_task_is) {
@@ -598,7 +598,7 @@
 
 // Orders travel in answers only. Where a report makes room, its own answer may still carry the next run.
 TEST_F(Story, report_an_answer_that_waits_carries_what_was_placed_meanwhile_unless_a_newer_report_came) {
-    using Prospect = agent::Overseer::Prospect;
+    using Prospect = scheduler::Scheduler::Prospect;
     elect();
     start(job("run-1", Shape::array, 2), {&m1});  // fills the machine
     accept(job("run-2", Shape::array, 1));
--- a/tests/desk_test.cpp
+++ b/tests/submission_service_test.cpp
@@ -1,5 +1,5 @@
 // What users are told, by one controller and by another.
-#include "api/desk.hpp"
+#include "api/submission_service.hpp"
 
 #include "fake_store.hpp"
 
@@ -7,7 +7,7 @@
 
 namespace {
 
-struct DeskStory : ::testing::Test {
+struct SubmissionServiceStory : ::testing::Test {
     net::asio::io_context io;
     FakeStore store;
     config::Settings cluster = settings();
@@ -17,10 +17,10 @@
     std::map<std::string, state::Item> open_records;
     std::set<std::string> told_cancelled;
     state::Form form{cluster};
-    api::Desk one{io.get_executor(), store, cluster, form, links(), 100},
+    api::SubmissionService one{io.get_executor(), store, cluster, form, links(), 100},
         two{io.get_executor(), store, cluster, form, links(), 100};
 
-    api::Desk::Links links() {
+    api::SubmissionService::Links links() {
         return {[] { return std::int64_t{1000}; },
                 [this](const std::string& uid) { told_cancelled.insert(uid); },
                 [this] { return types_known ? &known : nullptr; },
@@ -70,8 +70,8 @@
             {"jobs/over/" + uid, boost::json::object{{"state", state}, {"shape", "array"}, {"shards", 1}}, 0});
         store.keys.commit(txn);
     }
-    std::string told(api::Desk& desk, const std::string& uid) {
-        const auto r = run(desk.poll(uid));
+    std::string told(api::SubmissionService& submissions, const std::string& uid) {
+        const auto r = run(submissions.poll(uid));
         return r.status == 200 ? std::string(boost::json::parse(r.body).at("status").as_string()) : "";
     }
     static std::string status_in(const net::Reply& r) {
@@ -88,13 +88,13 @@
 
 }  // namespace
 
-TEST_F(DeskStory, a_job_is_taken_once_whoever_is_asked) {
+TEST_F(SubmissionServiceStory, a_job_is_taken_once_whoever_is_asked) {
     EXPECT_EQ(run(one.submit(body("run-1"))).status, 201u);
     EXPECT_EQ(run(two.submit(body("run-1"))).status, 200u);
     EXPECT_EQ(run(two.poll("run-1")).status, 200u);
 }
 
-TEST_F(DeskStory, forgotten_a_known_job_stays_accepted_whatever_its_repetition_says) {
+TEST_F(SubmissionServiceStory, forgotten_a_known_job_stays_accepted_whatever_its_repetition_says) {
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     EXPECT_EQ(run(two.submit(body("run-1", "nobody"))).status, 200u);
     EXPECT_EQ(run(two.submit(body("run-1", "team", 0))).status, 200u);
@@ -103,7 +103,7 @@
     EXPECT_EQ(run(two.submit("{")).status, 400u);
 }
 
-TEST_F(DeskStory, a_submission_that_would_wait_long_is_refused_at_once_and_told_when_to_come_back) {
+TEST_F(SubmissionServiceStory, a_submission_that_would_wait_long_is_refused_at_once_and_told_when_to_come_back) {
     store.wait_for_writes = std::chrono::duration<double>(3.2);
     const auto refused = run(one.submit(body("run-1")));
     EXPECT_EQ(refused.status, 503u);
@@ -113,7 +113,7 @@
     EXPECT_EQ(run(one.submit(body("run-1"))).status, 201u);
 }
 
-TEST_F(DeskStory, what_can_never_run_is_told_apart_from_what_is_not_known_yet) {
+TEST_F(SubmissionServiceStory, what_can_never_run_is_told_apart_from_what_is_not_known_yet) {
     auto huge = body("run-1");
     huge.replace(huge.find("4.0"), 3, "999");
     EXPECT_EQ(run(one.submit(huge)).status, 422u);
@@ -125,7 +125,7 @@
 }
 
 // What can't run is never accepted, by any path: repeated, before the machine types are known, in an outage.
-TEST_F(DeskStory, what_can_not_run_or_lacks_a_field_is_accepted_by_no_path) {
+TEST_F(SubmissionServiceStory, what_can_not_run_or_lacks_a_field_is_accepted_by_no_path) {
     auto lacks = body("run-1"), nowhere = body("run-2"), torn = body("run-3", "team", 2);
     lacks.replace(lacks.find(R"("scatter":false,)"), 16, "");
     nowhere.replace(nowhere.find(R"("hall":null)"), 11, R"("hall":"z")");
@@ -146,7 +146,7 @@
     EXPECT_TRUE(store.keys.range("jobs/").empty());
 }
 
-TEST_F(DeskStory, an_accepted_answer_means_it_is_on_record_even_if_the_answer_was_lost) {
+TEST_F(SubmissionServiceStory, an_accepted_answer_means_it_is_on_record_even_if_the_answer_was_lost) {
     store.lose_answers = 1;
     EXPECT_EQ(run(one.submit(body("run-1"))).status, 200u);
     EXPECT_GT(store.keys.get("jobs/work/run-1").stamp, 0u);
@@ -154,13 +154,13 @@
     EXPECT_EQ(run(one.submit(body("run-2"))).status, 503u);
 }
 
-TEST_F(DeskStory, invented_an_unknown_job_is_not_found_and_malformed_ids_neither) {
+TEST_F(SubmissionServiceStory, invented_an_unknown_job_is_not_found_and_malformed_ids_neither) {
     EXPECT_EQ(run(one.poll("run-9")).status, 404u);
     EXPECT_EQ(run(one.poll("run-9/../x")).status, 404u);
     EXPECT_EQ(run(one.cancel("run-9")).status, 404u);
 }
 
-TEST_F(DeskStory, went_back_no_controller_answers_from_an_old_memory) {
+TEST_F(SubmissionServiceStory, went_back_no_controller_answers_from_an_old_memory) {
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     ASSERT_EQ(run(two.poll("run-1")).status, 200u);
     ASSERT_NE(run(one.cancel("run-1")).body.find("aborted"), std::string::npos);
@@ -168,7 +168,7 @@
     EXPECT_NE(run(two.submit(body("run-1"))).body.find("aborted"), std::string::npos);
 }
 
-TEST_F(DeskStory, in_an_outage_only_final_states_are_told) {
+TEST_F(SubmissionServiceStory, in_an_outage_only_final_states_are_told) {
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     ASSERT_EQ(run(one.submit(body("run-2"))).status, 201u);
     ASSERT_EQ(run(one.cancel("run-2")).status, 200u);
@@ -178,7 +178,7 @@
     EXPECT_EQ(run(one.cancel("run-1")).status, 503u);
 }
 
-TEST_F(DeskStory, polls_that_come_together_share_their_checks) {
+TEST_F(SubmissionServiceStory, polls_that_come_together_share_their_checks) {
     for (int i = 0; i < 20; ++i) ASSERT_EQ(run(one.submit(body("run-" + std::to_string(i)))).status, 201u);
     store.commits = 0;
     int good = 0;
@@ -191,7 +191,7 @@
     EXPECT_LE(store.commits, 2);
 }
 
-TEST_F(DeskStory, prerequisites_are_not_taken_before_all_controllers_can_read_them) {
+TEST_F(SubmissionServiceStory, prerequisites_are_not_taken_before_all_controllers_can_read_them) {
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     const auto r = run(one.submit(after("run-2", R"(["run-1"])")));
     EXPECT_EQ(r.status, 503u);
@@ -203,7 +203,7 @@
     EXPECT_EQ(run(one.submit(after("run-2", R"(["run-999"])"))).status, 200u) << "a repetition, whatever it names";
 }
 
-TEST_F(DeskStory, only_jobs_that_were_accepted_and_can_be_done_may_be_named) {
+TEST_F(SubmissionServiceStory, only_jobs_that_were_accepted_and_can_be_done_may_be_named) {
     form.all_read(state::newest_format);
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     auto service = body("run-2");
@@ -220,7 +220,7 @@
     EXPECT_EQ(run(two.submit(after("run-4", R"(["run-8"])"))).status, 503u) << "silence is no proof";
 }
 
-TEST_F(DeskStory, orphaned_whoever_is_asked_tells_aborted_as_soon_as_what_a_job_needs_is_cancelled) {
+TEST_F(SubmissionServiceStory, orphaned_whoever_is_asked_tells_aborted_as_soon_as_what_a_job_needs_is_cancelled) {
     form.all_read(state::newest_format);
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     ASSERT_EQ(run(one.submit(after("run-2", R"(["run-1"])"))).status, 201u);
@@ -234,7 +234,7 @@
     EXPECT_NE(run(one.cancel("run-3")).body.find("aborted"), std::string::npos);
 }
 
-TEST_F(DeskStory, a_job_whose_prerequisites_are_done_is_pending_like_any) {
+TEST_F(SubmissionServiceStory, a_job_whose_prerequisites_are_done_is_pending_like_any) {
     form.all_read(state::newest_format);
     ASSERT_EQ(run(one.submit(body("run-1"))).status, 201u);
     ASSERT_EQ(run(two.submit(after("run-2", R"(["run-1"])"))).status, 201u);
@@ -245,7 +245,7 @@
     EXPECT_EQ(told(one, "run-2"), "") << "what it needs is known to be done, but not whether it is open";
 }
 
-TEST_F(DeskStory, what_is_too_long_for_the_old_form_waits_and_what_can_never_be_kept_is_told_by_name) {
+TEST_F(SubmissionServiceStory, what_is_too_long_for_the_old_form_waits_and_what_can_never_be_kept_is_told_by_name) {
     std::string types = R"(["small")", names = R"(["run-1")";
     for (int i = 0; i < 200; ++i) {
         types += ",\"type-number-" + std::to_string(i) + '"';
@@ -274,8 +274,8 @@
 
 // What is known of jobs is a cache, and may be emptied of what somebody is just being answered by: accepted jobs were
 // answered with 404, for the look-up after the check found no entry (docs/incidents/cache-emptied-in-use.md).
-TEST_F(DeskStory, forgotten_a_cache_that_holds_fewer_jobs_than_are_asked_for_forgets_none) {
-    api::Desk small{io.get_executor(), store, cluster, form, links(), 1};
+TEST_F(SubmissionServiceStory, forgotten_a_cache_that_holds_fewer_jobs_than_are_asked_for_forgets_none) {
+    api::SubmissionService small{io.get_executor(), store, cluster, form, links(), 1};
     for (int i = 1; i <= 6; ++i) ASSERT_EQ(run(two.submit(body("run-" + std::to_string(i)))).status, 201u);
     end("run-5", "done");
     for (int round = 0; round < 3; ++round) {
@@ -293,9 +293,9 @@
 
 // That a job must be aborted, for one that it needs was cancelled, was told before it was on record, and lived in the
 // cache alone.
-TEST_F(DeskStory, went_back_aborted_by_what_it_needs_is_on_record_before_it_is_told) {
+TEST_F(SubmissionServiceStory, went_back_aborted_by_what_it_needs_is_on_record_before_it_is_told) {
     form.all_read(state::newest_format);
-    api::Desk small{io.get_executor(), store, cluster, form, links(), 1};
+    api::SubmissionService small{io.get_executor(), store, cluster, form, links(), 1};
     ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
     ASSERT_EQ(run(two.submit(after("run-2", R"(["run-1"])"))).status, 201u);
     ASSERT_EQ(run(two.submit(after("run-3", R"(["run-2"])"))).status, 201u);
@@ -312,7 +312,7 @@
 }
 
 // One comparison without an answer held back all questions that came after it, until their users had gone.
-TEST_F(DeskStory, forgotten_a_comparison_that_is_never_answered_holds_back_nobody_else) {
+TEST_F(SubmissionServiceStory, forgotten_a_comparison_that_is_never_answered_holds_back_nobody_else) {
     wire::TimePoint now{std::chrono::seconds(1000)};
     wire::Clock::emulated = &now;
     const auto began = now;
@@ -324,10 +324,10 @@
     }
     {
         net::asio::io_context emulated;
-        api::Desk desk{emulated.get_executor(), store, cluster, form, links(), 100};
+        api::SubmissionService submissions{emulated.get_executor(), store, cluster, form, links(), 100};
         std::map<std::string, std::pair<unsigned, wire::Seconds>> answers;
         const auto ask = [&](const std::string& uid) {
-            net::asio::co_spawn(emulated, desk.poll(uid), [&, uid](std::exception_ptr, net::Reply r) {
+            net::asio::co_spawn(emulated, submissions.poll(uid), [&, uid](std::exception_ptr, net::Reply r) {
                 answers[uid] = {r.status, now - began};
             });
             emulated.poll();
@@ -349,7 +349,7 @@
     wire::Clock::emulated = nullptr;
 }
 
-TEST_F(DeskStory, what_is_remembered_to_be_open_needs_one_comparison_and_no_reading) {
+TEST_F(SubmissionServiceStory, what_is_remembered_to_be_open_needs_one_comparison_and_no_reading) {
     ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
     open_records["run-1"] = store.keys.get("jobs/work/run-1");
     remembered["run-1"] = {};
@@ -361,7 +361,7 @@
 }
 
 // A poll and a cancellation cross: what is known by the time of the answer counts.
-TEST_F(DeskStory, went_back_a_question_that_was_under_way_when_the_job_ended_is_answered_by_its_end) {
+TEST_F(SubmissionServiceStory, went_back_a_question_that_was_under_way_when_the_job_ended_is_answered_by_its_end) {
     ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
     ASSERT_EQ(told(one, "run-1"), "pending");
     std::vector<net::awaitable<net::Reply>> calls;
@@ -378,7 +378,7 @@
     EXPECT_EQ(status_in(run(one.submit(body("run-1", "nobody")))), "aborted");
 }
 
-TEST_F(DeskStory, a_record_that_cannot_be_read_is_no_word_on_its_job_and_stops_nobody_else) {
+TEST_F(SubmissionServiceStory, a_record_that_cannot_be_read_is_no_word_on_its_job_and_stops_nobody_else) {
     ASSERT_EQ(run(two.submit(body("run-1"))).status, 201u);
     state::Txn txn;
     txn.changes.push_back({"jobs/work/run-2", boost::json::array{1, 2}, 0});
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "agent/job.hpp"
 #include "peer/link.hpp"
+#include "scheduler/job.hpp"
 #include "wire/json.hpp"
 
 namespace flintdale::test {
@@ -142,22 +142,22 @@
 }
 
 TEST(Wire, task_ranges_stay_within_a_value_at_their_worst) {
-    agent::Job job;
+    scheduler::Job job;
     job.spec.tasks = 100'000;
     job.spec.uid = "run-1";
     job.spec.team = job.spec.job_class = job.spec.image = "x";
     job.tasks.resize(job.spec.tasks);
-    agent::Machine a, b;
+    scheduler::Machine a, b;
     a.name = "n-123456789012";
     b.name = "n-123456789013";
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
-        job.tasks[i].state = agent::Task::State::placed;
+        job.tasks[i].state = scheduler::Task::State::placed;
         job.tasks[i].machine = i % 2 ? &a : &b;
         job.tasks[i].attempt = 100 + i % 3;
     }
-    const auto last = (job.spec.tasks - 1) / agent::chunk_tasks;
-    EXPECT_LT(boost::json::serialize(agent::work_record(job, last)).size(), 16u * 1024);
-    EXPECT_LT(boost::json::serialize(agent::work_record(job, 0)).size(), 16u * 1024);
+    const auto last = (job.spec.tasks - 1) / scheduler::chunk_tasks;
+    EXPECT_LT(boost::json::serialize(scheduler::work_record(job, last)).size(), 16u * 1024);
+    EXPECT_LT(boost::json::serialize(scheduler::work_record(job, 0)).size(), 16u * 1024);
 }
 
 TEST(Wire, peers_understand_each_other_and_refuse_nonsense) {
@@ -166,7 +166,7 @@
     b.leader = "two";
     b.term = 7;
     b.state_ok = true;
-    b.knocks = 12;
+    b.redirects = 12;
     b.format = 2;
     b.counts = {{"run-1", 3, 4}};
     const auto back = peer::decode(peer::encode(b));
@@ -174,7 +174,7 @@
     EXPECT_EQ(back.leader, "two");
     EXPECT_EQ(back.term, 7u);
     EXPECT_TRUE(back.state_ok);
-    EXPECT_EQ(back.knocks, 12u);
+    EXPECT_EQ(back.redirects, 12u);
     EXPECT_EQ(back.format, 2u);
     ASSERT_EQ(back.counts.size(), 1u);
     EXPECT_EQ(back.counts[0].running, 4u);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -173,25 +173,25 @@
     ++tenure;
 }
 
-Overseer& World::elect() {
+Scheduler& World::elect() {
     const auto old = keys.get(election::term_key);
     state::Txn txn;
     txn.conditions.push_back({election::term_key, old.stamp});
     txn.changes.push_back({election::term_key, boost::json::object{{"n", ++term}}, 0});
     const auto won = keys.commit(txn);
-    leader = std::make_unique<Overseer>(settings, tunables, form, term, won.revision, now);
+    leader = std::make_unique<Scheduler>(settings, tunables, form, term, won.revision, now);
     leader->catalog(types());
-    leader->load(keys.range(agent::work_prefix), now);
+    leader->load(keys.range(scheduler::work_prefix), now);
     for (const auto& uid : leader->open_jobs())
-        if (keys.get(agent::outcome_key(uid)).stamp) leader->ended(uid, now);
+        if (keys.get(scheduler::outcome_key(uid)).stamp) leader->ended(uid, now);
     return *leader;
 }
 
 void World::accept(const wire::JobSpec& spec) {
     state::Txn txn;
-    txn.conditions.push_back({agent::outcome_key(spec.uid), 0});
-    txn.conditions.push_back({agent::work_key(spec.uid, 0), 0});
-    txn.changes = agent::accepted_records(spec, form);
+    txn.conditions.push_back({scheduler::outcome_key(spec.uid), 0});
+    txn.conditions.push_back({scheduler::work_key(spec.uid, 0), 0});
+    txn.changes = scheduler::accepted_records(spec, form);
     ASSERT_EQ(keys.commit(txn).outcome, state::Outcome::ok);
     if (leader) tell(spec.uid);
 }
@@ -200,15 +200,16 @@
     const auto* job = leader->job(uid);
     const auto spec = job ? job->spec : wire::JobSpec{};
     const auto kept = wire::spec_to_record(spec);
-    const auto outcome = agent::outcome_record(form, wire::JobState::cancelled, 0, &kept, {spec.shape, spec.tasks});
+    const auto outcome = scheduler::outcome_record(form, wire::JobState::cancelled, 0, &kept, {spec.shape, spec.tasks});
     state::Txn txn;
-    txn.conditions.push_back({agent::outcome_key(uid), 0});
-    txn.changes.push_back({agent::outcome_key(uid), outcome, 0});
+    txn.conditions.push_back({scheduler::outcome_key(uid), 0});
+    txn.changes.push_back({scheduler::outcome_key(uid), outcome, 0});
     return keys.commit(txn).outcome == state::Outcome::ok;
 }
 
 void World::tell(const std::string& uid) {
-    for (const auto& key : {agent::work_key(uid, 0), agent::outcome_key(uid)}) leader->job_changed(keys.get(key), now);
+    for (const auto& key : {scheduler::work_key(uid, 0), scheduler::outcome_key(uid)})
+        leader->job_changed(keys.get(key), now);
 }
 
 std::vector<Order> World::beat(Worker& w, bool answer_arrives) {
@@ -270,14 +271,14 @@
 }
 
 std::string World::state_of(const std::string& uid) const {
-    const auto item = keys.get(agent::outcome_key(uid));
+    const auto item = keys.get(scheduler::outcome_key(uid));
     if (item.stamp) return std::string(item.value.as_object().at("state").as_string());
-    return keys.get(agent::work_key(uid, 0)).stamp ? "open" : "absent";
+    return keys.get(scheduler::work_key(uid, 0)).stamp ? "open" : "absent";
 }
 
 std::string World::machine_of(const std::string& uid, std::uint32_t task) const {
     const auto* j = leader->job(uid);
-    if (!j || j->tasks[task].state != agent::Task::State::placed) return "";
+    if (!j || j->tasks[task].state != scheduler::Task::State::placed) return "";
     return j->tasks[task].machine->name;
 }
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -5,13 +5,13 @@
 
 #include <map>
 
-#include "agent/overseer.hpp"
 #include "election/elector.hpp"
+#include "scheduler/scheduler.hpp"
 
 namespace flintdale::test {
 
 using namespace std::chrono_literals;
-using agent::Overseer;
+using scheduler::Scheduler;
 using wire::Order;
 using wire::Seconds;
 using wire::TaskStatus;
@@ -62,10 +62,10 @@
     TimePoint now{1000s};
     std::uint64_t term = 0;
     std::int64_t wall_ms = 1'000'000;  // the time of day
-    std::unique_ptr<Overseer> leader;
+    std::unique_ptr<Scheduler> leader;
 
     // A new leader: raises the term, loads what is on record, and hears nothing yet.
-    Overseer& elect();
+    Scheduler& elect();
     void accept(const wire::JobSpec& spec);  // as any controller does, and the leader learns of it
     bool cancel(const std::string& uid);     // likewise; false if it was too late
     void tell(const std::string& uid);       // the leader learns what is on record of the job
