flintdale_scale: real controllers with hollow workers, users, a state service and a cloud over real sockets

The daemon's own binary as N processes, thousands of workers a hollow process (emulator::Fleet behind net's client and server, each with its own address, connection and direct questions), emulator::Keys and emulator::Rentals behind HTTP with their limits, users through a load balancer's rule, counted links between controllers, and emulator::Checker over all processes in the order in which things happened. Sizes, files, memory and processes are checked before and while it runs; children are ended by id.

emulator::Events can go by the process's clock; Rentals is split out of Fleet; Fleet answers POST /commands. net::HttpClient can be bound to a source address and counts bytes, net::HttpServer counts too.

--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -16,15 +16,26 @@
     bool spot = false;
 };
 
-class Checker {
+// Hears what becomes of tasks on machines.
+class TaskObserver {
+  public:
+    virtual ~TaskObserver() = default;
+    virtual void arrives(const TaskName& task, const Place& place) = 0;  // it is on the machine: it has its image
+    virtual void leaves(const TaskName& task, const std::string& machine) = 0;
+    virtual void completed(const TaskName& task) = 0;
+    // The worker has an order to run it. Nothing depends on hearing this.
+    virtual void ordered(const TaskName&) {}
+};
+
+class Checker : public TaskObserver {
   public:
     Checker(Events& events, const config::Settings& settings) : events_(events), settings_(settings) {}
 
     // --- the truth ---
     void submitted(const wire::JobSpec& spec) { jobs_[spec.uid].spec = spec; }
-    void arrives(const TaskName& task, const Place& place);  // it is on the machine: it has its image
-    void leaves(const TaskName& task, const std::string& machine);
-    void completed(const TaskName& task) { jobs_[task.first].done.insert(task.second); }
+    void arrives(const TaskName& task, const Place& place) override;
+    void leaves(const TaskName& task, const std::string& machine) override;
+    void completed(const TaskName& task) override { jobs_[task.first].done.insert(task.second); }
     bool all_done(const std::string& uid) const;
     std::size_t ever(const std::string& uid) const;  // tasks that were on a machine at some time
     std::size_t on_now(const std::string& uid) const;
--- a/src/emulator/events.hpp
+++ b/src/emulator/events.hpp
@@ -1,4 +1,5 @@
-// Virtual time: what happens when, and the luck of a run. Everything of one world happens in one thread, in one order.
+// What happens when, and the luck of a run. Everything of one world happens in one thread, in one order. Time is
+// virtual, or is told from outside: by the process's clock, or by whoever replays what happened elsewhere.
 #pragma once
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
@@ -14,19 +15,26 @@
 
 class Events {
   public:
-    explicit Events(std::uint64_t seed) : luck_(seed) { wire::Clock::emulated = &now_; }
-    ~Events() { wire::Clock::emulated = nullptr; }
+    // A virtual time, in place of the process's clock.
+    explicit Events(std::uint64_t seed) : virtual_(true), luck_(seed) { wire::Clock::emulated = &now_; }
+    // A time that moves by advance_to() only. The process's clock is left alone.
+    Events(std::uint64_t seed, TimePoint start) : start_(start), now_(start), luck_(seed) {}
+    ~Events() {
+        if (virtual_) wire::Clock::emulated = nullptr;
+    }
     Events(const Events&) = delete;
     Events& operator=(const Events&) = delete;
 
     TimePoint now() const { return now_; }
-    Seconds since_start() const { return now_ - start; }
+    Seconds since_start() const { return now_ - start_; }
     void after(Seconds delay, std::function<void()> what) {
         queue_.push({now_ + wire::to_clock(delay), number_++, std::move(what)});
     }
     // Moves on, and lets happen what is due.
-    void advance(wire::Clock::duration step) {
-        now_ += step;
+    void advance(wire::Clock::duration step) { advance_to(now_ + step); }
+    // The same, up to that time; time does not go back.
+    void advance_to(TimePoint until) {
+        now_ = std::max(now_, until);
         while (!queue_.empty() && queue_.top().at <= now_) {
             auto what = std::move(const_cast<Event&>(queue_.top()).what);
             queue_.pop();
@@ -47,8 +55,9 @@
         std::function<void()> what;
         bool operator<(const Event& o) const { return std::tie(o.at, o.number) < std::tie(at, number); }
     };
-    static constexpr TimePoint start{std::chrono::seconds(1000)};
-    TimePoint now_ = start;
+    const bool virtual_ = false;
+    TimePoint start_{std::chrono::seconds(1000)};
+    TimePoint now_ = start_;
     std::uint64_t number_ = 0;
     std::priority_queue<Event> queue_;
     boost::random::mt19937_64 luck_;
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-constexpr Seconds least_gap{0.5};    // between two reports
-constexpr Seconds patience{4};       // of a worker
-constexpr double latest_copy = 1.5;  // leases that a copy of a report is late
-constexpr Seconds listed_dead{30};   // after which the list tells that a machine has died
+constexpr Seconds least_gap{0.5};        // between two reports
+constexpr Seconds patience{4};           // of a worker
+constexpr double latest_copy = 1.5;      // leases that a copy of a report is late
+constexpr double restart_leases = 1.05;  // leases that a worker is silent when it starts anew
 
 const char* name_of(TaskStatus s) {
     constexpr const char* names[] = {"pulling", "waiting", "running", "saving", "ended"};
@@ -29,87 +29,102 @@
     return names[static_cast<std::size_t>(c)];
 }
 
-// Machines have no addresses here but their names.
-std::string address_of(const std::string& name) { return name + ":9000"; }
+bool is_run(const json::value& order) { return order.as_object().at("verb").as_string() == "run"; }
+
+// Machines of the emulated world have no addresses but their names.
+constexpr const char* emulated_port = ":9000";
 
 }  // namespace
 
-Fleet::Fleet(Events& events, Checker& checker, const config::Settings& settings, const Scenario& scenario, Ask ask)
-    : events_(events), checker_(checker), settings_(settings), scenario_(scenario), ask_(std::move(ask)) {}
+Fleet::Fleet(Events& events, TaskObserver& observer, const config::Settings& settings, const Scenario& scenario,
+             Ask ask)
+    : events_(events),
+      observer_(observer),
+      settings_(settings),
+      scenario_(scenario),
+      ask_(std::move(ask)),
+      rentals_(events, settings, scenario,
+               [](const std::string& name, std::uint64_t) { return name + emulated_port; }) {}
 
 // --- the cloud ---
 
-Fleet::HostPtr Fleet::add(const wire::MachineType& type, const std::string& zone, bool spot, Seconds boots_in) {
+void Fleet::add(const Rented& rented, Seconds boots_in) {
     auto host = std::make_shared<Host>();
-    host->name = fmt::format("n-{:06}", ++names_);
-    host->type = &type;
-    host->zone = zone;
-    host->spot = spot;
-    host->rented = events_.now();
+    host->name = rented.name;
+    host->address = rented.address;
+    host->type = rented.type;
+    host->zone = rented.zone;
+    host->spot = rented.spot;
     hosts_[host->name] = host;
     events_.after(boots_in, [this, host] { comes_up(host); });
-    return host;
 }
 
 void Fleet::warm_up(std::size_t machines) {
     for (std::size_t i = 0; i < machines; ++i) {
         const auto& type = scenario_.types[i % scenario_.types.size()];
-        add(type, type.zones[i / scenario_.types.size() % type.zones.size()], false, Seconds(0));
+        add(rentals_.add(type, type.zones[i / scenario_.types.size() % type.zones.size()], false), Seconds(0));
     }
 }
 
 cloud::RentResult Fleet::rent(const std::string& request, const std::string& type, const std::string& zone, bool spot,
                               int count) {
-    cloud::RentResult r;
-    r.outcome = cloud::Rent::granted;
-    if (const auto it = requests_.find(request); it != requests_.end()) {
-        r.machines = it->second;
-        return r;
-    }
-    if (scenario_.capacity) {
-        const auto left = scenario_.capacity - std::min(scenario_.capacity, hosts_.size());
-        count = std::min(count, static_cast<int>(left));
-        if (count == 0) r.outcome = cloud::Rent::no_capacity;
-    }
-    for (const auto& t : scenario_.types)
-        if (t.name == type)
-            for (int i = 0; i < count; ++i)
-                r.machines.push_back(add(t, zone, spot, t.boot * events_.uniform(0.6, 1.5))->name);
-    if (r.outcome == cloud::Rent::granted) requests_[request] = r.machines;
-    return r;
+    auto granted = rentals_.rent(request, type, zone, spot, count);
+    for (const auto* rented : granted.fresh) add(*rented, rented->type->boot * events_.uniform(0.6, 1.5));
+    return std::move(granted.result);
 }
 
 void Fleet::release(const std::vector<std::string>& names) {
-    for (const auto& name : names)
+    for (const auto& name : names) {
+        rentals_.release(name);
         if (const auto it = hosts_.find(name); it != hosts_.end()) {
             drop_all(it->second);
             it->second->dead = true;
             hosts_.erase(it);
         }
+    }
 }
 
-std::vector<wire::ListedMachine> Fleet::list() const {
-    std::vector<wire::ListedMachine> out;
-    for (const auto& [name, h] : hosts_) {
-        const Seconds age = events_.now() - h->rented;
-        if (age < settings_.list_lag && age < events_.since_start()) continue;
-        const bool failed = h->dead && events_.now() - h->died > wire::to_clock(listed_dead);
-        out.push_back({name, address_of(name), h->type->name, h->zone, h->spot,
-                       failed  ? wire::MachineStatus::failed
-                       : h->up ? wire::MachineStatus::running
-                               : wire::MachineStatus::booting,
-                       age});
-    }
-    return out;
+std::vector<wire::ListedMachine> Fleet::list() const { return rentals_.list(); }
+
+// The machine, if a question reaches its worker now.
+Fleet::HostPtr Fleet::reached(const std::string& machine) const {
+    const auto it = hosts_.find(machine);
+    if (it == hosts_.end()) return nullptr;
+    const auto& h = *it->second;
+    const auto now = events_.now();
+    const bool silent = h.dead || !h.up || now < h.hangs_until || now < h.cut_until || now < h.deaf_until;
+    return silent ? nullptr : it->second;
 }
 
 std::optional<std::string> Fleet::status(const std::string& address) {
-    const auto it = hosts_.find(address.substr(0, address.find(':')));
-    if (it == hosts_.end()) return std::nullopt;
-    auto& h = *it->second;
-    const auto now = events_.now();
-    if (h.dead || !h.up || now < h.hangs_until || now < h.cut_until || now < h.deaf_until) return std::nullopt;
-    return body_of(h);
+    const auto host = reached(address.substr(0, address.find(':')));
+    if (!host) return std::nullopt;
+    return body_of(*host);
+}
+
+std::optional<net::Reply> Fleet::command(const std::string& machine, const std::string& body) {
+    const auto host = reached(machine);
+    if (!host) return std::nullopt;
+    net::Reply reply;
+    try {
+        const auto o = wire::parse_object(body);
+        const auto token = o.at("baton").to_number<std::uint64_t>();
+        const auto tenure = o.at("tenure").to_number<std::uint64_t>();
+        if (token < host->token || tenure != host->tenure) {
+            reply.status = 409;
+        } else {
+            host->changed = host->changed || token > host->token;
+            host->token = token;
+            obey(host, o.at("orders").as_array());
+        }
+    } catch (const std::exception& e) {
+        reply.status = 400;
+        reply.body = wire::error_body(e.what());
+        return reply;
+    }
+    if (host->changed) changed(host);
+    reply.body = body_of(*host);
+    return reply;
 }
 
 std::string Fleet::zone_of(const std::string& address) const {
@@ -124,6 +139,8 @@
     host->up = true;
     host->lease_from = events_.now();
     host->node = events_.pick(scenario_.members.size());
+    rentals_.came_up(host->name);
+    if (came_up) came_up(host->name);
     report(host);
     check_lease(host);
 }
@@ -152,7 +169,7 @@
         tasks.push_back(std::move(o));
     }
     return json::serialize(json::object{{"host", h.name},
-                                        {"endpoint", address_of(h.name)},
+                                        {"endpoint", h.address},
                                         {"hosttype", h.type->name},
                                         {"hall", h.zone},
                                         {"loaners", h.spot},
@@ -182,10 +199,10 @@
     }
     if (late_reports > 0 && events_.chance(late_reports))
         events_.after(Seconds(events_.uniform(2, settings_.lease.count() * latest_copy)),
-                      [this, node = h.node, zone = h.zone, request] {
-                          ask_(node, zone, request, patience, [](unsigned, const std::string&) {});
+                      [this, node = h.node, from = Origin{h.name, h.zone}, request] {
+                          ask_(node, from, request, patience, [](unsigned, const std::string&) {});
                       });
-    ask_(h.node, h.zone, std::move(request), patience,
+    ask_(h.node, {h.name, h.zone}, std::move(request), patience,
          [this, host, tenure, sent](unsigned status, const std::string& body) {
              answered(host, tenure, sent, status, body);
          });
@@ -225,7 +242,9 @@
         h.token = token;
         h.lease_from = std::max(h.lease_from, sent);
         last_answer[h.node] = events_.now();
-        obey(host, o.at("orders").as_array());
+        const auto& orders = o.at("orders").as_array();
+        if (answer_accepted) answer_accepted(token, std::any_of(orders.begin(), orders.end(), is_run));
+        obey(host, orders);
     }
     if (h.changed)
         changed(host);
@@ -243,6 +262,7 @@
         const std::string verb(o.at("verb").as_string());
         const auto it = host->tasks.find(name);
         if (verb == "run") {
+            observer_.ordered(name);
             run(host, name, attempt);
         } else if (it != host->tasks.end() && it->second.attempt == attempt) {
             const bool ended = it->second.status == TaskStatus::exited;
@@ -304,7 +324,7 @@
     }
     auto& job = jobs_[name.first];
     h.images.insert(job.spec.image);
-    checker_.arrives(name, {h.name, h.type->name, h.zone, h.spot});
+    observer_.arrives(name, {h.name, h.type->name, h.zone, h.spot});
     last_start = events_.now();
     if (job.done.contains(name.second)) {
         it->second.status = TaskStatus::running;
@@ -365,7 +385,7 @@
     if (all.size() < job.spec.tasks) return;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
         job.done.insert(i);
-        checker_.completed({name.first, i});
+        observer_.completed({name.first, i});
     }
     for (const auto& [other, task] : all) ends(other, task, Cause::done);
 }
@@ -377,11 +397,11 @@
     task.status = TaskStatus::exited;
     task.cause = cause;
     placement::take(host->used, job.spec.need);
-    if (was_there) checker_.leaves(name, host->name);
+    if (was_there) observer_.leaves(name, host->name);
     if (cause == Cause::stopped && was_there && job.spec.shape != Shape::service) stopped[name] = events_.now();
     if (cause == Cause::done) {
         ++finished;
-        if (job.done.insert(name.second).second) checker_.completed(name);
+        if (job.done.insert(name.second).second) observer_.completed(name);
     } else if (job.spec.shape == Shape::gang) {
         gang_member_gone(name, task.attempt);
     }
@@ -400,7 +420,7 @@
 void Fleet::drop_all(const HostPtr& host) {
     for (const auto& [name, t] : host->tasks) {
         if (t.status == TaskStatus::exited) continue;
-        if (t.status != TaskStatus::fetching) checker_.leaves(name, host->name);
+        if (t.status != TaskStatus::fetching) observer_.leaves(name, host->name);
         if (jobs_[name.first].spec.shape == Shape::gang) gang_member_gone(name, t.attempt);
     }
     host->tasks.clear();
@@ -432,11 +452,24 @@
 }
 
 void Fleet::die(double share) {
-    for (const auto& h : some(share)) {
-        drop_all(h);
-        h->dead = true;
-        h->died = events_.now();
-    }
+    for (const auto& h : some(share)) kill(h);
+}
+
+void Fleet::die(const std::string& machine) {
+    if (const auto it = hosts_.find(machine); it != hosts_.end()) kill(it->second);
+}
+
+void Fleet::kill(const HostPtr& host) {
+    drop_all(host);
+    host->dead = true;
+    rentals_.died(host->name);
+}
+
+void Fleet::restart(const std::string& machine) {
+    const auto it = hosts_.find(machine);
+    if (it == hosts_.end() || it->second->dead) return;
+    drop_all(it->second);
+    it->second->hangs_until = events_.now() + wire::to_clock(settings_.lease * restart_leases);
 }
 
 void Fleet::hang(double share, Seconds lasts) {
--- a/src/emulator/fleet.hpp
+++ b/src/emulator/fleet.hpp
@@ -7,22 +7,30 @@
 
 #include "cloud/client.hpp"
 #include "emulator/checker.hpp"
+#include "emulator/rentals.hpp"
 #include "emulator/scenario.hpp"
 #include "net/http_server.hpp"
 
 namespace flintdale::emulator {
 
+// Who sends a request to a controller: a worker. Users have neither.
+struct Origin {
+    std::string machine, zone;
+};
+
 // Sends a request to a controller; `done` gets its answer, or status 0 after the sender's patience.
-using Ask = std::function<void(std::size_t node, const std::string& zone, net::Request, Seconds patience,
-                               std::function<void(unsigned status, const std::string& body)> done)>;
+using Answered = std::function<void(unsigned status, const std::string& body)>;
+using Ask = std::function<void(std::size_t node, const Origin& from, net::Request, Seconds patience, Answered done)>;
 
 class Fleet {
   public:
-    Fleet(Events& events, Checker& checker, const config::Settings& settings, const Scenario& scenario, Ask ask);
+    Fleet(Events& events, TaskObserver& observer, const config::Settings& settings, const Scenario& scenario, Ask ask);
 
     // What the users uploaded: how long a task runs.
     void upload(const wire::JobSpec& spec, Seconds runs) { jobs_[spec.uid] = {spec, runs, {}}; }
     void warm_up(std::size_t machines);
+    // A machine that another process keeps the books of.
+    void add(const Rented& rented, Seconds boots_in);
 
     // --- the cloud ---
     bool down = false;
@@ -32,10 +40,19 @@
     std::vector<wire::ListedMachine> list() const;
     // The report of the worker at that address, asked for directly; nothing if the question does not reach it.
     std::optional<std::string> status(const std::string& address);
+    // What the worker of that machine answers to POST /commands; nothing if that does not reach it.
+    std::optional<net::Reply> command(const std::string& machine, const std::string& body);
+    // Tells of each answer that counted: its token, and whether it ordered a task to run.
+    std::function<void(std::uint64_t token, bool runs)> answer_accepted;
+    // Tells of each machine whose worker starts to report.
+    std::function<void(const std::string& machine)> came_up;
     std::string zone_of(const std::string& address) const;
 
     // --- troubles, of a share of the machines that are up ---
     void die(double share);
+    void die(const std::string& machine);
+    // The worker starts anew: what it held is gone, and it is silent until its lease has run out.
+    void restart(const std::string& machine);
     void hang(double share, Seconds lasts);
     void cut(double share, Seconds lasts);
     void deafen(double share, Seconds lasts);  // reports arrive, answers and direct questions do not
@@ -74,11 +91,11 @@
         std::uint64_t serial = 0;  // tells events of another run of it apart
     };
     struct Host {
-        std::string name;
+        std::string name, address;
         const wire::MachineType* type = nullptr;
         std::string zone;
         bool spot = false, up = false, dead = false, in_flight = false, changed = false;
-        TimePoint rented{}, died{}, lease_from{}, last_sent{}, hangs_until{}, cut_until{}, deaf_until{}, mute_until{};
+        TimePoint lease_from{}, last_sent{}, hangs_until{}, cut_until{}, deaf_until{}, mute_until{};
         std::uint64_t tenure = 1, tick = 0, token = 0, timer = 0;
         std::size_t node = 0;
         std::map<TaskName, Task> tasks;
@@ -92,7 +109,6 @@
     };
     using HostPtr = std::shared_ptr<Host>;
 
-    HostPtr add(const wire::MachineType& type, const std::string& zone, bool spot, Seconds boots_in);
     void comes_up(const HostPtr& host);
     void schedule_report(const HostPtr& host, Seconds in);
     void report(const HostPtr& host);
@@ -108,19 +124,21 @@
     void drop_all(const HostPtr& host);
     void changed(const HostPtr& host);
     std::string body_of(Host& host);
+    HostPtr reached(const std::string& machine) const;
+    void kill(const HostPtr& host);
     std::vector<std::pair<HostPtr, TaskName>> members(const std::string& uid, std::uint64_t attempt) const;
     std::vector<HostPtr> some(double share);
 
     Events& events_;
-    Checker& checker_;
+    TaskObserver& observer_;
     const config::Settings& settings_;
     const Scenario& scenario_;
     Ask ask_;
+    Rentals rentals_;
     std::map<std::string, HostPtr> hosts_;
-    std::map<std::string, std::vector<std::string>> requests_;
     std::map<std::string, Job> jobs_;
     std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> gangs_;  // uid, attempt -> hosts
-    std::uint64_t names_ = 0, serials_ = 0;
+    std::uint64_t serials_ = 0;
 };
 
 }  // namespace flintdale::emulator
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -5,6 +5,7 @@
 
 #include <cmath>
 
+#include "emulator/jobs.hpp"
 #include "state/generation_marker.hpp"
 
 namespace flintdale::emulator {
@@ -134,8 +135,8 @@
       keys_(events_),
       checker_(events_, settings_[0]),
       fleet_(events_, checker_, settings_[0], scenario,
-             [this](std::size_t node, const std::string& zone, net::Request r, Seconds patience, auto done) {
-                 ask(node, zone, std::move(r), patience, std::move(done));
+             [this](std::size_t node, const Origin& from, net::Request r, Seconds patience, auto done) {
+                 ask(node, from.zone, std::move(r), patience, std::move(done));
              }) {
     outcome_.seed = seed;
     tunables_.known_jobs = scenario.known_jobs;
@@ -230,10 +231,7 @@
 
 void World::new_job(const JobClass& c) {
     auto job = std::make_shared<UserJob>();
-    job->spec = c.like;
-    job->spec.uid = fmt::format("run-{:06}", (++uids_ * 7919) % 1'000'000);
-    job->spec.tasks = c.tasks_from + static_cast<std::uint32_t>(events_.pick(c.tasks_to - c.tasks_from + 1));
-    job->spec.image = c.like.image + std::to_string(events_.pick(3));
+    job->spec = new_job_spec(c, ++uids_, events_);
     job->submitted = job->no_room = events_.now();
     if (events_.chance(c.cancelled)) job->cancel_after = Seconds(events_.uniform(c.cancel_from, c.cancel_to));
     fleet_.upload(job->spec, Seconds(c.runs_s * events_.uniform(0.8, 1.2)));
@@ -245,7 +243,7 @@
 void World::submit(const std::shared_ptr<UserJob>& job, TimePoint until) {
     const auto asked = events_.now();
     const auto n = any_node();
-    ask(n, "", submission(job->spec), user_patience,
+    ask(n, "", submission_request(job->spec), user_patience,
         [this, job, until, asked, n](unsigned status, const std::string& text) {
             if (status == 200 || status == 201) {
                 job->accepted = true;
@@ -264,16 +262,6 @@
         });
 }
 
-net::Request World::submission(const wire::JobSpec& spec) const {
-    net::Request r;
-    r.verb = net::http::verb::post;
-    r.target = "/submissions";
-    auto body = wire::spec_to_record(spec);
-    body.erase("at");
-    r.body = json::serialize(body);
-    return r;
-}
-
 void World::submit_again(const std::shared_ptr<UserJob>& job) { again(job, 0); }
 
 // The same submission, or one that by itself would be refused: a job once accepted stays so, whatever its repetition
@@ -281,7 +269,7 @@
 void World::again(const std::shared_ptr<UserJob>& job, double unlike) {
     auto spec = job->spec;
     if (events_.chance(unlike)) spec.team = "nobody";
-    auto r = submission(spec);
+    auto r = submission_request(spec);
     if (events_.chance(unlike)) {
         auto body = json::parse(r.body).as_object();
         body.erase("guess_s");
@@ -350,7 +338,7 @@
     if (kind == 0) spec.need.cpus = 10'000;
     if (kind == 1) spec.zone = "nowhere";
     if (kind == 2) spec.types = {"unheard-of"};
-    auto r = submission(spec);
+    auto r = submission_request(spec);
     if (kind >= 3) {
         auto body = json::parse(r.body).as_object();
         const char* fields[] = {"jobclass", "owner", "shape", "shards", "cores", "bundle", "one_zone", "flush_s"};
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -90,7 +90,6 @@
     void cancel(const std::shared_ptr<UserJob>& job);
     void submit_again(const std::shared_ptr<UserJob>& job);
     void ask_of_nobody();
-    net::Request submission(const wire::JobSpec& spec) const;
     void again(const std::shared_ptr<UserJob>& job, double unlike);
     void cancel_now(const Trouble& t);
     void look_for_ends();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -7,12 +7,22 @@
 constexpr std::size_t most_answer = 64 * 1024 * 1024;  // a watch's answer has no limit of its own
 }  // namespace
 
-HttpClient::HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep)
-    : ex_(ex), endpoint_(asio::ip::make_address(host), port), host_(host + ":" + std::to_string(port)), keep_(keep) {}
+HttpClient::HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep, std::string source)
+    : ex_(ex),
+      endpoint_(asio::ip::make_address(host), port),
+      host_(host + ":" + std::to_string(port)),
+      keep_(keep),
+      source_(std::move(source)) {}
 
 awaitable<std::unique_ptr<HttpClient::Stream>> HttpClient::connect(wire::Clock::duration limit) {
     auto stream = std::make_unique<Stream>(ex_);
     stream->expires_after(limit);
+    if (!source_.empty()) {
+        boost::system::error_code failed;
+        stream->socket().open(endpoint_.protocol(), failed);
+        if (!failed) stream->socket().bind(tcp::endpoint(asio::ip::make_address(source_), 0), failed);
+        if (failed) co_return nullptr;
+    }
     auto [ec] = co_await stream->async_connect(endpoint_, quietly);
     if (ec) co_return nullptr;
     boost::system::error_code ignored;
@@ -49,11 +59,13 @@
         req.prepare_payload();
         stream->expires_at(until);
         auto [wec, written] = co_await http::async_write(*stream, req, quietly);
+        answer.bytes_sent += written;
         if (!wec) {
             beast::flat_buffer buffer;
             http::response_parser<http::string_body> parser;
             parser.body_limit(most_answer);
             auto [rec, read] = co_await http::async_read(*stream, buffer, parser, quietly);
+            answer.bytes_received += read;
             if (!rec) {
                 answer.status = parser.get().result_int();
                 answer.body = std::move(parser.get().body());
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -11,11 +11,13 @@
     unsigned status = 0;  // 0: no answer; the request may or may not have been carried out
     std::string body;
     bool never_sent = false;  // with status 0: no connection came about
+    std::size_t bytes_sent = 0, bytes_received = 0;
 };
 
 class HttpClient {
   public:
-    HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep = 8);
+    // `source`: the local address that connections are made from; empty: whichever the system takes.
+    HttpClient(Executor ex, std::string host, std::uint16_t port, std::size_t keep = 8, std::string source = {});
 
     awaitable<HttpAnswer> request(http::verb verb, std::string target, std::string body, wire::Clock::duration limit);
 
@@ -28,6 +30,7 @@
     tcp::endpoint endpoint_;
     std::string host_;
     std::size_t keep_;
+    std::string source_;
     std::vector<std::pair<std::unique_ptr<Stream>, wire::Clock::time_point>> idle_;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -32,9 +32,15 @@
 
 void HttpServer::start() { asio::co_spawn(ex_, accept_loop(), asio::detached); }
 
+void HttpServer::stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
 awaitable<void> HttpServer::accept_loop() {
     for (;;) {
         auto [ec, socket] = co_await acceptor_.async_accept(quietly);
+        if (!acceptor_.is_open()) co_return;
         if (ec) {
             // Out of sockets, most likely: wait for some to close instead of spinning.
             spdlog::debug("event=accept_failed why=\"{}\"", ec.message());
@@ -90,6 +96,8 @@
             co_return;
         }
         auto& message = parser.get();
+        ++traffic_.requests;
+        traffic_.bytes_in += n;
         const bool keep = message.keep_alive();
         const unsigned version = message.version();
         Request request;
@@ -108,6 +116,7 @@
         auto res = to_response(std::move(reply), version, keep);
         stream.expires_after(write_limit);
         auto [wec, written] = co_await http::async_write(stream, res, quietly);
+        traffic_.bytes_out += written;
         if (wec || !keep) co_return;
     }
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -18,12 +18,20 @@
     std::string allow;         // for 405
 };
 
+// What a server has taken and given since it began.
+struct Traffic {
+    std::uint64_t requests = 0, bytes_in = 0, bytes_out = 0;
+};
+
 class HttpServer {
   public:
     using Handler = std::function<awaitable<Reply>(Request)>;
 
     HttpServer(Executor ex, std::string host, std::uint16_t port, std::size_t max_connections, Handler handler);
     void start();
+    // Accepts nothing more. Connections that are open stay so, and the server must outlive them.
+    void stop();
+    const Traffic& traffic() const { return traffic_; }
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
   private:
@@ -35,6 +43,7 @@
     tcp::acceptor acceptor_;
     std::size_t max_connections_, connections_ = 0;
     Handler handler_;
+    Traffic traffic_;
 };
 
 }  // namespace flintdale::net
--- /dev/null
+++ b/src/scale/ordered_checker.hpp
@@ -0,0 +1,41 @@
+// The rules' checker over several processes: what they tell is checked in the order in which it happened, once nobody
+// can tell of anything earlier any more.
+#pragma once
+#include <functional>
+
+#include "emulator/checker.hpp"
+
+namespace flintdale::scale {
+
+class OrderedChecker {
+  public:
+    OrderedChecker(const config::Settings& settings, wire::TimePoint start)
+        : events_(1, start), checker_(events_, settings) {}
+
+    using Step = std::function<void(emulator::Checker&)>;
+    void at(wire::TimePoint when, Step step) { waiting_.emplace(when, std::move(step)); }
+    // All that happened up to then has been told.
+    void settle(wire::TimePoint until) {
+        while (!waiting_.empty() && waiting_.begin()->first <= until) {
+            events_.advance_to(waiting_.begin()->first);
+            const auto step = std::move(waiting_.begin()->second);
+            waiting_.erase(waiting_.begin());
+            step(checker_);
+        }
+        events_.advance_to(until);
+        if (until - looked_ < look_gap) return;
+        looked_ = until;
+        checker_.look();
+    }
+    void submitted(const wire::JobSpec& spec) { checker_.submitted(spec); }
+    const emulator::Checker& checker() const { return checker_; }
+
+  private:
+    static constexpr std::chrono::milliseconds look_gap{500};
+    emulator::Events events_;
+    emulator::Checker checker_;
+    std::multimap<wire::TimePoint, Step> waiting_;
+    wire::TimePoint looked_{};
+};
+
+}  // namespace flintdale::scale
--- /dev/null
+++ b/src/scale/run.hpp
@@ -0,0 +1,80 @@
+// One scale run: real controllers and hollow workers, users, a state service and a cloud, watched by the rules'
+// checker.
+#pragma once
+#include <boost/json.hpp>
+
+#include "scale/cloud_server.hpp"
+#include "scale/deployment.hpp"
+#include "scale/state_server.hpp"
+#include "scale/users.hpp"
+#include "scale/worker_processes.hpp"
+
+namespace flintdale::scale {
+
+// What is needed to start the processes.
+struct Programs {
+    std::string daemon;
+    std::vector<std::string> hollow;  // the command of a hollow process, but for its number
+    std::filesystem::path directory;  // for settings and logs
+};
+
+class ScaleRun {
+  public:
+    ScaleRun(net::Executor ex, const Plan& plan, const Programs& programs);
+    // Plays it to its end, or until something makes it pointless to go on.
+    awaitable<void> play();
+
+    // No rule was broken, nothing failed, and work was done.
+    bool passed() const;
+    boost::json::object result() const;
+
+  private:
+    // All that is counted, at one moment.
+    struct Snapshot {
+        wire::TimePoint at{};
+        Sample workers;
+        std::vector<std::optional<ProcessUsage>> controllers;
+        std::vector<ProcessUsage> hollow;
+        StateServer::Counts state;
+        net::Traffic state_traffic, cloud_traffic;
+        Users::Counts users;
+        std::uint64_t link_bytes = 0;
+        std::string leader;
+    };
+    awaitable<std::optional<Snapshot>> snapshot();
+    awaitable<void> clock_loop();
+    awaitable<void> failure_loop();
+    awaitable<void> watch_loop();
+    awaitable<void> kill_leader();
+    awaitable<void> until(Seconds since_start);
+    void add_machines();
+    void heard(const Progress& progress);
+    void fail_one(bool dies);
+    void fail(const std::string& why);
+    std::size_t memory_in_use() const;
+    boost::json::object rates() const;
+    boost::json::object handover() const;
+    boost::json::array processes() const;
+
+    net::Executor ex_;
+    const Plan& plan_;
+    config::Settings settings_;
+    emulator::Events events_;
+    wire::TimePoint start_;
+    emulator::Rentals rentals_;
+    OrderedChecker checker_;
+    Deployment deployment_;
+    WorkerProcesses workers_;
+    StateServer state_;
+    CloudServer cloud_;
+    Users users_;
+    std::vector<TokenNews> tokens_;
+    std::optional<wire::TimePoint> killed_at_;
+    std::uint64_t token_at_kill_ = 0;
+    std::size_t restarted_ = 0, died_ = 0;
+    std::optional<Snapshot> window_start_, window_end_, last_;
+    std::vector<std::string> failures_;
+    bool over_ = false;
+};
+
+}  // namespace flintdale::scale
--- /dev/null
+++ b/src/scale/state_server.hpp
@@ -0,0 +1,42 @@
+// The state service by its protocol, over HTTP: emulator::Keys behind its limits.
+#pragma once
+#include "emulator/state_service.hpp"
+#include "net/http_server.hpp"
+#include "scale/query.hpp"
+#include "scale/rate_limit.hpp"
+
+namespace flintdale::scale {
+
+using net::awaitable;
+
+class StateServer {
+  public:
+    struct Counts {
+        std::uint64_t requests = 0, writes = 0, refused = 0;
+    };
+    StateServer(net::Executor ex, emulator::Events& events, const config::StateLimits& limits,
+                const config::Address& address);
+    void start() { server_.start(); }
+
+    const Counts& counts() const { return counts_; }
+    const net::Traffic& traffic() const { return server_.traffic(); }
+    // Who holds the claim to lead; empty if nobody does.
+    std::string leader();
+
+  private:
+    awaitable<net::Reply> handle(net::Request request);
+    net::Reply get(const std::string& key);
+    net::Reply range(const Query& query);
+    net::Reply commit(const std::string& body);
+    net::Reply leases(const net::Request& request, const std::string& path);
+    awaitable<net::Reply> follow(Query query);
+
+    emulator::Events& events_;
+    emulator::Keys keys_;
+    config::StateLimits limits_;
+    RateLimit requests_, writes_;
+    Counts counts_;
+    net::HttpServer server_;
+};
+
+}  // namespace flintdale::scale
