--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -33,7 +33,7 @@
     std::string path, log = "off";
     std::uint64_t seed = 1, seeds = 1;
     unsigned jobs = std::max(1u, std::thread::hardware_concurrency());
-    bool only_broken = false, summary = false;
+    bool only_broken = false, summary = false, relays = false;
     cli.add_option("scenario", path, "a TOML file; docs/emulator.md")->required();
     cli.add_option("--seed", seed, "the first seed");
     cli.add_option("--seeds", seeds, "how many, one after the other")->check(CLI::PositiveNumber);
@@ -42,6 +42,7 @@
                    "the controllers' log on standard error: off, error, info or debug; plays one at a time");
     cli.add_flag("--only-broken", only_broken,
                  "print the lines of seeds that broke a rule or left a class or team behind, and a count at the end");
+    cli.add_flag("--relays", relays, "no worker reports to the leader directly while another controller can relay");
     cli.add_flag("--summary", summary, "after each line a table for a person, on standard error");
     CLI11_PARSE(cli, argc, argv);
     // Many worlds in one process: memory that is given back to the system at the end of each request is asked for again
@@ -58,6 +59,7 @@
     emulator::Scenario scenario;
     try {
         scenario = emulator::load_scenario(path);
+        if (relays) scenario.direct_share = 0;
         emulator::World probe(scenario, seed);  // finds what is wrong with the cluster's settings
     } catch (const config::BadSetting& e) {
         std::cerr << "flintdale_lab: " << e.what() << '\n';
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t max_counts = 20'000;
-constexpr auto begin_wait = 2500ms;
 constexpr double redirects_kept = 0.8;  // from one message of a peer to the next, a second later
 const std::string catalog_key = "fleet/catalog";
 constexpr std::string_view submissions = "/submissions";
@@ -89,6 +88,7 @@
           ex_, cloud_, ports_.workers, settings_,
           {[this](wire::TimePoint noted) { return somebody_knows(noted); },
            [this](const std::string& uid) { return keeper_.memory().machines_of(uid); }, [this] { return blind(); }}),
+      reports_(ex_, settings_, tunables_, follower_leases_, incarnation_, report_links()),
       keeper_(ex_, ports_.state, store_, settings_, form_, recovery::SnapshotFile(tunables_.snapshots), keeper_links()),
       submissions_(ex_, store_, settings_, form_,
                    {ports_.time_of_day_ms, [this](const std::string& uid) { note_cancelled(uid); },
@@ -191,6 +191,7 @@
     leader_term_ = std::make_shared<LeaderTerm>(ex_, store_, cloud_, settings_, tunables_, form_, term, unsettled,
                                                 std::move(links));
     if (teams_) leader_term_->scheduler().set_teams(*teams_);
+    reports_.term_changed();
     leader_term_->start(types_);
 }
 
@@ -322,7 +323,6 @@
         b.state_ok = ports_.state.healthy(Clock::now());
         b.leading = elector_.leading();
         b.writes = ports_.state.take_write_demand();
-        b.redirects = std::exchange(redirects_, 0);
         b.format = static_cast<std::uint32_t>(form_.format());
         share_writes(b.writes);
         if (leader_term_)
@@ -334,6 +334,7 @@
         b.rebuilding = word.rebuilding;
         b.incarnation = incarnation_;
         b.word = cancellations_.say(Clock::now());
+        reports_.describe(b);
         ports_.tell_peers(b);
         resign_if_deaf();
         // Until it is known whether anybody knows of a marker, nobody can be served.
@@ -390,6 +391,7 @@
     peer = {
         Clock::now(),       beat.state_ok, beat.leading, beat.writes, peer.redirects * redirects_kept + beat.redirects,
         beat.generation > 0};
+    reports_.received(beat);
     if (counts_.size() > max_counts) counts_.clear();
     for (const auto& c : beat.counts) counts_[c.uid] = {c.done, c.running};
 }
@@ -416,53 +418,31 @@
     return reply(200, "{\"ready\":true}");
 }
 
-awaitable<net::Reply> Controller::beat(std::string body) {
-    wire::WorkerReport r;
-    try {
-        r = wire::parse_report(body);
-    } catch (const wire::BadBody& e) {
-        co_return reply(400, wire::error_body(e.what()));
-    }
+// A report has arrived, directly or relayed.
+void Controller::note_report(const wire::WorkerReport& r) {
     if (r.token > elector_.term()) elector_.heard(r.token, std::string());
     fencer_.heard(r.machine);
     // Between this leader's term and the one on record before it there was none, unless the records of one were lost.
     if (elector_.leading() && keeper_.ready() && r.token > std::max(term_.previous, keeper_.rebuilt_under()) &&
         r.token < term_.number)
         keeper_.doubt("a worker has seen a term that is not on record", recovery::Keeper::Loss::beyond_memory);
-    if (elector_.leading() && !leader_term_) {
-        // A term that was just won begins in a moment.
-        for (auto waited = 0ms; waited < begin_wait && elector_.leading() && !leader_term_ && !keeper_.rebuilding();
-             waited += 50ms)
-            co_await net::sleep_for(50ms);
-        if (!leader_term_ && elector_.leading()) {
-            // The leases of workers are kept for as long as what is known of cancellations allows; what they show is
-            // missed if nobody remembers it.
-            keeper_.shown(r);
-            if (const auto orders = follower_leases_.keep(r, Clock::now(), told_until(follower_leases_.looked_at())))
-                co_return reply(200, wire::report_answer(term_.number, *orders));
-            co_return reply(503, wire::error_body("not entitled to answer now"));
-        }
-    }
-    auto leader_term = leader_term_;
-    if (!leader_term) {
-        if (leaderless())
-            if (const auto orders = follower_leases_.answer(r, Clock::now(), told_until(follower_leases_.looked_at())))
-                co_return reply(200, wire::report_answer(elector_.term(), *orders));
-        const auto& leader = elector_.leader();
-        const auto other = leader == settings_.member ? std::string_view() : std::string_view(leader);
-        if (!other.empty()) ++redirects_;
-        co_return reply(421, wire::redirect_body(other));
-    }
-    // A term that was won and not read yet, because the state service went away in between, has nobody to send the
-    // worker to either.
-    std::optional<wire::WorkerReport> kept;
-    if (!leader_term->loaded()) kept = r;
-    auto answer = co_await leader_term->report(std::move(r));
-    if (!answer && kept && leader_term == leader_term_ && !leader_term->loaded() && !ports_.state.healthy(Clock::now()))
-        if (const auto orders = follower_leases_.keep(*kept, Clock::now(), told_until(follower_leases_.looked_at())))
-            co_return reply(200, wire::report_answer(term_.number, *orders));
-    if (!answer) co_return reply(503, wire::error_body("not entitled to answer now"));
-    co_return reply(200, std::move(*answer));
+}
+
+ReportService::Links Controller::report_links() {
+    ReportService::Links links;
+    links.noticed = [this](const wire::WorkerReport& r) { note_report(r); };
+    links.leading = [this] { return elector_.leading(); };
+    links.rebuilding = [this] { return keeper_.rebuilding() != 0; };
+    links.leader_term = [this] { return leader_term_; };
+    links.own_term = [this] { return term_.number; };
+    links.newest_term = [this] { return elector_.term(); };
+    links.leader = [this] { return elector_.leader(); };
+    links.leaderless = [this] { return leaderless(); };
+    links.state_healthy = [this] { return ports_.state.healthy(Clock::now()); };
+    links.told_until = [this] { return told_until(follower_leases_.looked_at()); };
+    links.shown = [this](const wire::WorkerReport& r) { keeper_.shown(r); };
+    links.send = [this](const std::string& member, const peer::RelayMessage& m) { return ports_.relay(member, m); };
+    return links;
 }
 
 awaitable<net::Reply> Controller::handle(net::Request request) {
@@ -470,7 +450,7 @@
     std::string path = request.target.substr(0, request.target.find('?'));
     if (path == "/agent/beat") {
         if (request.verb != verb::post) co_return wrong_method("POST");
-        co_return co_await beat(std::move(request.body));
+        co_return co_await reports_.handle(std::move(request.body));
     }
     if (path == "/ready") {
         if (request.verb != verb::get) co_return wrong_method("GET");
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -4,6 +4,7 @@
 #include "api/submission_service.hpp"
 #include "app/fencer.hpp"
 #include "app/leader_term.hpp"
+#include "app/report_service.hpp"
 #include "cloud/client.hpp"
 #include "election/members.hpp"
 #include "peer/incarnations.hpp"
@@ -19,6 +20,8 @@
     worker::Workers& workers;
     std::function<void(const peer::Beat&)> tell_peers;
     std::function<std::int64_t()> time_of_day_ms;
+    // False if it cannot be sent to that controller now.
+    std::function<bool(const std::string& member, const peer::RelayMessage&)> relay;
 };
 
 class Controller {
@@ -29,13 +32,17 @@
 
     awaitable<net::Reply> handle(net::Request request);
     void received(const peer::Beat& beat);
+    void relayed(const peer::RelayMessage& message) { reports_.relayed(message); }
+    // The link to that controller has broken.
+    void link_lost(const std::string& member) { reports_.link_lost(member); }
 
     bool leading() const { return elector_.leading(); }
     const recovery::Keeper& keeper() const { return keeper_; }
     const Fencer& fencer() const { return fencer_; }
 
   private:
-    awaitable<net::Reply> beat(std::string body);
+    void note_report(const wire::WorkerReport& report);
+    ReportService::Links report_links();
     awaitable<void> catalog_loop();
     awaitable<void> peer_loop();
     recovery::Keeper::Links keeper_links();
@@ -68,6 +75,7 @@
     scheduler::FollowerLeases follower_leases_;
     peer::Cancellations cancellations_;
     Fencer fencer_;
+    ReportService reports_;
     recovery::Keeper keeper_;
     std::shared_ptr<LeaderTerm> leader_term_;
     std::optional<quota::Table> teams_;  // figures of teams, where they differ from the settings
@@ -83,7 +91,6 @@
         bool knows_records = false;
     };
     std::unordered_map<std::string, PeerState> peer_state_;
-    std::uint32_t redirects_ = 0;  // reports turned away to the leader since the last beat
     api::SubmissionService submissions_;
 };
 
--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -99,33 +99,46 @@
     return now;
 }
 
-awaitable<std::optional<std::string>> LeaderTerm::report(wire::WorkerReport r) {
+awaitable<LeaderTerm::Orders> LeaderTerm::report(wire::WorkerReport r) {
     auto self = shared_from_this();
     for (int i = 0; i < 25 && !loaded_ && !stopped_; ++i) co_await net::sleep_for(100ms);
+    auto decision = decide(r);
+    if (!decision.wait) co_return std::move(decision.orders);
+    co_return co_await await_runs(std::move(r), std::move(decision));
+}
+
+LeaderTerm::Decision LeaderTerm::decide(const wire::WorkerReport& r) {
+    Decision out;
     const auto now = awake();
-    if (!entitled(now)) co_return std::nullopt;
+    if (!entitled(now)) return out;
     const bool was_dirty = scheduler_.dirty();
-    auto orders = scheduler_.report(r, now);
+    out.orders = scheduler_.report(r, now);
     if (scheduler_.loss_seen()) links_.loss("a worker holds an attempt that is not on record", true);
-    if (!orders) co_return std::nullopt;
+    if (!out.orders) return out;
     if (scheduler_.dirty()) {
         if (!was_dirty) commit_.notify();
         stir_ = true;
         plan_.notify();
     }
-    // Orders travel in answers only, and the next report may be seconds away: where this one has made room, or a
-    // placement is just being written, the answer waits a moment to carry the run. Workers wait for four seconds.
-    const auto passes = scheduler_.passes();
+    out.passes = scheduler_.passes();
+    out.wait = out.orders->empty() && scheduler_.prospect(r, out.passes) != scheduler::Scheduler::Prospect::nothing;
+    return out;
+}
+
+// Orders travel in answers only, and the next report may be seconds away: where this one has made room, or a placement
+// is just being written, the answer waits a moment to carry the run. Workers wait for four seconds.
+awaitable<LeaderTerm::Orders> LeaderTerm::await_runs(wire::WorkerReport r, Decision decision) {
+    auto self = shared_from_this();
     using Prospect = scheduler::Scheduler::Prospect;
-    for (auto held = 0ms; orders->empty(); held += hold_step) {
-        const auto prospect = scheduler_.prospect(r, passes);
+    for (auto held = 0ms; decision.orders->empty(); held += hold_step) {
+        const auto prospect = scheduler_.prospect(r, decision.passes);
         if (prospect == Prospect::nothing || held >= (prospect == Prospect::a_write ? hold_for_write : hold_for_plan))
             break;
         co_await net::sleep_for(hold_step);
         if (!entitled(Clock::now())) co_return std::nullopt;
-        *orders = scheduler_.runs(r);
+        *decision.orders = scheduler_.runs(r);
     }
-    co_return wire::report_answer(term_, *orders);
+    co_return std::move(decision.orders);
 }
 
 void LeaderTerm::job_changed(const state::Item& item) {
--- a/src/app/leader_term.hpp
+++ b/src/app/leader_term.hpp
@@ -42,8 +42,19 @@
     void start(const std::vector<wire::MachineType>& types);
     void stop();
 
-    // Answers a worker, or nothing if this controller must not speak for the controllers now.
-    awaitable<std::optional<std::string>> report(wire::WorkerReport r);
+    // Orders for a worker, or nothing if this controller must not speak for the controllers now.
+    using Orders = std::optional<std::vector<wire::Order>>;
+    awaitable<Orders> report(wire::WorkerReport r);
+    // The same at once, for a term that has read the records. `wait`: orders to run something are likely in a moment,
+    // and are worth waiting for with await_runs().
+    struct Decision {
+        Orders orders;
+        std::uint64_t passes = 0;
+        bool wait = false;
+    };
+    Decision decide(const wire::WorkerReport& r);
+    awaitable<Orders> await_runs(wire::WorkerReport r, Decision decision);
+    std::uint64_t term() const { return term_; }
     void job_changed(const state::Item& item);
     void cancelled_elsewhere(const std::string& uid);
     bool loaded() const { return loaded_; }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -179,9 +179,11 @@
     const auto cloud = cluster.section("cloud");
     s.cloud_rps = cloud.amount("rps", std::nullopt, 0.1);
     s.list_lag = Seconds(cloud.amount("list_lag_s"));
-    if (const auto* limits = cluster.table("limits"))
-        s.max_sockets = static_cast<std::size_t>(
-            Fields(*limits, "cluster.limits").amount("max_sockets", static_cast<double>(s.max_sockets), 16));
+    if (const auto* table = cluster.table("limits")) {
+        const Fields limits(*table, "cluster.limits");
+        s.max_sockets = static_cast<std::size_t>(limits.amount("max_sockets", static_cast<double>(s.max_sockets), 16));
+        s.core_share = limits.amount("core_share", s.core_share);
+    }
     return s;
 }
 
@@ -229,6 +231,8 @@
         {"fleet.dear", amount_into(t.dear, 1, 1000)},
         {"fleet.sparse", amount_into(t.sparse, 1, 1000)},
         {"api.known_jobs", amount_into(t.known_jobs, 1, 10'000'000)},
+        {"workers.relay", [&](const std::string& k, const std::string& v) { t.relay = number(k, v, 0, 1) != 0; }},
+        {"workers.direct_share", amount_into(t.direct_share, 0, 1)},
         {"election.lease_s", seconds_into(t.election_lease, 0.5, 60)},
         {"recovery.directory",
          [&](const std::string& k, const std::string& v) {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -61,6 +61,7 @@
     double cloud_rps = 4;
     Seconds list_lag{5};
     std::size_t max_sockets = 1000;
+    double core_share = 0;  // of a core, that this process has; 0: not told
 
     const Team* team(const std::string& name) const;
 };
@@ -82,6 +83,8 @@
     double spare = 0.1;   // share of the fleet's price that may be spare, beyond two in the root of its machines
     double spare_patience = 1.0;  // times what having its like again takes that a spare machine is kept
     double known_jobs = 20'000;   // jobs of which is kept what was read of them, for the questions of users
+    bool relay = true;            // reports are passed on to a leader that has no room for all workers
+    double direct_share = 1.0;    // of the workers that the limits allow a leader, that report to it directly
     Seconds election_lease{2.5};  // how long the leader's claim outlives its last renewal
     std::string snapshots;        // directory that snapshots of the records are kept in; empty: none are
     std::map<std::string, std::vector<std::string>> groups;  // job class -> machine types it may use
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -129,6 +129,7 @@
     s.drawn = w.number("drawn", 0);
     s.draws_losses = w.flag("draws_losses");
     s.known_jobs = w.number("known_jobs", s.known_jobs);
+    s.direct_share = w.number("direct_share", s.direct_share);
     s.pairs = static_cast<std::size_t>(w.number("pairs", 0));
     const Table top(root, name + ": ");
     top.each("machines", [&](const Table& t) {
--- a/src/emulator/scenario.hpp
+++ b/src/emulator/scenario.hpp
@@ -50,6 +50,7 @@
     double drawn = 0;                         // troubles drawn by the seed, so many on average
     bool draws_losses = false;                // and a loss of data among them
     double known_jobs = 20'000;               // of which each controller keeps what it has read
+    double direct_share = 1;                  // the operators' workers.direct_share; 0: all reports are relayed
     std::size_t pairs = 0;  // pairs of troubles drawn by the seed, the second after a step of the first
     std::vector<JobClass> jobs;
     std::vector<Trouble> troubles;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -91,9 +91,11 @@
               state(io.get_executor(), w.events_, w.keys_, settings.limits, settings.nodes),
               cloud(w.events_, w.fleet_, w.scenario_),
               workers(w.events_, w.fleet_),
-              controller(io.get_executor(), settings, w.tunables_, form,
-                         {state, cloud, workers, [&w, n](const peer::Beat& b) { w.tell_peers(n, b); },
-                          [&w] { return epoch_ms + std::llround(w.events_.since_start().count() * 1000); }}) {
+              controller(
+                  io.get_executor(), settings, w.tunables_, form,
+                  {state, cloud, workers, [&w, n](const peer::Beat& b) { w.tell_peers(n, b); },
+                   [&w] { return epoch_ms + std::llround(w.events_.since_start().count() * 1000); },
+                   [&w, n](const std::string& member, const peer::RelayMessage& m) { return w.relay(n, member, m); }}) {
             state.outage = &w.outage_;
             workers.reaches = [&w, n](const std::string& zone) {
                 return w.reaches(zone, n) && !w.nodes_[n]->cut_workers;
@@ -140,6 +142,7 @@
              }) {
     outcome_.seed = seed;
     tunables_.known_jobs = scenario.known_jobs;
+    tunables_.direct_share = scenario.direct_share;
 }
 
 World::~World() = default;
@@ -206,16 +209,33 @@
     });
 }
 
+bool World::peers_reach(std::size_t from, std::size_t to) const {
+    return from != to && !nodes_[from]->cut_peers && !nodes_[to]->cut_peers &&
+           reaches(scenario_.member_zones[from], to);
+}
+
+void World::post(std::size_t to, std::function<void(app::Controller&)> what) {
+    events_.after(Seconds(events_.uniform(0.001, 0.02)), [this, to, what = std::move(what)] {
+        nodes_[to]->told = true;
+        if (!nodes_[to]->life) return;
+        net::asio::post(nodes_[to]->life->io, [this, to, what] { what(nodes_[to]->life->controller); });
+    });
+}
+
 void World::tell_peers(std::size_t from, const peer::Beat& beat) {
-    for (std::size_t n = 0; n < nodes_.size(); ++n) {
-        if (n == from || nodes_[from]->cut_peers || nodes_[n]->cut_peers || !reaches(scenario_.member_zones[from], n))
-            continue;
-        events_.after(Seconds(events_.uniform(0.001, 0.02)), [this, n, beat] {
-            nodes_[n]->told = true;
-            if (nodes_[n]->life)
-                net::asio::post(nodes_[n]->life->io, [this, n, beat] { nodes_[n]->life->controller.received(beat); });
-        });
-    }
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+        if (peers_reach(from, n)) post(n, [beat](app::Controller& c) { c.received(beat); });
+}
+
+bool World::relay(std::size_t from, const std::string& member, const peer::RelayMessage& message) {
+    const auto at = std::find(scenario_.members.begin(), scenario_.members.end(), member);
+    const auto to = static_cast<std::size_t>(at - scenario_.members.begin());
+    if (at == scenario_.members.end() || !nodes_[to]->life) return false;
+    // What is cut is not noticed at once: the message is on its way, and lost.
+    if (!peers_reach(from, to)) return true;
+    ++outcome_.relayed;
+    post(to, [bytes = peer::encode(message)](app::Controller& c) { c.relayed(peer::decode_relay(bytes)); });
+    return true;
 }
 
 // --- users ---
@@ -946,6 +966,7 @@
         {"called_off_at_end", o.called_off_at_end},
         {"odd", json::object{{"sent", o.odd}, {"refused", o.odd_refused}}},
         {"words", o.words},
+        {"relayed", o.relayed},
         {"losses", o.losses},
         {"rebuilt", o.rebuilt},
         {"undisturbed", rounded(o.undisturbed)},
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -41,6 +41,7 @@
     std::size_t odd = 0, odd_refused = 0;  // submissions of jobs that cannot run or lack a field; answered 400 or 422
     double longest_left = 0;               // seconds that a job waited beside room, once all troubles were over
     std::size_t words = 0;                 // answers about jobs of which a final word had been told before
+    std::size_t relayed = 0;               // messages with relayed reports or answers
     // How often a controller that was cut from the state service and its peers for five seconds was asked whether it is
     // ready, and said so.
     std::size_t asked_alone = 0, ready_alone = 0;
@@ -82,6 +83,10 @@
     bool reaches(const std::string& zone, std::size_t node) const;
     std::size_t any_node();
     void tell_peers(std::size_t from, const peer::Beat& beat);
+    bool relay(std::size_t from, const std::string& member, const peer::RelayMessage& message);
+    // A message between controllers: it arrives a little later, if nothing is cut.
+    bool peers_reach(std::size_t from, std::size_t to) const;
+    void post(std::size_t to, std::function<void(app::Controller&)> what);
 
     void arrivals(const JobClass& c);
     void new_job(const JobClass& c);
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 constexpr std::size_t max_frame = 1024 * 1024;
+constexpr std::size_t max_relayed = 4 * max_frame;  // that wait for one controller
+constexpr std::size_t head_size = 4;                // three bytes of a frame's size, one of its kind
 constexpr char receipt = 6;
 constexpr std::size_t max_sessions = 64;
 constexpr std::size_t max_counts = 4000;
@@ -39,6 +41,10 @@
     b.setLife(beat.incarnation);
     b.setNumber(beat.word.number);
     b.setWhole(beat.word.whole);
+    b.setRelays(beat.relays);
+    b.setWorkers(beat.workers);
+    b.setCapacity(beat.capacity);
+    b.setFleet(beat.fleet);
     auto heard = b.initHeard(static_cast<unsigned>(beat.word.heard.size()));
     for (unsigned i = 0; i < heard.size(); ++i) {
         heard[i].setMember(beat.word.heard[i].member);
@@ -79,6 +85,10 @@
         beat.remembers = b.getRemembers();
         beat.rebuilding = b.getRebuilding();
         beat.incarnation = b.getLife();
+        beat.relays = b.getRelays();
+        beat.workers = b.getWorkers();
+        beat.capacity = b.getCapacity();
+        beat.fleet = b.getFleet();
         beat.word.number = b.getNumber();
         beat.word.whole = b.getWhole();
         for (const auto h : b.getHeard()) beat.word.heard.push_back({h.getMember().cStr(), h.getLife(), h.getNumber()});
@@ -98,29 +108,38 @@
 void Links::start() {
     asio::co_spawn(ex_, accept_loop(), asio::detached);
     for (const auto& peer : settings_.peers) {
-        outs_.push_back(std::make_shared<Out>(ex_));
+        outs_.push_back(std::make_shared<Out>(ex_, peer.member));
         asio::co_spawn(ex_, dial_loop(peer, outs_.back()), asio::detached);
     }
 }
 
+std::string Links::frame(Frame kind, const std::string& bytes) {
+    std::string out(head_size, '\0');
+    for (std::size_t i = 0; i + 1 < head_size; ++i) out[i] = static_cast<char>(bytes.size() >> (8 * i));
+    out[head_size - 1] = static_cast<char>(kind);
+    return out + bytes;
+}
+
 void Links::tell(const Beat& beat) {
     if (outs_.empty()) return;
-    const auto bytes = encode(beat);
-    std::string frame(4, '\0');
-    for (int i = 0; i < 4; ++i) frame[static_cast<std::size_t>(i)] = static_cast<char>(bytes.size() >> (8 * i));
-    frame += bytes;
+    const auto sending = frame(Frame::beat, encode(beat));
     for (const auto& out : outs_) {
         if (!out->connected) continue;
-        if (out->next.size() + frame.size() > max_frame) {
-            out->next.clear();  // a peer that does not read gets the newest only
-            out->frames = 0;
-        }
-        out->next += frame;
-        ++out->frames;
-        out->wake.notify();
+        // A peer that does not read gets the newest only.
+        if (out->beats.bytes.size() + sending.size() > max_frame) out->beats.clear();
+        out->add(out->beats, sending);
     }
 }
 
+bool Links::relay(const std::string& member, const RelayMessage& message) {
+    const auto at = std::find_if(outs_.begin(), outs_.end(), [&](const auto& out) { return out->member == member; });
+    if (at == outs_.end() || !(*at)->connected) return false;
+    const auto sending = frame(Frame::relay, encode(message));
+    if (sending.size() > max_frame || (*at)->relayed.bytes.size() + sending.size() > max_relayed) return false;
+    (*at)->add((*at)->relayed, sending);
+    return true;
+}
+
 awaitable<void> Links::dial_loop(config::Peer peer, std::shared_ptr<Out> out) {
     const net::tcp::endpoint endpoint(asio::ip::make_address(peer.addr.host), peer.addr.port);
     for (;;) {
@@ -131,28 +150,36 @@
             boost::system::error_code ignored;
             stream.socket().set_option(net::tcp::no_delay(true), ignored);
             out->connected = true;
-            for (;;) {
-                co_await out->wake.wait(30s);
-                if (out->next.empty()) continue;
-                std::string sending;
-                sending.swap(out->next);
-                std::string receipts(std::exchange(out->frames, 0), '\0');
-                stream.expires_after(3s);
-                auto [wec, n] = co_await asio::async_write(stream, asio::buffer(sending), net::quietly);
-                if (wec) break;
-                // Each message is receipted: who only writes never learns that the other end has closed. A controller
-                // that stood still for as long as its peers wait was not heard by them for the rest of the day.
-                auto [rec, got] = co_await asio::async_read(stream, asio::buffer(receipts), net::quietly);
-                if (rec) break;
-            }
+            co_await send_loop(stream, *out);
             out->connected = false;
-            out->next.clear();
-            out->frames = 0;
+            out->beats.clear();
+            out->relayed.clear();
+            if (receive_.lost) receive_.lost(out->member);
         }
         co_await net::sleep_for(700ms);
     }
 }
 
+// Returns when the connection has broken.
+awaitable<void> Links::send_loop(beast::tcp_stream& stream, Out& out) {
+    for (;;) {
+        co_await out.wake.wait(30s);
+        std::string sending, relayed;
+        sending.swap(out.beats.bytes);
+        relayed.swap(out.relayed.bytes);
+        if (sending.empty() && relayed.empty()) continue;
+        std::string receipts(std::exchange(out.beats.frames, 0) + std::exchange(out.relayed.frames, 0), '\0');
+        sending += relayed;
+        stream.expires_after(3s);
+        auto [wec, n] = co_await asio::async_write(stream, asio::buffer(sending), net::quietly);
+        if (wec) co_return;
+        // Each message is receipted: who only writes never learns that the other end has closed. A controller
+        // that stood still for as long as its peers wait was not heard by them for the rest of the day.
+        auto [rec, got] = co_await asio::async_read(stream, asio::buffer(receipts), net::quietly);
+        if (rec) co_return;
+    }
+}
+
 awaitable<void> Links::accept_loop() {
     for (;;) {
         auto [ec, socket] = co_await acceptor_.async_accept(net::quietly);
@@ -165,25 +192,33 @@
     }
 }
 
+void Links::received(Frame kind, const std::string& body, std::uint64_t connection) {
+    if (kind == Frame::relay) {
+        if (receive_.relay) receive_.relay(decode_relay(body));
+        return;
+    }
+    auto beat = decode(body);
+    beat.connection = connection;
+    receive_.beat(beat);
+}
+
 awaitable<void> Links::session(net::tcp::socket socket) {
     ++sessions_;
     const auto connection = ++accepted_;
     beast::tcp_stream stream(std::move(socket));
     std::string body;
     for (;;) {
-        unsigned char head[4];
+        unsigned char head[head_size];
         stream.expires_after(30s);
         auto [hec, hn] = co_await asio::async_read(stream, asio::buffer(head), net::quietly);
         if (hec) break;
-        const std::size_t size = head[0] | head[1] << 8 | head[2] << 16 | static_cast<std::size_t>(head[3]) << 24;
-        if (size == 0 || size > max_frame) break;
+        const std::size_t size = head[0] | head[1] << 8 | head[2] << 16;
+        if (size == 0 || size > max_frame || head[3] > static_cast<unsigned char>(Frame::relay)) break;
         body.resize(size);
         auto [bec, bn] = co_await asio::async_read(stream, asio::buffer(body), net::quietly);
         if (bec) break;
         try {
-            auto beat = decode(body);
-            beat.connection = connection;
-            receive_(beat);
+            received(static_cast<Frame>(head[3]), body, connection);
         } catch (const std::exception& e) {
             spdlog::error("event=peer_nonsense why=\"{}\"", e.what());
             break;
--- a/src/peer/link.hpp
+++ b/src/peer/link.hpp
@@ -6,6 +6,7 @@
 #include "config/settings.hpp"
 #include "net/asio.hpp"
 #include "peer/cancellations.hpp"
+#include "peer/relay_message.hpp"
 
 namespace flintdale::peer {
 
@@ -27,6 +28,10 @@
     std::uint64_t generation = 0, remembers = 0, rebuilding = 0;
     std::string history;
     std::vector<Count> counts;
+    // Relays (app::WorkerAssignment): whether it takes part, the workers that report to it and that may, and, from the
+    // leader, the machines that it knows of.
+    bool relays = false;
+    std::uint32_t workers = 0, capacity = 0, fleet = 0;
     Word word;                      // of cancellations
     std::uint64_t incarnation = 0;  // of the sender: each time that it is started another; 0 from versions without
     std::uint64_t connection = 0;   // not on the wire: which of those accepted here it came on
@@ -37,20 +42,43 @@
 
 class Links {
   public:
-    using Receive = std::function<void(const Beat&)>;
+    struct Receive {
+        std::function<void(const Beat&)> beat;
+        std::function<void(const RelayMessage&)> relay;
+        std::function<void(const std::string& member)> lost;  // what was sent to it last may not have come
+    };
     Links(net::Executor ex, const config::Settings& settings, Receive receive);
     void start();
+    // Sends it to that controller; false if it cannot be reached now, or too much waits for it already.
+    bool relay(const std::string& member, const RelayMessage& message);
     // Says it to every peer that can be reached now; nothing is kept for those that cannot.
     void tell(const Beat& beat);
 
   private:
     struct Out {
-        explicit Out(net::Executor ex) : wake(ex) {}
+        Out(net::Executor ex, std::string m) : wake(ex), member(std::move(m)) {}
         net::Wakeup wake;
-        std::string next;
-        std::size_t frames = 0;  // in `next`
+        std::string member;
+        struct Queue {
+            std::string bytes;
+            std::size_t frames = 0;
+            void clear() {
+                bytes.clear();
+                frames = 0;
+            }
+        };
+        Queue beats, relayed;
         bool connected = false;
+        void add(Queue& queue, const std::string& frame) {
+            queue.bytes += frame;
+            ++queue.frames;
+            wake.notify();
+        }
     };
+    enum class Frame : std::uint8_t { beat = 0, relay = 1 };
+    static std::string frame(Frame kind, const std::string& bytes);
+    void received(Frame kind, const std::string& body, std::uint64_t connection);
+    awaitable<void> send_loop(net::beast::tcp_stream& stream, Out& out);
     awaitable<void> accept_loop();
     awaitable<void> session(net::tcp::socket socket);
     awaitable<void> dial_loop(config::Peer peer, std::shared_ptr<Out> out);
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -33,5 +33,9 @@
     heard @15 :List(Heard);   # the newest message of each other controller that the sender has heard
     cancelled @16 :List(Text); # jobs that the sender has lately learned to be cancelled
     whole @17 :Bool;          # and it has told users of no others in that time
+    relays @18 :Bool;         # the sender passes reports on to a leader that does so too, and answers what is passed on to it
+    workers @19 :UInt32;      # that report to the sender
+    capacity @20 :UInt32;     # that may
+    fleet @21 :UInt32;        # from the leader: machines that it knows of; 0: none yet
     format @8 :UInt32;        # that the sender knows every controller to read; 0 from versions that do not tell
 }
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -61,6 +61,7 @@
 struct TaskId {
     std::string uid;
     std::uint32_t index = 0;
+    bool operator==(const TaskId&) const = default;
 };
 
 struct TaskReport {
@@ -69,6 +70,7 @@
     TaskStatus status = TaskStatus::fetching;
     Cause cause = Cause::none;
     bool saved = false;
+    bool operator==(const TaskReport&) const = default;
 };
 
 struct WorkerReport {
@@ -77,6 +79,7 @@
     std::uint64_t tenure = 0, tick = 0, token = 0;
     std::optional<Seconds> notice;
     std::vector<TaskReport> tasks;
+    bool operator==(const WorkerReport&) const = default;
 };
 
 enum class Verb : std::uint8_t { run, kill, clear };
