--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -205,6 +205,9 @@
 awaitable<void> Links::session(net::tcp::socket socket) {
     ++sessions_;
     const auto connection = ++accepted_;
+    // A receipt must not wait until the one before it is acknowledged.
+    boost::system::error_code ignored;
+    socket.set_option(net::tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     std::string body;
     for (;;) {
--- a/src/scheduler/job.hpp
+++ b/src/scheduler/job.hpp
@@ -31,6 +31,7 @@
     bool draining = false;         // to be stopped, for its machine's sake or another job's
     std::uint32_t generation = 0;  // of the change that the record must hold before the worker may forget the task
     std::uint64_t attempt = 0;
+    std::uint64_t shown_in = 0;  // the last report of its machine that showed it, by this leader's count
     Machine* machine = nullptr;
     TimePoint running_since{}, placed_at{};
 };
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -417,6 +417,14 @@
     return jobs;
 }
 
+// What is placed on the machine and was not in the report that is being heard: nothing, mostly.
+std::vector<TaskKey> Scheduler::not_shown(const Machine& m) {
+    std::vector<TaskKey> out;
+    for (const auto& key : m.tasks)
+        if (const auto* j = job(key.first); j && j->tasks[key.second].shown_in != reports_) out.push_back(key);
+    return out;
+}
+
 std::optional<std::vector<Order>> Scheduler::report(const wire::WorkerReport& r, TimePoint now) {
     if (ledger_.gone(r.machine)) return std::nullopt;
     auto& m = ledger_.add(r.machine, r.type, r.zone, r.spot, now);
@@ -444,7 +452,7 @@
     }
 
     std::vector<Order> orders;
-    std::set<TaskKey> reported;
+    ++reports_;
     bool strays = false;
     for (const auto& t : r.tasks) {
         auto* job = find(t.id.uid);
@@ -460,7 +468,7 @@
         if (t.attempt > task.attempt && !adopt(*job, m, t, now)) strays = strays || !ended;
         const bool ours = task.state == State::placed && task.machine == &m && task.attempt == t.attempt;
         if (ours) {
-            reported.insert({t.id.uid, t.id.index});
+            task.shown_in = reports_;
             if (!ended)
                 held(*job, t.id.index, m, t, orders, now);
             else if (!task.parked)
@@ -495,12 +503,9 @@
     }
     // Only a worker that has seen this term can no longer be reached by runs of an older one, and only then is
     // what it lacks really not there.
-    if (m.current) {
-        const auto tasks = m.tasks;
-        for (const auto& key : tasks)
-            if (!reported.contains(key))
-                if (auto* job = find(key.first)) absent(*job, key.second, m, orders, now);
-    }
+    if (m.current)
+        for (const auto& [uid, i] : not_shown(m))
+            if (auto* job = find(uid)) absent(*job, i, m, orders, now);
     return orders;
 }
 
@@ -518,8 +523,7 @@
     std::vector<Order> out;
     auto* m = ledger_.find(r.machine);
     if (!m || !m->current || std::pair(m->tenure, m->tick) != std::pair(r.tenure, r.tick)) return out;
-    const auto tasks = m->tasks;
-    for (const auto& [uid, i] : tasks) {
+    for (const auto& [uid, i] : m->tasks) {
         auto* job = find(uid);
         if (!job || job->cancelled || job->finished || (job->is(Shape::gang) && job->gang_failing)) continue;
         const auto& t = job->tasks[i];
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -180,6 +180,7 @@
     void held(Job& job, std::uint32_t task, Machine& m, const wire::TaskReport& r, std::vector<wire::Order>& orders,
               TimePoint now);
     void absent(Job& job, std::uint32_t task, Machine& m, std::vector<wire::Order>& orders, TimePoint now);
+    std::vector<TaskKey> not_shown(const Machine& m);
     void order_run(Job& job, std::uint32_t task, const Machine& m, std::vector<wire::Order>& orders);
     bool usable(const Machine& m, TimePoint now) const;
     const placement::Ask& ask_of(const Job& job) const;
@@ -268,13 +269,14 @@
     std::set<std::string> counts_changed_;
     std::set<std::string> parked_;  // gangs with parked members
     std::vector<Move> moves_;
-    std::uint64_t passes_ = 0;  // of placing, so far
-    unsigned holds_ = 0;        // gangs that room was held for in this one
-    bool gangs_wait_ = false;   // that may not use spot machines and found no room in the last one
-    bool waiting_ = false;      // something found no room in the last one
-    TimePoint short_at_{};      // when something last waited
-    TimePoint no_room_at_{};    // when something last found no room in its turn
-    TimePoint spare_since_{};   // since when more room has been spare than is wanted
+    std::uint64_t passes_ = 0;   // of placing, so far
+    unsigned holds_ = 0;         // gangs that room was held for in this one
+    bool gangs_wait_ = false;    // that may not use spot machines and found no room in the last one
+    std::uint64_t reports_ = 0;  // heard so far
+    bool waiting_ = false;       // something found no room in the last one
+    TimePoint short_at_{};       // when something last waited
+    TimePoint no_room_at_{};     // when something last found no room in its turn
+    TimePoint spare_since_{};    // since when more room has been spare than is wanted
 };
 
 }  // namespace flintdale::scheduler
