--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -604,7 +604,9 @@
     if (t.at_to > t.at) t.at = Seconds(events_.uniform(t.at.count(), t.at_to.count()));
     if (t.lasts_to > t.lasts) t.lasts = Seconds(events_.uniform(t.lasts.count(), t.lasts_to.count()));
     const bool happens = t.chance >= 1 || events_.chance(t.chance);
-    if (happens) troubles_over_ = std::max(troubles_over_, events_.now() + wire::to_clock(t.at + t.lasts));
+    if (happens)
+        troubles_over_ =
+            std::max(troubles_over_, events_.now() + wire::to_clock(t.at + t.lasts + (t.times - 1) * Seconds(t.every)));
     events_.after(t.at, [this, n, t, happens] {
         if (happens) trouble(t);
         if (n + 1 >= scenario_.troubles.size() || scenario_.troubles[n + 1].after.empty()) return;
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,475 @@
+// Workers' reports that are relayed to the leader: what may be lost, late, repeated or overtaken on the way.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "app/worker_assignment.hpp"
+#include "emulator/world.hpp"
+#include "peer/link.hpp"
+#include "peer/relayed_reports.hpp"
+#include "peer/report_relay.hpp"
+#include "world.hpp"
+
+namespace flintdale::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t relay_incarnation = 7, leader_incarnation = 40, term = 5;
+
+// A relay, and the messages that it sends; whoever leads is played by the story.
+struct RelayStory : ::testing::Test {
+    TimePoint now{std::chrono::seconds(1000)};
+    const bool emulated = (wire::Clock::emulated = &now) != nullptr;
+    ~RelayStory() override { wire::Clock::emulated = nullptr; }
+
+    net::asio::io_context io;
+    config::Settings cluster = settings();
+    std::vector<std::pair<std::string, peer::RelayMessage>> sent;
+    bool link_up = true;
+    peer::ReportRelay relay{io.get_executor(), cluster, relay_incarnation,
+                            [this](const std::string& member, const peer::RelayMessage& m) {
+                                if (link_up) sent.emplace_back(member, peer::decode_relay(peer::encode(m)));
+                                return link_up;
+                            }};
+    struct Told {
+        bool over = false;
+        std::optional<peer::LeaderAnswer> answer;
+    };
+    std::vector<std::shared_ptr<Told>> asked;
+
+    static wire::WorkerReport report(const std::string& machine, std::uint64_t tick, std::uint32_t tasks) {
+        wire::WorkerReport r;
+        r.machine = machine;
+        r.addr = machine + ":9000";
+        r.type = "large";
+        r.zone = "a";
+        r.tenure = 1;
+        r.tick = tick;
+        r.token = term;
+        for (std::uint32_t i = 0; i < tasks; ++i) {
+            wire::TaskReport t;
+            t.id = {"run-1", i};
+            t.attempt = 1;
+            t.status = wire::TaskStatus::running;
+            r.tasks.push_back(t);
+        }
+        return r;
+    }
+    std::shared_ptr<Told> ask(wire::WorkerReport r) {
+        auto told = std::make_shared<Told>();
+        net::asio::co_spawn(io, relay.relay(std::move(r)), [told](std::exception_ptr, auto answer) {
+            told->over = true;
+            told->answer = std::move(answer);
+        });
+        pass(30ms);
+        return told;
+    }
+    void pass(wire::Clock::duration time) {
+        for (const auto until = now + time; now < until;) {
+            now += 5ms;
+            io.restart();
+            io.poll();
+        }
+    }
+    static peer::Leader leads(const std::string& member, std::uint64_t of_term = term) {
+        return {member, leader_incarnation, of_term};
+    }
+    static peer::RelayedAnswer answer(std::uint64_t number, std::uint64_t token = term) {
+        peer::RelayedAnswer a;
+        a.number = number;
+        a.outcome = peer::RelayOutcome::answered;
+        a.token = token;
+        a.orders.push_back({wire::Verb::run, {"run-2", 0}, 1, wire::Seconds(0)});
+        return a;
+    }
+    void says(const std::string& member, peer::RelayedAnswer a, std::uint64_t newest_term = term) {
+        peer::RelayMessage m;
+        m.member = member;
+        m.incarnation = leader_incarnation;
+        m.to = relay_incarnation;
+        m.answers.push_back(std::move(a));
+        relay.answered(peer::decode_relay(peer::encode(m)), newest_term);
+        pass(5ms);
+    }
+    // The number of the newest report that was sent in full.
+    std::uint64_t full() const { return sent.back().second.reports.back().number; }
+};
+
+}  // namespace
+
+TEST_F(RelayStory, a_report_that_says_nothing_new_costs_a_few_bytes_and_is_heard_as_it_is) {
+    relay.follow(leads("one"));
+    peer::RelayedReports kept;
+    const auto first = ask(report("n-1", 10, 200));
+    ASSERT_EQ(sent.size(), 1u);
+    const auto whole = peer::encode(sent.back().second).size();
+    kept.keep("two", relay_incarnation, sent.back().second.reports.at(0));
+    says("one", answer(full()));
+    ASSERT_TRUE(first->answer);
+    EXPECT_EQ(first->answer->token, term);
+    EXPECT_EQ(first->answer->orders.size(), 1u);
+
+    ask(report("n-1", 11, 200));
+    ASSERT_EQ(sent.size(), 2u);
+    ASSERT_EQ(sent.back().second.repeated.size(), 1u);
+    EXPECT_LT(peer::encode(sent.back().second).size() * 20, whole);
+    const auto* heard = kept.repeated("two", relay_incarnation, sent.back().second.repeated[0]);
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(*heard, report("n-1", 11, 200));
+    EXPECT_FALSE(kept.repeated("two", relay_incarnation + 1, sent.back().second.repeated[0])) << "another process";
+}
+
+// Two reports of one worker under way, the later one a copy of what it held long ago.
+TEST_F(RelayStory, ran_twice_a_late_copy_is_not_what_the_next_report_repeats) {
+    relay.follow(leads("one"));
+    peer::RelayedReports kept;
+    ask(report("n-1", 10, 3));
+    const auto newest = full();
+    kept.keep("two", relay_incarnation, sent.back().second.reports.at(0));
+    ask(report("n-1", 4, 0));
+    kept.keep("two", relay_incarnation, sent.back().second.reports.at(0));
+    says("one", answer(newest));
+
+    ask(report("n-1", 11, 3));
+    const auto& message = sent.back().second;
+    for (const auto& r : message.repeated) {
+        const auto* heard = kept.repeated("two", relay_incarnation, r);
+        EXPECT_TRUE(!heard || heard->tasks.size() == 3) << "three tasks run there";
+    }
+    for (const auto& r : message.reports) EXPECT_EQ(r.report.tasks.size(), 3u);
+}
+
+TEST_F(RelayStory, a_report_that_came_after_a_newer_one_is_not_kept_in_its_place) {
+    peer::RelayedReports kept;
+    kept.keep("two", relay_incarnation, {9, 1, report("n-1", 12, 3)});
+    kept.keep("two", relay_incarnation, {8, 1, report("n-1", 11, 0)});
+    const auto* heard = kept.repeated("two", relay_incarnation, {10, 1, 13, 9});
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard->tasks.size(), 3u);
+    EXPECT_FALSE(kept.repeated("two", relay_incarnation, {11, 1, 14, 8}));
+}
+
+TEST_F(RelayStory, what_the_leader_does_not_know_is_sent_in_full) {
+    relay.follow(leads("one"));
+    ask(report("n-1", 10, 2));
+    says("one", answer(full()));
+    const auto again = ask(report("n-1", 11, 2));
+    peer::RelayedAnswer unknown;
+    unknown.number = sent.back().second.repeated.at(0).number;
+    unknown.outcome = peer::RelayOutcome::unknown_handle;
+    says("one", unknown);
+    pass(30ms);
+    ASSERT_EQ(sent.back().second.reports.size(), 1u);
+    EXPECT_EQ(sent.back().second.reports[0].report, report("n-1", 11, 2));
+    EXPECT_FALSE(again->over);
+    says("one", answer(full()));
+    EXPECT_TRUE(again->answer);
+}
+
+TEST_F(RelayStory, reports_under_way_go_to_the_next_leader_and_the_old_ones_answers_count_no_more) {
+    relay.follow(leads("one"));
+    const auto waiting = ask(report("n-1", 10, 2));
+    const auto number = full();
+    relay.follow(std::nullopt);
+    relay.follow(leads("three", term + 1));
+    pass(30ms);
+    ASSERT_EQ(sent.back().first, "three");
+    EXPECT_EQ(sent.back().second.reports.at(0).report, report("n-1", 10, 2));
+    says("one", answer(number));
+    EXPECT_FALSE(waiting->over);
+    says("three", answer(full(), term + 1), term + 1);
+    ASSERT_TRUE(waiting->answer);
+    EXPECT_EQ(waiting->answer->token, term + 1);
+}
+
+TEST_F(RelayStory, an_answer_of_a_term_that_is_overtaken_is_not_passed_on) {
+    relay.follow(leads("one"));
+    const auto overtaken = ask(report("n-1", 10, 2));
+    says("one", answer(full()), term + 1);
+    EXPECT_TRUE(overtaken->over);
+    EXPECT_FALSE(overtaken->answer);
+    // The same leader has won another term between the report and its answer.
+    relay.follow(leads("one", term + 2));
+    const auto older = ask(report("n-1", 11, 2));
+    says("one", answer(full(), term), term + 2);
+    EXPECT_FALSE(older->answer);
+    const auto newer = ask(report("n-1", 12, 2));
+    says("one", answer(full(), term + 2), term + 2);
+    EXPECT_TRUE(newer->answer);
+}
+
+TEST_F(RelayStory, an_answer_that_is_held_past_the_workers_patience_reaches_nobody) {
+    relay.follow(leads("one"));
+    const auto late = ask(report("n-1", 10, 2));
+    const auto number = full();
+    pass(4s);
+    EXPECT_TRUE(late->over) << "it is told 503, and goes to another controller";
+    EXPECT_FALSE(late->answer);
+    const auto next = ask(report("n-1", 11, 2));
+    says("one", answer(number));
+    EXPECT_FALSE(next->over) << "the answer is to the report before";
+    EXPECT_EQ(relay.waiting(), 1u);
+}
+
+TEST_F(RelayStory, cut_from_the_leader_it_keeps_trying_while_the_worker_waits_and_forgets_nothing_afterwards) {
+    relay.follow(leads("one"));
+    link_up = false;
+    const auto waiting = ask(report("n-1", 10, 2));
+    pass(1s);
+    EXPECT_TRUE(sent.empty());
+    link_up = true;
+    relay.follow(leads("one"));  // it is heard again
+    pass(30ms);
+    ASSERT_EQ(sent.size(), 1u);
+    // The link breaks with the report on its way.
+    relay.link_lost("one");
+    relay.follow(leads("one"));
+    pass(30ms);
+    ASSERT_EQ(sent.size(), 2u);
+    EXPECT_EQ(sent[1].second.reports.at(0).number, sent[0].second.reports.at(0).number);
+    says("one", answer(full()));
+    EXPECT_TRUE(waiting->answer);
+}
+
+TEST_F(RelayStory, more_than_there_are_sockets_are_refused_at_once) {
+    cluster.max_sockets = 3;
+    relay.follow(leads("one"));
+    std::vector<std::shared_ptr<Told>> all;
+    for (int i = 0; i < 4; ++i) all.push_back(ask(report("n-" + std::to_string(i), 1, 1)));
+    EXPECT_FALSE(all[2]->over);
+    EXPECT_TRUE(all[3]->over);
+    EXPECT_FALSE(all[3]->answer);
+}
+
+TEST_F(RelayStory, many_reports_of_one_moment_share_a_message) {
+    relay.follow(leads("one"));
+    for (int i = 0; i < 50; ++i)
+        net::asio::co_spawn(io, relay.relay(report("n-" + std::to_string(i), 1, 5)), net::asio::detached);
+    pass(30ms);
+    ASSERT_EQ(sent.size(), 2u) << "the first at once, the others together";
+    EXPECT_EQ(sent[1].second.reports.size(), 49u);
+}
+
+TEST(RelayMessage, nonsense_is_an_error_and_an_old_version_says_that_it_takes_no_part) {
+    EXPECT_THROW(peer::decode_relay("nonsense"), std::exception);
+    peer::Beat beat;
+    beat.member = "one";
+    beat.relays = true;
+    beat.workers = 12;
+    beat.capacity = 30;
+    beat.fleet = 40;
+    const auto read = peer::decode(peer::encode(beat));
+    EXPECT_TRUE(read.relays);
+    EXPECT_EQ(read.workers + read.capacity + read.fleet, 82u);
+    EXPECT_FALSE(peer::decode(peer::encode(peer::Beat{})).relays);
+}
+
+// --- who serves whom ---
+
+namespace {
+
+struct AssignmentStory : ::testing::Test {
+    TimePoint now{std::chrono::seconds(1000)};
+    config::Settings cluster = settings();
+    config::Tunables tunables;
+    AssignmentStory() {
+        cluster.max_sockets = 464;  // 400 but for its own, and 300 of them for workers
+        cluster.peers = {{"two", "a", {}}, {"three", "b", {}}};
+    }
+    static app::WorkerAssignment::Load follower(std::uint32_t workers) { return {true, false, workers, 300, 0}; }
+    static app::WorkerAssignment::Load leader(std::uint32_t workers, std::uint32_t fleet) {
+        return {true, true, workers, 300, fleet};
+    }
+    static std::string machine(int n) { return "n-" + std::to_string(n); }
+};
+
+}  // namespace
+
+TEST_F(AssignmentStory, one_leader_that_is_enough_has_all_workers_as_before) {
+    app::WorkerAssignment assignment(cluster, tunables);
+    assignment.heard("two", leader(0, 290), now);
+    for (int i = 0; i < 290; ++i) EXPECT_EQ(assignment.at_follower(machine(i), "a", "two", now), "two");
+    EXPECT_EQ(assignment.at_follower(machine(0), "a", "two", now), "two") << "also one that is back at once";
+    EXPECT_EQ(assignment.workers(now), 0u);
+}
+
+TEST_F(AssignmentStory, a_leader_that_is_full_sends_newcomers_to_the_least_loaded_of_their_zone_first) {
+    app::WorkerAssignment assignment(cluster, tunables);
+    for (int i = 0; i < 300; ++i) ASSERT_FALSE(assignment.at_leader(machine(i), "a", now)) << "there is nobody else";
+    assignment.heard("two", follower(100), now);
+    assignment.heard("three", follower(50), now);
+    EXPECT_EQ(assignment.at_leader(machine(300), "a", now), "two");
+    EXPECT_EQ(assignment.at_leader(machine(301), "c", now), "three");
+    EXPECT_FALSE(assignment.at_leader(machine(5), "a", now)) << "who is served here stays";
+    // Versions that do not relay would send it back.
+    assignment.heard("two", {false, false, 0, 0, 0}, now);
+    assignment.heard("three", {false, false, 0, 0, 0}, now);
+    EXPECT_FALSE(assignment.at_leader(machine(302), "a", now));
+}
+
+TEST_F(AssignmentStory, workers_that_are_too_many_go_one_by_one) {
+    app::WorkerAssignment assignment(cluster, tunables);
+    for (int i = 0; i < 400; ++i) ASSERT_FALSE(assignment.at_leader(machine(i), "a", now));
+    assignment.heard("two", follower(0), now);
+    int gone = 0;
+    for (int i = 0; i < 400; ++i) gone += assignment.at_leader(machine(i), "a", now).has_value();
+    EXPECT_EQ(gone, 1);
+    now += 1s;
+    assignment.heard("two", follower(1), now);
+    for (int i = 0; i < 400; ++i) gone += assignment.at_leader(machine(i), "a", now).has_value();
+    EXPECT_EQ(gone, 2);
+}
+
+TEST_F(AssignmentStory, what_the_leader_has_room_for_is_shared_until_it_tells_more) {
+    app::WorkerAssignment assignment(cluster, tunables);
+    assignment.heard("two", leader(260, 5000), now);
+    int sent = 0;
+    for (int i = 0; i < 200; ++i) sent += assignment.at_follower(machine(i), "a", "two", now) == "two";
+    EXPECT_EQ(sent, 20) << "half of its room: there is one more that may send workers to it";
+    EXPECT_EQ(assignment.workers(now), 180u);
+    EXPECT_TRUE(assignment.serves(machine(150)));
+    EXPECT_FALSE(assignment.at_follower(machine(150), "a", "two", now));
+}
+
+TEST_F(AssignmentStory, a_worker_that_does_not_reach_the_leader_is_served_where_it_is_back) {
+    app::WorkerAssignment assignment(cluster, tunables);
+    assignment.heard("two", leader(100, 5000), now);
+    EXPECT_EQ(assignment.at_follower(machine(1), "a", "two", now), "two");
+    now += 6s;
+    assignment.heard("two", leader(100, 5000), now);
+    EXPECT_FALSE(assignment.at_follower(machine(1), "a", "two", now));
+    now += 60s;
+    EXPECT_FALSE(assignment.serves(machine(1)) && assignment.workers(now) == 0u);
+}
+
+TEST_F(AssignmentStory, bounds_follow_from_the_limits_on_sockets_and_processor_time) {
+    EXPECT_EQ(app::WorkerAssignment(cluster, tunables).capacity(true), 300u);
+    cluster.core_share = 0.002;  // of a core: some 17 reports a second
+    const auto few = app::WorkerAssignment(cluster, tunables).capacity(true);
+    EXPECT_GT(few, 10u);
+    EXPECT_LT(few, 100u);
+    cluster.report = wire::Seconds(12);
+    EXPECT_NEAR(app::WorkerAssignment(cluster, tunables).capacity(true), few * 4, 4);
+    tunables.direct_share = 0;
+    EXPECT_EQ(app::WorkerAssignment(cluster, tunables).capacity(true), 0u);
+    EXPECT_GT(app::WorkerAssignment(cluster, tunables).capacity(false), 0u);
+}
+
+// --- whole controllers, all reports relayed ---
+
+namespace {
+
+constexpr const char* relayed_world = R"(
+[world]
+members = ["one", "two", "three"]
+member_zones = ["a", "b", "a"]
+length_s = 150
+warm = 16
+direct_share = 0
+[cluster]
+nodes = 3
+zones = ["a", "b"]
+[[cluster.teams]]
+name = "red"
+cpus_max = 400
+[cluster.workers]
+report_s = 3.0
+lease_s = 20.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 45.0
+[cluster.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 16.0
+txn_ops = 24
+[cluster.cloud]
+rps = 6.0
+list_lag_s = 3.0
+[[machines]]
+type = "large"
+cpus = 48
+gpus = 8
+memory_gb = 192
+zones = ["a", "b"]
+boot_s = 20
+[[jobs]]
+class = "rescore"
+team = "red"
+shape = "array"
+cpus = 5
+memory_gb = 18
+tasks_to = 6
+initial = 12
+per_minute = 20
+runs_s = 25
+cancelled = 0.3
+cancel_from_s = 5
+cancel_to_s = 40
+[[jobs]]
+class = "train"
+team = "red"
+shape = "gang"
+cpus = 14
+memory_gb = 70
+tasks_from = 2
+tasks_to = 3
+one_zone = true
+initial = 2
+per_minute = 3
+runs_s = 40
+)";
+
+// Plays it with those troubles under some seeds: no rule may break, and reports must have been relayed.
+void relayed(const std::string& troubles) {
+    spdlog::set_level(spdlog::level::off);
+    const auto scenario = emulator::parse_scenario(relayed_world + troubles, "relayed");
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        SCOPED_TRACE(seed);
+        const auto o = emulator::World(scenario, seed).play();
+        for (const auto& [rule, first] : o.first) ADD_FAILURE() << rule << " at " << first;
+        EXPECT_EQ(o.left_behind, std::vector<std::string>());
+        EXPECT_GT(o.relayed, 500u);
+        EXPECT_GT(o.started, 50u);
+    }
+}
+
+std::string trouble(const std::string& kind, int at, int lasts, const std::string& more) {
+    return "[[troubles]]\nkind = \"" + kind + "\"\nat_s = " + std::to_string(at) +
+           "\nlasts_s = " + std::to_string(lasts) + "\n" + more + "\n";
+}
+
+}  // namespace
+
+TEST(Relayed, relays_that_end_with_reports_under_way) {
+    relayed(trouble("crash", 40, 2, "node = \"follower\"\ntimes = 5\nevery_s = 7"));
+}
+
+TEST(Relayed, the_leader_ends_and_its_relays_go_to_the_next_one) {
+    relayed(trouble("crash", 40, 3, "node = \"leader\"\ntimes = 4\nevery_s = 15"));
+}
+
+TEST(Relayed, relays_cut_from_the_leader_and_not_from_workers) {
+    relayed(trouble("cut_peers", 40, 25, "node = \"leader\"") + trouble("cut_peers", 90, 12, "node = \"follower\""));
+}
+
+TEST(Relayed, reports_and_answers_held_for_longer_than_workers_wait) {
+    relayed(trouble("held", 30, 60, "share = 0.3\nseconds = 9") + trouble("freeze", 100, 5, "node = \"follower\""));
+}
+
+TEST(Relayed, ran_twice_old_copies_of_reports_come_through_any_relay) {
+    relayed(trouble("late_reports", 20, 100, "share = 0.5") +
+            trouble("crash", 50, 1, "node = \"leader\"\ntimes = 3\nevery_s = 20"));
+}
+
+TEST(Relayed, ran_cancelled_work_is_called_off_while_its_workers_relay_changes) {
+    relayed(trouble("cancel_now", 60, 0, "share = 8\nseconds = 20") +
+            trouble("crash", 60, 4, "node = \"followers\"\ntimes = 2\nevery_s = 8"));
+}
+
+TEST(Relayed, an_outage_in_which_the_leader_ends) {
+    relayed(trouble("outage", 50, 15, "") + trouble("crash", 52, 3, "node = \"leader\""));
+}
+
+}  // namespace flintdale::test
