--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -491,6 +491,7 @@
     }
     scheduler_.releasing(leaving);
     std::vector<std::string> names;
+    names.reserve(leaving.size());
     for (const auto& r : leaving) names.push_back(r.machine);
     if (names.empty()) co_return;
     const bool done = co_await cloud_.release(names);
--- a/src/scale/latency.hpp
+++ b/src/scale/latency.hpp
@@ -15,7 +15,7 @@
         bins_.resize(Latencies().bins_.size());
     }
 
-    void add(wire::Seconds took) { ++bins_[static_cast<std::size_t>(axis().index(took.count()) + 1)]; }
+    void add(wire::Seconds took) { ++bins_[static_cast<std::size_t>(axis().index(took.count())) + 1]; }
     void add(const Latencies& other) {
         for (std::size_t i = 0; i < bins_.size(); ++i) bins_[i] += other.bins_[i];
     }
--- a/src/scheduler/scheduler_place.cpp
+++ b/src/scheduler/scheduler_place.cpp
@@ -74,6 +74,7 @@
     std::sort(waiting.begin(), waiting.end(),
               [&](const auto& a, const auto& b) { return placement::before(a.first, b.first, tunables_.ageing); });
     std::vector<Job*> out;
+    out.reserve(waiting.size());
     for (auto& [w, job] : waiting) out.push_back(job);
     return out;
 }
