--- a/lab/scale_main.cpp
+++ b/lab/scale_main.cpp
@@ -32,6 +32,7 @@
     app.add_option("--zones", a.overrides.zones);
     app.add_option("--teams", a.overrides.teams);
     app.add_option("--length", a.overrides.length_s, "seconds");
+    app.add_option("--report", a.overrides.report_s, "seconds between two reports of a worker");
     app.add_option("--window-from", a.overrides.window_from_s,
                    "seconds after the start; what is steady is measured then");
     app.add_option("--window", a.overrides.window_s, "seconds");
--- a/src/scale/fit.cpp
+++ b/src/scale/fit.cpp
@@ -99,7 +99,11 @@
 std::string group_of(const json::object& o) {
     const auto* config = o.if_contains("operator_config");
     const std::string name = config && config->is_string() ? std::string(config->as_string()) : "";
-    return fmt::format("{} controllers, {}", o.at("controllers").to_number<int>(),
+    const auto* scenario = o.if_contains("scenario");
+    const auto* report = o.if_contains("report_s");
+    return fmt::format("{}, {} controllers, reports each {} s, {}",
+                       scenario ? std::string(scenario->as_string()) : "no scenario named",
+                       o.at("controllers").to_number<int>(), report ? report->to_number<double>() : 0.0,
                        name.empty() ? "operators' settings as they are" : name);
 }
 
--- a/src/scale/plan.cpp
+++ b/src/scale/plan.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <regex>
 #include <sstream>
 
 namespace flintdale::scale {
@@ -147,7 +148,13 @@
 }
 
 Plan make_plan(const std::string& path, const Overrides& o) {
-    const auto file = read(path);
+    auto file = read(path);
+    if (o.report_s) {
+        if (*o.report_s < 1 || *o.report_s > 60)
+            throw BadSetting(fmt::format("report_s: expected 1 to 60, found {}", *o.report_s));
+        const std::regex setting(R"((^|\n)report_s = [0-9.]+)");
+        file = std::regex_replace(file, setting, fmt::format("$1report_s = {}", *o.report_s));
+    }
     toml::table root;
     try {
         root = toml::parse(file, path);
@@ -195,7 +202,7 @@
     text += teams_text(root, p.workers, p.teams, t.number("team_parts", 1, 1000));
     text += fmt::format("[cluster.limits]\nmax_sockets = {}\ncore_share = {}\n",
                         o.max_sockets.value_or(t.number("max_sockets", 16, 100'000)), t.number("core_share", 0.001, 1));
-    p.scenario = emulator::parse_scenario(text, path);
+    p.scenario = emulator::parse_scenario(text, path.substr(path.rfind('/') + 1));
     for (auto& type : p.scenario.types) {
         type.zones.clear();
         for (std::size_t i = 0; i < p.zones; ++i) type.zones.push_back(zone_name(i));
--- a/src/scale/plan.hpp
+++ b/src/scale/plan.hpp
@@ -11,6 +11,7 @@
 // What the command line says in place of the file.
 struct Overrides {
     std::optional<std::size_t> workers, controllers, zones, teams;
+    std::optional<double> report_s;  // between two reports of a worker
     std::optional<double> length_s, window_from_s, window_s, kill_leader_s, failure_factor, max_sockets;
     std::optional<std::string> operator_config;  // a file of operators' settings for the controllers
     std::uint64_t seed = 1;
--- a/src/scale/run.cpp
+++ b/src/scale/run.cpp
@@ -311,6 +311,8 @@
                      {"teams", plan_.teams},
                      {"seed", plan_.seed},
                      {"operator_config", std::filesystem::path(plan_.operator_config).filename().string()},
+                     {"scenario", plan_.scenario.name},
+                     {"report_s", settings_.report.count()},
                      {"length_s", plan_.length.count()},
                      {"restarts_a_day", plan_.restarts_a_day},
                      {"deaths_a_day", plan_.deaths_a_day},
