--- a/src/scale/fit.cpp
+++ b/src/scale/fit.cpp
@@ -109,6 +109,7 @@
 
 std::string row(const Quantity& q, const Line& line) {
     std::string law = fmt::format("{:.4g} + {:.4g} x workers", line.fixed, line.slope);
+    if (line.sizes < 2) law = fmt::format("{:.4g}, of one size", line.fixed);
     if (!line.straight()) law = fmt::format("not linear: slope changes {:.2f} times", line.bend);
     return fmt::format("| {} | {} | {} | {:.3g} | {:.0f}% | {:.0f} to {:.0f} | {} |\n", q.name, q.unit, law,
                        line.residual, line.spread * 100, line.from, line.to, line.runs);
--- a/tests/scale_run_test.sh
+++ b/tests/scale_run_test.sh
@@ -23,15 +23,17 @@
 expect 2 "cannot be read" run /nowhere.toml
 expect 2 "cannot be read" fit /nowhere.jsonl
 expect 2 "subcommand" --workers 3
+# The ids of a process's children.
+children_of() { grep -ls "^PPid:[[:space:]]*$1\$" /proc/[0-9]*/status | cut -d/ -f3; }
 "$program" run "$scenario" --workers 20 --network 251 >/dev/null 2>&1 &
 run=$!
 for _ in $(seq 100); do
-    children=$(pgrep -P "$run" | wc -l)
+    children=$(children_of "$run" | wc -l)
     [ "$children" -ge 4 ] && break
     sleep 0.1
 done
 [ "$children" -ge 4 ] || { echo "FAILED: $children processes were started"; bad=$((bad + 1)); }
-started=$(pgrep -P "$run")
+started=$(children_of "$run")
 kill -TERM "$run"
 wait "$run"
 status=$?
