--- a/tests/scale_run_test.sh
+++ b/tests/scale_run_test.sh
@@ -2,6 +2,7 @@
 # What flintdale_scale refuses, with 2 and a reason; and that an interrupted run leaves no process behind.
 # Usage: scale_run_test.sh PROGRAM SCENARIO
 set -uo pipefail
+ulimit -Sn 20000 2>/dev/null || true
 program=$1 scenario=$2 bad=0 count=0
 # expect STATUS PATTERN ARGUMENTS...
 expect() {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,5 +1,6 @@
 // The parts of scale runs that can be told without processes and sockets. The run itself: the test scale_run.
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <fstream>
 
@@ -29,6 +30,23 @@
     return "";
 }
 
+// The limit on open files, whatever the machine's is.
+class OpenFiles {
+  public:
+    explicit OpenFiles(rlim_t most) {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        rlimit now = before_;
+        now.rlim_cur = std::min(most, before_.rlim_max);
+        setrlimit(RLIMIT_NOFILE, &now);
+    }
+    ~OpenFiles() { setrlimit(RLIMIT_NOFILE, &before_); }
+    OpenFiles(const OpenFiles&) = delete;
+    OpenFiles& operator=(const OpenFiles&) = delete;
+
+  private:
+    rlimit before_{};
+};
+
 }  // namespace
 
 TEST(ScalePlan, is_of_the_size_that_is_asked_for) {
@@ -54,6 +72,7 @@
 }
 
 TEST(ScalePlan, what_does_not_fit_is_refused_with_the_reason) {
+    const OpenFiles limit(20'000);
     scale::Overrides o;
     o.workers = 0;
     EXPECT_NE(refused(o).find("workers"), std::string::npos);
