Relays: what is forgotten with a leader or a link, and whether a leader is enough alone, stand once

Found on a last reading: the same two lines for a lost link and a new leader, the same comparison for a leader's room twice.

--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -45,7 +45,7 @@
 }
 
 namespace {
-// Keeps the leader_term alive for as long as one of its loops runs.
+// Keeps the term alive for as long as one of its loops runs.
 awaitable<void> run_loop(std::shared_ptr<LeaderTerm> keep, awaitable<void> loop) {
     try {
         co_await std::move(loop);
--- a/src/app/worker_assignment.cpp
+++ b/src/app/worker_assignment.cpp
@@ -131,9 +131,12 @@
     return std::nullopt;
 }
 
+// Whether the leader has room for all workers there are.
+bool WorkerAssignment::enough_alone(const Peer& leader) const { return fleet_ > 0 && fleet_ <= leader.load.capacity; }
+
 // What the leader has told, divided among all that may send workers to it before it tells more.
 bool WorkerAssignment::leader_has_room(const Peer& leader) const {
-    if (fleet_ > 0 && fleet_ <= leader.load.capacity) return true;
+    if (enough_alone(leader)) return true;
     const auto others = std::max<std::size_t>(1, settings_.peers.size());
     return leader.room() > 0 && leader.sent < (leader.room() + leader.sent + others - 1) / others;
 }
@@ -151,8 +154,7 @@
     auto& leading = peers_[leader];
     const auto sent = sent_on_.find(machine);
     const bool back = sent != sent_on_.end() && now - sent->second < back_within;
-    const bool enough_alone = fleet_ > 0 && fleet_ <= leading.load.capacity;
-    if (leader_has_room(leading) && (enough_alone || !back)) {
+    if (leader_has_room(leading) && (enough_alone(leading) || !back)) {
         if (sent_on_.size() > most_remembered) sent_on_.clear();
         sent_on_[machine] = now;
         return send_to(leading, leader);
--- a/src/app/worker_assignment.hpp
+++ b/src/app/worker_assignment.hpp
@@ -49,6 +49,7 @@
     bool may_send_away(wire::TimePoint now, std::uint32_t capacity);
     std::optional<std::string> send_to(Peer& peer, const std::string& member);
     std::optional<std::string> with_most_room(const std::string& zone, const std::string& but, wire::TimePoint now);
+    bool enough_alone(const Peer& leader) const;
     bool leader_has_room(const Peer& leader) const;
 
     const config::Settings& settings_;
--- a/src/peer/report_relay.cpp
+++ b/src/peer/report_relay.cpp
@@ -26,8 +26,7 @@
 void ReportRelay::follow(const std::optional<Leader>& leader) {
     if (leader != leader_) {
         // Another leader, or another term of it, has decided on nothing that was sent before.
-        forget_held();
-        for (auto& [number, waiting] : waiting_) waiting->sent = false;
+        forget_sent();
         leader_ = leader;
         if (leader_) outbox_->address(settings_.member, incarnation_, leader_->incarnation);
     }
@@ -36,11 +35,14 @@
 
 void ReportRelay::link_lost(const std::string& member) {
     if (!leader_ || leader_->member != member) return;
-    forget_held();
-    for (auto& [number, waiting] : waiting_) waiting->sent = false;
+    forget_sent();
 }
 
-void ReportRelay::forget_held() { held_.clear(); }
+// Whatever waits has to be sent anew, and in full.
+void ReportRelay::forget_sent() {
+    held_.clear();
+    for (auto& [number, waiting] : waiting_) waiting->sent = false;
+}
 
 void ReportRelay::send_waiting() {
     for (auto& [number, waiting] : waiting_)
@@ -48,7 +50,7 @@
 }
 
 ReportRelay::Held& ReportRelay::held(const std::string& machine) {
-    if (held_.size() > settings_.max_sockets * reports_a_socket) forget_held();
+    if (held_.size() > settings_.max_sockets * reports_a_socket) held_.clear();
     auto [it, fresh] = held_.try_emplace(machine);
     if (fresh) it->second.handle = ++handles_;
     return it->second;
--- a/src/peer/report_relay.hpp
+++ b/src/peer/report_relay.hpp
@@ -63,7 +63,7 @@
     void not_sent(const RelayMessage& message);
     void end(Waiting& waiting);
     Held& held(const std::string& machine);
-    void forget_held();
+    void forget_sent();
 
     net::Executor ex_;
     const config::Settings& settings_;
