--- a/review/stand_in/fleet.hpp
+++ b/review/stand_in/fleet.hpp
@@ -74,6 +74,45 @@
         record_.line("machine %s %s", name.c_str(), on ? "hangs" : "goes on");
         machines_.at(name)->hangs = on;
     }
+    // The machine's reports arrive; answers to them and direct commands are lost.
+    void set_deaf(const std::string& name, bool on) {
+        const std::lock_guard lock(mutex_);
+        record_.line("machine %s: answers to it are %s", name.c_str(), on ? "lost" : "heard again");
+        machines_.at(name)->deaf = on;
+    }
+    // The image is in the machine's cache, from earlier work.
+    void set_cached(const std::string& name, const std::string& job) {
+        const std::lock_guard lock(mutex_);
+        machines_.at(name)->images.insert(job);
+    }
+    // How long the machine takes to fetch an image.
+    void set_fetch(const std::string& name, double seconds) {
+        const std::lock_guard lock(mutex_);
+        machines_.at(name)->fetch_s = seconds;
+    }
+    // The fetches of the machine are complete.
+    void finish_fetch(const std::string& name) {
+        const std::lock_guard lock(mutex_);
+        for (auto& [task, t] : machines_.at(name)->tasks)
+            if (t.status == "pulling") t.ready = Clock::now();
+    }
+    // The machine is faulty: the next task that has its image there fails.
+    void set_faulty(const std::string& name) {
+        const std::lock_guard lock(mutex_);
+        machines_.at(name)->faulty = true;
+    }
+    // When the last report was sent that the machine has an answer to.
+    TimePoint last_answered(const std::string& name) {
+        const std::lock_guard lock(mutex_);
+        return machines_.at(name)->lease_from;
+    }
+    // The state of a task on a machine; empty if it is not there.
+    std::string status(const std::string& name, const TaskName& task) {
+        const std::lock_guard lock(mutex_);
+        const auto& tasks = machines_.at(name)->tasks;
+        const auto it = tasks.find(task);
+        return it == tasks.end() ? "" : it->second.status;
+    }
     // The machine stops with all that is on it.
     void stop_machine(const std::string& name) {
         const std::lock_guard lock(mutex_);
@@ -159,7 +198,8 @@
     struct Machine {
         std::string name, hall;
         const MachineType* type = nullptr;
-        bool spot = false, up = false, hangs = false;
+        bool spot = false, up = false, hangs = false, deaf = false, faulty = false;
+        double fetch_s = 0;  // 0: by the type's rate
         TimePoint created, up_at;
         std::optional<TimePoint> gone, dead;
         int port = 0;
@@ -367,7 +407,8 @@
             task.cause = "full";
         } else {
             const bool cached = m.images.contains(name.job);
-            task.ready = Clock::now() + to_clock(cached ? 0.05 : job->second.image_gb / m.type->pull_gb_per_s);
+            const double fetch_s = m.fetch_s > 0 ? m.fetch_s : job->second.image_gb / m.type->pull_gb_per_s;
+            task.ready = Clock::now() + to_clock(cached ? 0.05 : fetch_s);
         }
         m.tasks[name] = task;
     }
@@ -381,6 +422,10 @@
             if (task.status == "pulling" && now >= task.ready) {
                 arrives(m, name, task);
                 m.images.insert(name.job);
+                if (std::exchange(m.faulty, false)) {
+                    end(m, name, task, "error");
+                    continue;
+                }
                 // The result of a completed task is kept.
                 if (done_.contains(name)) {
                     end(m, name, task, "done");
@@ -460,7 +505,7 @@
         for (;;) {
             {
                 const std::lock_guard lock(mutex_);
-                if (m.gone || m.dead || !m.up) return {};
+                if (m.gone || m.dead || !m.up || m.deaf) return {};
                 if (!m.hangs) {
                     if (request.target == "/status") return {200, report(m), 0};
                     const auto body = json::parse(request.body);
@@ -512,7 +557,11 @@
                 body = report(m);
             }
             last = Clock::now();
-            const auto response = client.request(controllers_[node].second, "POST", "/agent/beat", body, 4);
+            auto response = client.request(controllers_[node].second, "POST", "/agent/beat", body, 4);
+            if (is_deaf(m)) {
+                std::this_thread::sleep_until(last + std::chrono::seconds(4));
+                response = {};
+            }
             const double spread = std::uniform_real_distribution<double>(0.75, 1.25)(random);
             next = Clock::now() + to_clock(settings_.workers.report_s * spread);
             if (response.status == 200) {
@@ -525,6 +574,10 @@
             if (response.status == 421) follow_redirect(response.body, node, next);
         }
     }
+    bool is_deaf(const Machine& m) {
+        const std::lock_guard lock(mutex_);
+        return m.deaf;
+    }
     void follow_redirect(const std::string& body, std::size_t& node, TimePoint& next) const {
         const auto parsed = json::parse(body).as_object();
         const auto* overseer = parsed.if_contains("overseer");
