Review: the stand-ins keep to the site's times

Cause: gang_wait_s, gang_peer_s, the bound of the clocks and the image cache were not those of the site file.

--- a/review/stand_in/deployment.hpp
+++ b/review/stand_in/deployment.hpp
@@ -67,7 +67,7 @@
     std::vector<std::string> zones{"riga-centrs", "jelgava-dr"};
     std::string team = "ordering-core";
     StoreLimits state{80, 30, 16, 12};
-    Settings settings{{3, 18, 45, 4, 48}, 8, 10, 0.2, {MachineType{}}};
+    Settings settings{{3, 18, 30, 6, 48}, 8, 10, 0.2, {MachineType{}}};
 };
 
 class Deployment {
@@ -221,7 +221,7 @@
                     << "\"\naddr = \"" << address_of(links_[i][j]->port()) << "\"\n";
         out << "[endpoints]\ncloud = \"" << fleet_.cloud_address() << "\"\nstate = \"" << store_.address(i)
             << "\"\n[cluster]\nnodes = " << cluster_.members.size()
-            << "\nzones = " << json::serialize(json::value_from(cluster_.zones)) << "\nclock_off_ms = 5.0\n"
+            << "\nzones = " << json::serialize(json::value_from(cluster_.zones)) << "\nclock_off_ms = 100.0\n"
             << "[[cluster.teams]]\nname = \"" << cluster_.team
             << "\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
             << "[cluster.workers]\nreport_s = " << decimal(w.report_s) << "\nlease_s = " << decimal(w.lease_s)
--- a/review/stand_in/fleet.hpp
+++ b/review/stand_in/fleet.hpp
@@ -7,7 +7,7 @@
 namespace stand_in {
 
 struct WorkerSettings {
-    double report_s = 3, lease_s = 36, gang_wait_s = 45, gang_peer_s = 4, cancel_s = 61;
+    double report_s = 3, lease_s = 18, gang_wait_s = 30, gang_peer_s = 6, cancel_s = 48;
 };
 
 struct MachineType {
@@ -263,7 +263,7 @@
                                          {"cores", t.cores},
                                          {"accelerators", t.accelerators},
                                          {"mem_gb", t.mem_gb},
-                                         {"local_gb", 60.0},
+                                         {"local_gb", 80.0},
                                          {"pull_gb_per_s", t.pull_gb_per_s},
                                          {"price", t.price},
                                          {"market_price", t.market_price},
