Review: one lost answer is enough for case 1

Cause: the answers were lost for 20 s, more than the case needs. Change: they are lost for 5 s, which is the answer to one report.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,6 +3,10 @@
 
 using namespace stand_in;
 
+namespace {
+constexpr int lost_for_s = 5;  // the answer to one report, which comes after 2.25 to 3.75 s
+}  // namespace
+
 // Arguments: the controller's program, a directory for settings and logs, the file of the record.
 int main(int argc, char** argv) {
     if (argc != 4) return 2;
@@ -44,13 +48,16 @@
     wait_for([&] { return status(0) == "pulling" && status(1) == "waiting" && status(2) == "ended"; });
     std::this_thread::sleep_for(std::chrono::seconds(2));
     wait_for([&] { return Seconds(Clock::now() - fleet.last_answered(machines[1])).count() < 0.1; });
+    const auto began = Clock::now();
     if (answers_lost) fleet.set_deaf(machines[1], true);
 
     // The last image is there, so the leader starts a new attempt. Task 0 fails when it is started again.
     fleet.finish_fetch(machines[0]);
     wait_for([&] { return status(0) == "waiting"; });
     fleet.set_faulty(machines[0]);
-    std::this_thread::sleep_for(std::chrono::seconds(20));
+    std::this_thread::sleep_until(began + std::chrono::seconds(lost_for_s));
+    if (answers_lost) fleet.set_deaf(machines[1], false);
+    std::this_thread::sleep_for(std::chrono::seconds(15));
 
     for (std::size_t i = 0; i < deployment.size(); ++i)
         if (deployment.ended_by_itself(i)) deployment.finish(2);
