Review: the stand-ins without what no case uses

Cause: outages, refusals, links that are held and machines that stop belonged to cases that are not kept. Change: they are gone; the cases are as before.

--- a/review/stand_in/deployment.hpp
+++ b/review/stand_in/deployment.hpp
@@ -11,52 +11,6 @@
 
 namespace stand_in {
 
-// Forwards a connection between two controllers, and can hold everything on it.
-class Link {
-  public:
-    explicit Link(int to) : to_(to), port_(free_port()) {
-        const int fd = listen_on(port_);
-        if (fd < 0) throw std::runtime_error("cannot listen");
-        std::thread([this, fd] { accept_loop(fd); }).detach();
-    }
-    int port() const { return port_; }
-    void set_held(bool on) { held_ = on; }
-
-  private:
-    void accept_loop(int fd) {
-        for (;;) {
-            const int client = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
-            if (client < 0) continue;
-            std::thread([this, client] { serve(client); }).detach();
-        }
-    }
-    void serve(int client) {
-        while (held_) std::this_thread::sleep_for(std::chrono::milliseconds(10));
-        const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto address = loopback(to_);
-        if (connect(server, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
-            std::thread back([this, client, server] { pump(server, client); });
-            pump(client, server);
-            back.join();
-        }
-        close(server);
-        close(client);
-    }
-    void pump(int from, int to) {
-        char chunk[65536];
-        for (;;) {
-            const auto n = recv(from, chunk, sizeof chunk, 0);
-            while (held_) std::this_thread::sleep_for(std::chrono::milliseconds(10));
-            if (n <= 0 || send(to, chunk, static_cast<std::size_t>(n), MSG_NOSIGNAL) != n) break;
-        }
-        shutdown(from, SHUT_RDWR);
-        shutdown(to, SHUT_RDWR);
-    }
-
-    int to_, port_;
-    std::atomic<bool> held_{false};
-};
-
 struct Member {
     std::string name, location;
 };
@@ -77,17 +31,13 @@
           cluster_(cluster),
           program_(std::move(program)),
           directory_(std::move(directory)),
-          store_(record, cluster.state, cluster.members.size()),
+          store_(cluster.state),
           fleet_(record, cluster.settings) {
         const auto n = cluster_.members.size();
         for (std::size_t i = 0; i < n; ++i) {
             serve_on_.push_back(free_port());
             peer_listen_.push_back(free_port());
         }
-        links_.resize(n);
-        for (std::size_t from = 0; from < n; ++from)
-            for (std::size_t to = 0; to < n; ++to)
-                links_[from].push_back(from == to ? nullptr : std::make_unique<Link>(peer_listen_[to]));
         std::vector<std::pair<std::string, int>> addresses;
         for (std::size_t i = 0; i < n; ++i) addresses.emplace_back(cluster_.members[i].name, serve_on_[i]);
         fleet_.set_controllers(std::move(addresses));
@@ -131,11 +81,6 @@
         waitpid(processes_[i], nullptr, 0);
         processes_[i] = -1;
     }
-    // The process stands still, or goes on.
-    void set_still(std::size_t i, bool on) {
-        record_.line("controller %s: %s", name(i).c_str(), on ? "stands still" : "goes on");
-        ::kill(processes_[i], on ? SIGSTOP : SIGCONT);
-    }
     // Whether a process that should run has ended by itself.
     bool ended_by_itself(std::size_t i) {
         int status = 0;
@@ -144,12 +89,6 @@
         processes_[i] = -1;
         return true;
     }
-    // Holds all that two controllers send each other.
-    void set_held(std::size_t a, std::size_t b, bool on) {
-        record_.line("network between %s and %s: %s", name(a).c_str(), name(b).c_str(), on ? "held" : "free");
-        links_[a][b]->set_held(on);
-        links_[b][a]->set_held(on);
-    }
     std::optional<std::size_t> leader() {
         const auto holder = store_.leader();
         for (std::size_t i = 0; i < size(); ++i)
@@ -196,7 +135,6 @@
     Response cancel(const std::string& uid, std::size_t first = 0) {
         return repeat(first, "/submissions/" + uid + "/cancel", "", {200});
     }
-    Response poll(const std::string& uid, std::size_t i) { return ask(i, "GET", "/submissions/" + uid, "", 2); }
 
   private:
     Response repeat(std::size_t first, const std::string& target, const std::string& body, std::set<int> final) {
@@ -218,8 +156,8 @@
         for (std::size_t j = 0; j < cluster_.members.size(); ++j)
             if (j != i)
                 out << "[[seeds]]\nmember = \"" << name(j) << "\"\nlocation = \"" << cluster_.members[j].location
-                    << "\"\naddr = \"" << address_of(links_[i][j]->port()) << "\"\n";
-        out << "[endpoints]\ncloud = \"" << fleet_.cloud_address() << "\"\nstate = \"" << store_.address(i)
+                    << "\"\naddr = \"" << address_of(peer_listen_[j]) << "\"\n";
+        out << "[endpoints]\ncloud = \"" << fleet_.cloud_address() << "\"\nstate = \"" << store_.address()
             << "\"\n[cluster]\nnodes = " << cluster_.members.size()
             << "\nzones = " << json::serialize(json::value_from(cluster_.zones)) << "\nclock_off_ms = 100.0\n"
             << "[[cluster.teams]]\nname = \"" << cluster_.team
@@ -245,7 +183,6 @@
     Store store_;
     Fleet fleet_;
     std::vector<int> serve_on_, peer_listen_;
-    std::vector<std::vector<std::unique_ptr<Link>>> links_;
     std::vector<pid_t> processes_;
 };
 
--- a/review/stand_in/fleet.hpp
+++ b/review/stand_in/fleet.hpp
@@ -15,7 +15,7 @@
     double cores = 24, accelerators = 4, mem_gb = 96, pull_gb_per_s = 0.12, price = 9.16, market_price = 4.08;
     double boot_s = 45;
     std::vector<std::string> halls{"riga-centrs", "jelgava-dr"};
-    int most = 4;  // ordinary machines that the cloud has in each zone; one that has stopped is not replaced
+    int most = 4;  // ordinary machines that the cloud has in each zone
 };
 
 struct Settings {
@@ -113,19 +113,6 @@
         const auto it = tasks.find(task);
         return it == tasks.end() ? "" : it->second.status;
     }
-    // The machine stops with all that is on it.
-    void stop_machine(const std::string& name) {
-        const std::lock_guard lock(mutex_);
-        record_.line("machine %s stops", name.c_str());
-        auto& m = *machines_.at(name);
-        m.dead = Clock::now();
-        lose_tasks(m, "machine stopped");
-    }
-    void set_cloud_outage(bool on) {
-        const std::lock_guard lock(mutex_);
-        record_.line("cloud: outage %s", on ? "begins" : "ends");
-        outage_ = on;
-    }
     std::vector<Stay> stays() {
         const std::lock_guard lock(mutex_);
         return stays_;
@@ -145,42 +132,6 @@
             for (const auto& [task, t] : m->tasks) n += task.job == uid && t.status == "running";
         return n;
     }
-    // When each task completed that did.
-    std::map<TaskName, TimePoint> done() {
-        const std::lock_guard lock(mutex_);
-        return done_;
-    }
-    std::vector<std::string> machine_names() {
-        const std::lock_guard lock(mutex_);
-        std::vector<std::string> out;
-        for (const auto& [name, m] : machines_)
-            if (m->up && !m->gone && !m->dead) out.push_back(name);
-        return out;
-    }
-    // The machines on which this much is free of what the running tasks take.
-    std::vector<std::string> with_room(double cores, double accelerators, double mem_gb) {
-        const std::lock_guard lock(mutex_);
-        std::vector<std::string> out;
-        for (const auto& [name, m] : machines_) {
-            if (!m->up || m->gone || m->dead || m->hangs) continue;
-            double c = m->type->cores, a = m->type->accelerators, g = m->type->mem_gb;
-            for (const auto& [task, t] : m->tasks) {
-                if (t.status == "ended") continue;
-                const auto& job = jobs_.at(task.job);
-                c -= job.cores;
-                a -= job.accelerators;
-                g -= job.mem_gb;
-            }
-            if (c >= cores && a >= accelerators && g >= mem_gb) out.push_back(name);
-        }
-        return out;
-    }
-    std::size_t machines_up() {
-        const std::lock_guard lock(mutex_);
-        std::size_t n = 0;
-        for (const auto& [name, m] : machines_) n += m->up && !m->gone && !m->dead;
-        return n;
-    }
     std::map<std::string, int> calls() {
         const std::lock_guard lock(mutex_);
         return counts_;
@@ -201,7 +152,7 @@
         bool spot = false, up = false, hangs = false, deaf = false, faulty = false;
         double fetch_s = 0;  // 0: by the type's rate
         TimePoint created, up_at;
-        std::optional<TimePoint> gone, dead;
+        std::optional<TimePoint> gone;
         int port = 0;
         std::map<TaskName, Task> tasks;
         std::set<std::string> images;
@@ -245,7 +196,6 @@
         const Target target(request.target);
         const bool post = request.method == "POST";
         ++counts_[request.method + " " + target.path];
-        if (outage_) return reply(503, {{"error", "trouble"}});
         if (!calls_.take(1)) {
             ++counts_["429"];
             return reply(429, json::object{});
@@ -284,15 +234,12 @@
                 truncated = true;
                 break;
             }
-            const bool failed = m.dead && *m.dead + std::chrono::seconds(30) <= as_of;
             hosts.push_back(json::object{{"uid", m.name},
                                          {"endpoint", address_of(m.port)},
                                          {"hosttype", m.type->name},
                                          {"hall", m.hall},
                                          {"loaners", m.spot},
-                                         {"status", failed             ? "failed"
-                                                    : m.up_at <= as_of ? "running"
-                                                                       : "starting"},
+                                         {"status", m.up_at <= as_of ? "running" : "starting"},
                                          {"held_s", Seconds(as_of - m.created).count()}});
         }
         return reply(200, {{"hosts", std::move(hosts)}, {"truncated", truncated}});
@@ -307,7 +254,7 @@
         if (granted.empty()) {
             int held = 0;
             for (const auto& [name, m] : machines_)
-                held += m->type == &type && m->hall == hall && m->spot == spot && (!m->gone || m->dead);
+                held += m->type == &type && m->hall == hall && m->spot == spot && !m->gone;
             const int most = spot ? 0 : type.most - held;
             for (int i = 0; i < std::min(number, most); ++i)
                 granted.push_back(add(type, hall, spot, type.boot_s)->name);
@@ -505,7 +452,7 @@
         for (;;) {
             {
                 const std::lock_guard lock(mutex_);
-                if (m.gone || m.dead || !m.up || m.deaf) return {};
+                if (m.gone || !m.up || m.deaf) return {};
                 if (!m.hangs) {
                     if (request.target == "/status") return {200, report(m), 0};
                     const auto body = json::parse(request.body);
@@ -538,7 +485,7 @@
             std::uint64_t tenure = 0;
             {
                 const std::lock_guard lock(mutex_);
-                if (m.gone || m.dead) return;
+                if (m.gone) return;
                 if (m.hangs) continue;
                 const auto now = Clock::now();
                 if (now - m.lease_from > to_clock(settings_.workers.lease_s)) {
@@ -593,7 +540,7 @@
         const auto answer = json::parse(body);
         const std::lock_guard lock(mutex_);
         // A machine that hangs does not carry out what came in the meantime; a response of over 4 s is dropped.
-        if (m.gone || m.dead || m.hangs || tenure != m.tenure) return;
+        if (m.gone || m.hangs || tenure != m.tenure) return;
         const auto baton = answer.at("baton").to_number<std::uint64_t>();
         if (baton < m.baton) return;
         if (baton > m.baton && Clock::now() - m.token_told > to_clock(settings_.workers.lease_s / 2)) {
@@ -620,7 +567,6 @@
     std::map<TaskName, TimePoint> done_;
     std::vector<std::pair<std::string, int>> controllers_;
     int last_machine_ = 0;
-    bool outage_ = false;
     HttpServer cloud_;
 };
 
--- a/review/stand_in/store.hpp
+++ b/review/stand_in/store.hpp
@@ -1,4 +1,4 @@
-// The state service, by the page: keys with stamps, transactions, grants, follows, outages and refusals.
+// The state service, by the page: keys with stamps, transactions, grants and follows, within its limits.
 #pragma once
 #include <boost/json.hpp>
 #include <condition_variable>
@@ -38,47 +38,21 @@
 
 class Store {
   public:
-    // Each controller has an address of its own, so that one alone can be refused.
-    Store(Record& record, StoreLimits limits, std::size_t controllers)
-        : record_(record), limits_(limits), requests_(limits.rps), writes_(limits.write_rps), refused_(controllers) {
-        for (std::size_t n = 0; n < controllers; ++n)
-            servers_.push_back(std::make_unique<HttpServer>([this, n](const Request& r) { return answer(n, r); }));
+    explicit Store(StoreLimits limits)
+        : limits_(limits),
+          requests_(limits.rps),
+          writes_(limits.write_rps),
+          server_([this](const Request& r) { return answer(r); }) {
         std::thread([this] { expire_loop(); }).detach();
     }
-    std::string address(std::size_t controller) const { return servers_[controller]->address(); }
+    std::string address() const { return server_.address(); }
 
-    // An outage: every controller gets 503.
-    void set_outage(bool on) {
-        const std::lock_guard lock(mutex_);
-        record_.line("state service: %s", on ? "outage begins" : "outage ends");
-        if (!on && outage_)
-            for (auto& [id, grant] : grants_) grant.ends = Clock::now() + grant.life;
-        outage_ = on;
-        changed_.notify_all();
-    }
-    // One controller alone gets 503; its grants run out.
-    void set_refused(std::size_t controller, bool on) {
-        const std::lock_guard lock(mutex_);
-        record_.line("state service: controller %zu is %s", controller, on ? "refused" : "served again");
-        refused_[controller] = on;
-        changed_.notify_all();
-    }
     // The member that holds the leadership, as recorded by the controllers.
     std::string leader() {
         const std::lock_guard lock(mutex_);
         const auto it = items_.find("lead/holder");
         return it == items_.end() ? "" : std::string(it->second.value.at("member").as_string());
     }
-    bool exists(const std::string& key) {
-        const std::lock_guard lock(mutex_);
-        return items_.contains(key);
-    }
-    // The value of a key, as text; empty if it does not exist.
-    std::string value(const std::string& key) {
-        const std::lock_guard lock(mutex_);
-        const auto it = items_.find(key);
-        return it == items_.end() ? "" : json::serialize(it->second.value);
-    }
     std::uint64_t refused_by_limits() {
         const std::lock_guard lock(mutex_);
         return too_many_;
@@ -101,17 +75,15 @@
     };
 
     static Response reply(int status, const json::value& body) { return {status, json::serialize(body), 0}; }
-    bool away(std::size_t controller) const { return outage_ || refused_[controller]; }
 
-    Response answer(std::size_t controller, const Request& request) {
+    Response answer(const Request& request) {
         std::unique_lock lock(mutex_);
-        if (away(controller)) return reply(503, {{"error", "trouble"}});
         if (!requests_.take(1)) {
             ++too_many_;
             return reply(429, json::object{});
         }
         const Target target(request.target);
-        if (target.path == "/follow") return follow(controller, target, lock);
+        if (target.path == "/follow") return follow(target, lock);
         if (target.path == "/multi") return multi(request.body);
         if (target.path == "/kv") return range(target);
         if (target.path.starts_with("/kv/")) return get(target.path.substr(4));
@@ -221,31 +193,26 @@
         for (; history_.size() > 10'000; history_.pop_front()) forgotten_ = history_.front().epoch;
     }
 
-    Response follow(std::size_t controller, const Target& target, std::unique_lock<std::mutex>& lock) {
+    Response follow(const Target& target, std::unique_lock<std::mutex>& lock) {
         const auto starts = target.text("starts");
         const auto from = target.number("from", 0);
-        const auto until =
-            Clock::now() + std::chrono::milliseconds(std::min<std::uint64_t>(target.number("hold_ms", 0), 60'000));
+        const auto hold = std::min<std::uint64_t>(target.number("hold_ms", 0), 60'000);
+        const auto until = Clock::now() + std::chrono::milliseconds(hold);
         for (;;) {
-            // In an outage, open watches wait.
-            if (!away(controller)) {
-                if (from < forgotten_) return reply(410, json::object{});
-                json::array events;
-                auto it = std::lower_bound(history_.begin(), history_.end(), from + 1,
-                                           [](const Change& c, std::uint64_t epoch) { return c.epoch < epoch; });
-                for (; it != history_.end(); ++it) {
-                    if (!it->key.starts_with(starts)) continue;
-                    if (it->deleted)
-                        events.push_back(json::object{{"delete", it->key}, {"stamp", it->epoch}});
-                    else
-                        events.push_back(json::object{{"write", it->key}, {"v", it->value}, {"stamp", it->epoch}});
-                }
-                if (!events.empty() || Clock::now() >= until)
-                    return reply(200, {{"epoch", epoch_}, {"events", std::move(events)}});
-                changed_.wait_until(lock, until);
-            } else {
-                changed_.wait(lock);
+            if (from < forgotten_) return reply(410, json::object{});
+            json::array events;
+            auto it = std::lower_bound(history_.begin(), history_.end(), from + 1,
+                                       [](const Change& c, std::uint64_t epoch) { return c.epoch < epoch; });
+            for (; it != history_.end(); ++it) {
+                if (!it->key.starts_with(starts)) continue;
+                if (it->deleted)
+                    events.push_back(json::object{{"delete", it->key}, {"stamp", it->epoch}});
+                else
+                    events.push_back(json::object{{"write", it->key}, {"v", it->value}, {"stamp", it->epoch}});
             }
+            if (!events.empty() || Clock::now() >= until)
+                return reply(200, {{"epoch", epoch_}, {"events", std::move(events)}});
+            changed_.wait_until(lock, until);
         }
     }
 
@@ -263,7 +230,6 @@
         for (;;) {
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
             const std::lock_guard lock(mutex_);
-            if (outage_) continue;
             std::vector<std::uint64_t> over;
             for (const auto& [id, grant] : grants_)
                 if (Clock::now() >= grant.ends) over.push_back(id);
@@ -271,7 +237,6 @@
         }
     }
 
-    Record& record_;
     StoreLimits limits_;
     Bucket requests_, writes_;
     std::mutex mutex_;
@@ -280,9 +245,7 @@
     std::map<std::uint64_t, Grant> grants_;
     std::deque<Change> history_;
     std::uint64_t epoch_ = 0, forgotten_ = 0, last_grant_ = 0, too_many_ = 0;
-    bool outage_ = false;
-    std::vector<bool> refused_;
-    std::vector<std::unique_ptr<HttpServer>> servers_;
+    HttpServer server_;
 };
 
 }  // namespace stand_in
