--- a/review/stand_in/fleet.hpp
+++ b/review/stand_in/fleet.hpp
@@ -505,7 +505,10 @@
             }
             last = Clock::now();
             auto response = client.request(controllers_[node].second, "POST", "/agent/beat", body, 4);
-            if (is_deaf(m)) {
+            const bool lost = is_deaf(m);
+            record_.line("worker %s reports to %s: %d%s; %s", m.name.c_str(), controllers_[node].first.c_str(),
+                         response.status, lost ? ", and the answer is lost" : "", body.c_str());
+            if (lost) {
                 std::this_thread::sleep_until(last + std::chrono::seconds(4));
                 response = {};
             }
