--- a/src/scheduler/heartbeat_reconciler.cpp
+++ b/src/scheduler/heartbeat_reconciler.cpp
@@ -95,6 +95,9 @@
             exited(*job, machine, report, now);
         return orphaned;
     }
+    if (!ended && task.state == State::placed && task.machine == &machine)
+        spdlog::debug("event=other_attempt_reported task={}/{} attempt={} reported_attempt={} machine={}",
+                      job->spec.uid, i, task.attempt, report.attempt, machine.name);
     if (ended && report.exit_reason == ExitReason::done && task.state == State::waiting && !job->cancelled)
         tasks_.complete(*job, i, now);
     // The worker may forget the exit of a task only once the record of the task's state is written.
@@ -187,6 +190,8 @@
         // Either no run command was sent, or this heartbeat is newer than the answer that carried it. The record of an
         // abandoned placement is written some seconds after other tasks have taken its share of the quota. A leader
         // that reads the old record must not start the task again.
+        spdlog::debug("event=task_unassigned task={}/{} attempt={} machine={} why=not_reported", job.spec.uid, task,
+                      t.attempt, machine.name);
         tasks_.leave(job, task, State::waiting, now);
     } else {
         runs_.add(job, task, machine, commands);
