Scheduler: a task is on its machine while the machine holds any attempt of it

A gang starts anew where it is; one machine misses the answer to one report; another member fails; the task on the first machine starts on a second one while the first still holds it. On related paths ran_cancelled and quota: a user who cancels in the same moment frees the task's room and its share of the team's limit, and a machine that hangs is not released for it.

Cause: GangBarrier::restart_if_ready raises the attempt of tasks whose machines still hold the old one, and clears run_sent and reported as for tasks that were just placed. "No run command was sent" and "the newest report lacks the attempt" were then read as "the task is not there", in HeartbeatReconciler::missing (gang failing, job cancelled, team over its limit, and the same under the next leader) and in JobLifecycle::cancel. A refusal because of the old attempt counted as an exit of the task.

Change: Task::other_attempt says which attempt the machine still has, set by the restart, kept by reports, cleared by a report under this term that shows no attempt that lives. All decisions ask for it. The test workers now refuse a run command while they hold another attempt, and accept it once that has exited, as the protocol says; before, they ignored it in both cases.

Cost: no work. A gang that fails or is cancelled right after such a start waits for one more answered report, or for lease or release.

--- a/src/scheduler/gang_barrier.cpp
+++ b/src/scheduler/gang_barrier.cpp
@@ -27,6 +27,9 @@
     spdlog::debug("event=gang_restarted job={} attempt={}", job.spec.uid, job.gang_attempt);
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
         auto& t = job.tasks[i];
+        // The members at the barrier have exited. The others wait under the old attempt until their worker says
+        // otherwise.
+        t.other_attempt = t.at_barrier ? 0 : t.attempt;
         t.attempt = job.gang_attempt;
         t.placed_at = now;
         t.run_sent = t.reported = t.at_barrier = false;
--- a/src/scheduler/heartbeat_reconciler.cpp
+++ b/src/scheduler/heartbeat_reconciler.cpp
@@ -22,6 +22,14 @@
 constexpr double max_remaining_share = 0.8;
 
 bool is_failing_gang(const Job& job) { return job.is(JobKind::gang) && job.gang_failing; }
+
+// Whether the heartbeat shows an attempt of the task that has not exited, other than the reported one.
+bool holds_other_attempt(const model::Heartbeat& heartbeat, const model::TaskReport& report) {
+    return std::any_of(heartbeat.tasks.begin(), heartbeat.tasks.end(), [&](const model::TaskReport& other) {
+        return other.id.index == report.id.index && other.attempt != report.attempt &&
+               other.status != TaskStatus::exited && other.id.uid == report.id.uid;
+    });
+}
 }  // namespace
 
 std::optional<std::vector<Command>> HeartbeatReconciler::handle(const model::Heartbeat& heartbeat, TimePoint now) {
@@ -36,7 +44,7 @@
     ++heartbeats_;
     bool unknown_tasks = false;
     for (const auto& report : heartbeat.tasks)
-        unknown_tasks = reconcile(machine, report, commands, now) || unknown_tasks;
+        unknown_tasks = reconcile(machine, heartbeat, report, commands, now) || unknown_tasks;
     if (state_.awaiting_reconciliation) fleet_.set_unknown_tasks(machine, unknown_tasks);
     if (machine.terminates_at) drain_before_termination(machine, now);
     // Once a worker has seen this term, run commands of older terms can no longer reach it. Only then does a task that
@@ -74,8 +82,8 @@
     machine.terminates_at = after(now, *heartbeat.termination_notice);
 }
 
-bool HeartbeatReconciler::reconcile(Machine& machine, const model::TaskReport& report, Commands& commands,
-                                    TimePoint now) {
+bool HeartbeatReconciler::reconcile(Machine& machine, const model::Heartbeat& heartbeat,
+                                    const model::TaskReport& report, Commands& commands, TimePoint now) {
     auto* job = state_.jobs.find(report.id.uid);
     const auto i = report.id.index;
     const bool ended = report.status == TaskStatus::exited;
@@ -86,18 +94,12 @@
     }
     auto& task = job->tasks[i];
     const bool orphaned = report.attempt > task.attempt && !adopt(*job, machine, report, now) && !ended;
-    const bool placed_here = task.state == State::placed && task.machine == &machine && task.attempt == report.attempt;
-    if (placed_here) {
-        task.last_heartbeat_number = heartbeats_;
-        if (!ended)
-            confirmed(*job, machine, report, commands, now);
-        else if (!task.at_barrier)
-            exited(*job, machine, report, now);
+    const bool placed_here = task.state == State::placed && task.machine == &machine;
+    if (placed_here && task.attempt == report.attempt) {
+        reconcile_placed(*job, machine, heartbeat, report, commands, now);
         return orphaned;
     }
-    if (!ended && task.state == State::placed && task.machine == &machine)
-        spdlog::debug("event=other_attempt_reported task={}/{} attempt={} reported_attempt={} machine={}",
-                      job->spec.uid, i, task.attempt, report.attempt, machine.name);
+    if (placed_here && !ended) other_attempt_reported(*job, task, report);
     if (ended && report.exit_reason == ExitReason::done && task.state == State::waiting && !job->cancelled)
         tasks_.complete(*job, i, now);
     // The worker may forget the exit of a task only once the record of the task's state is written.
@@ -105,6 +107,27 @@
     return orphaned;
 }
 
+void HeartbeatReconciler::reconcile_placed(Job& job, Machine& machine, const model::Heartbeat& heartbeat,
+                                           const model::TaskReport& report, Commands& commands, TimePoint now) {
+    auto& task = job.tasks[report.id.index];
+    task.last_heartbeat_number = heartbeats_;
+    if (report.status != TaskStatus::exited) {
+        confirmed(job, machine, report, commands, now);
+        return;
+    }
+    // The start was refused because of the other attempt. The exit counts once that attempt is gone.
+    if (holds_other_attempt(heartbeat, report)) return;
+    task.other_attempt = 0;
+    if (!task.at_barrier) exited(job, machine, report, now);
+}
+
+void HeartbeatReconciler::other_attempt_reported(const Job& job, Task& task, const model::TaskReport& report) const {
+    task.other_attempt = report.attempt;
+    task.other_attempt_heartbeat_number = heartbeats_;
+    spdlog::debug("event=other_attempt_reported task={}/{} attempt={} reported_attempt={} machine={}", job.spec.uid,
+                  report.id.index, task.attempt, report.attempt, task.machine->name);
+}
+
 void HeartbeatReconciler::clear_or_kill(const model::TaskReport& report, bool may_clear, Commands& commands) {
     if (commands.size() >= max_commands) return;
     const bool ended = report.status == TaskStatus::exited;
@@ -117,6 +140,7 @@
     const auto i = report.id.index;
     auto& task = job.tasks[i];
     task.reported = task.run_sent = true;
+    task.other_attempt = 0;  // a worker holds one attempt of a task at a time
     if (report.status != TaskStatus::fetching) {
         state_.inventory.image_ready(machine, {job.spec.uid, i}, job.spec);
         const bool runs = report.status == TaskStatus::running || report.status == TaskStatus::checkpointing;
@@ -182,11 +206,15 @@
 }
 
 void HeartbeatReconciler::missing(Job& job, std::uint32_t task, Machine& machine, Commands& commands, TimePoint now) {
-    const auto& t = job.tasks[task];
-    if (t.reported) {
+    auto& t = job.tasks[task];
+    if (t.other_attempt_heartbeat_number != heartbeats_) t.other_attempt = 0;
+    if (t.other_attempt) {
+        // The task is still on this machine, under another attempt. This answer carries the kill command for it, and
+        // the worker executes commands in order.
+        if (!must_not_run(job, t)) runs_.add(job, task, machine, commands);
+    } else if (t.reported) {
         tasks_.lose(job, task, now);
-    } else if (job.cancelled || t.draining || job.finished || is_failing_gang(job) ||
-               state_.quota.over_limit(job.spec.team)) {
+    } else if (must_not_run(job, t)) {
         // Either no run command was sent, or this heartbeat is newer than the answer that carried it. The record of an
         // abandoned placement is written some seconds after other tasks have taken its share of the quota. A leader
         // that reads the old record must not start the task again.
@@ -198,6 +226,11 @@
     }
 }
 
+bool HeartbeatReconciler::must_not_run(const Job& job, const Task& task) const {
+    return job.cancelled || task.draining || job.finished || is_failing_gang(job) ||
+           state_.quota.over_limit(job.spec.team);
+}
+
 // Handles an attempt above the recorded one. A run command is sent only after its placement is recorded, so the record
 // was lost. During reconciliation the task is adopted on the machine that reports it under this term. No later attempt
 // can exist, because placing one would have required evidence that this attempt is gone.
--- a/src/scheduler/heartbeat_reconciler.hpp
+++ b/src/scheduler/heartbeat_reconciler.hpp
@@ -30,16 +30,25 @@
 
     void update_machine(Machine& machine, const model::Heartbeat& heartbeat, TimePoint now);
     // Returns whether the task is orphaned and has not exited.
-    bool reconcile(Machine& machine, const model::TaskReport& report, Commands& commands, TimePoint now);
+    bool reconcile(Machine& machine, const model::Heartbeat& heartbeat, const model::TaskReport& report,
+                   Commands& commands, TimePoint now);
+    // Handles the report of the attempt that is placed on the machine.
+    void reconcile_placed(Job& job, Machine& machine, const model::Heartbeat& heartbeat,
+                          const model::TaskReport& report, Commands& commands, TimePoint now);
+    // The machine holds another attempt of a task that is placed on it.
+    void other_attempt_reported(const Job& job, Task& task, const model::TaskReport& report) const;
     void clear_or_kill(const model::TaskReport& report, bool may_clear, Commands& commands);
     void confirmed(Job& job, Machine& machine, const model::TaskReport& report, Commands& commands, TimePoint now);
     void mark_started(Job& job, std::uint32_t task, const Machine& machine, TimePoint now);
     void exited(Job& job, Machine& machine, const model::TaskReport& report, TimePoint now);
     void completed(Job& job, Machine& machine, std::uint32_t task, TimePoint now);
+    // The attempt that is placed on the machine is not reported.
     void missing(Job& job, std::uint32_t task, Machine& machine, Commands& commands, TimePoint now);
+    // Whether the task must not be run as it is placed.
+    bool must_not_run(const Job& job, const Task& task) const;
     bool adopt(Job& job, Machine& machine, const model::TaskReport& report, TimePoint now);
     void drain_before_termination(const Machine& machine, TimePoint now);
-    // The tasks placed on the machine that the current heartbeat does not report.
+    // The tasks placed on the machine whose current attempt the current heartbeat does not report.
     std::vector<TaskKey> unreported_tasks(const Machine& machine) const;
 
     SchedulerState& state_;
--- a/src/scheduler/job.hpp
+++ b/src/scheduler/job.hpp
@@ -37,8 +37,15 @@
     std::uint64_t attempt = 0;
     // The number of the last heartbeat that reported it, as HeartbeatReconciler counts them.
     std::uint64_t last_heartbeat_number = 0;
+    // Another attempt of the task that its machine holds, or held when it last reported, and that has not exited; 0:
+    // none. While there is one, the task is on its machine, whatever is known of the current attempt.
+    std::uint64_t other_attempt = 0;
+    std::uint64_t other_attempt_heartbeat_number = 0;  // of the last heartbeat that reported another attempt
     Machine* machine = nullptr;
     TimePoint running_since{}, placed_at{};
+
+    // Whether its machine may hold any attempt of the task.
+    bool may_be_on_machine() const { return run_sent || other_attempt != 0; }
 };
 
 // One record of some of a job's tasks.
--- a/src/scheduler/job_lifecycle.cpp
+++ b/src/scheduler/job_lifecycle.cpp
@@ -41,8 +41,8 @@
     job.cancelled_at = at;
     state_.quota.job_closed(job.spec);
     for (std::uint32_t i = 0; i < job.spec.tasks && job.placed; ++i)
-        // A task without a run command runs nowhere. The remaining tasks must be reported as gone.
-        if (auto& t = job.tasks[i]; t.state == Task::State::placed && !t.run_sent) {
+        // The remaining tasks must be reported as gone.
+        if (auto& t = job.tasks[i]; t.state == Task::State::placed && !t.may_be_on_machine()) {
             spdlog::debug("event=task_unassigned task={}/{} attempt={} machine={} why=no_run_command", job.spec.uid, i,
                           t.attempt, t.machine->name);
             tasks_.leave(job, i, Task::State::waiting, at);
--- a/src/scheduler/job_lifecycle.hpp
+++ b/src/scheduler/job_lifecycle.hpp
@@ -10,8 +10,8 @@
 
     // Adds a job to the table. `known_before`: an earlier leader had it, so its batching window has closed.
     Job& create(JobSpec spec, TimePoint now, bool known_before);
-    // Cancels the job as of `at`. Tasks without a run command are removed at once; the remaining ones once their
-    // workers report that they are gone. If called again, the earliest time counts.
+    // Cancels the job as of `at`. Tasks that cannot be on their machine are removed at once; the remaining ones once
+    // their workers report that they are gone. If called again, the earliest time counts.
     void cancel(Job& job, TimePoint at);
     // The outcome "done" is recorded.
     void finish(Job& job);
--- a/src/scheduler/task_transitions.cpp
+++ b/src/scheduler/task_transitions.cpp
@@ -29,6 +29,7 @@
     t.machine = &machine;
     t.attempt = attempt;
     t.placed_at = now;
+    t.other_attempt = 0;
     t.run_sent = t.reported = t.started = t.draining = t.at_barrier = false;
     ++job.placed;
     if (job.is(model::JobKind::array)) ++state_.placed_array_tasks[static_cast<std::size_t>(job.spec.priority)];
@@ -49,6 +50,7 @@
         if (t.at_barrier) --job.members_at_barrier;
     }
     t.machine = nullptr;
+    t.other_attempt = 0;
     t.run_sent = t.reported = t.started = t.draining = t.at_barrier = false;
     t.state = next;
     if (next == State::waiting) job.requeued.push_back(task);
--- a/tests/support/scheduler_harness.cpp
+++ b/tests/support/scheduler_harness.cpp
@@ -146,7 +146,9 @@
     fencing_token = answer_token;
     for (const auto& o : commands) {
         auto* t = find(o.id.uid, o.id.index);
-        if (o.type == CommandType::run && !t) {
+        // Refused while another attempt of the task is on the machine.
+        if (o.type == CommandType::run && (!t || (t->attempt != o.attempt && t->status == TaskStatus::exited))) {
+            if (t) std::erase_if(tasks, [&](const auto& e) { return e.id == o.id; });
             model::TaskReport report;
             report.id = o.id;
             report.attempt = o.attempt;
