Scheduler: one rule for which placed tasks may be run

Cause: the answer to a report and the delayed answer each had a list of reasons not to run a placed task, and the lists differed: the delayed one ran tasks of a team over its limit, and an answer was held back for tasks of cancelled jobs and failing gangs, which get no run command.

Change: RunCommands::may_run, asked by all three. Job::is_failing_gang in place of two copies.

--- a/src/scheduler/heartbeat_reconciler.cpp
+++ b/src/scheduler/heartbeat_reconciler.cpp
@@ -21,8 +21,6 @@
 // A task is left to finish if its expected runtime fits into this share of the time until the machine is terminated.
 constexpr double max_remaining_share = 0.8;
 
-bool is_failing_gang(const Job& job) { return job.is(JobKind::gang) && job.gang_failing; }
-
 // Whether the heartbeat shows an attempt of the task that has not exited, other than the reported one.
 bool holds_other_attempt(const model::Heartbeat& heartbeat, const model::TaskReport& report) {
     return std::any_of(heartbeat.tasks.begin(), heartbeat.tasks.end(), [&](const model::TaskReport& other) {
@@ -149,7 +147,7 @@
         gangs_.restart_if_ready(job, now);
     }
     Command kill{CommandType::kill, report.id, report.attempt, Seconds(0)};
-    if (job.cancelled || is_failing_gang(job)) {
+    if (job.cancelled || job.is_failing_gang()) {
         commands.push_back(kill);
     } else if (task.draining && report.status != TaskStatus::checkpointing) {
         kill.grace_period = job.spec.checkpoint_duration + 1s;
@@ -211,10 +209,10 @@
     if (t.other_attempt) {
         // The task is still on this machine, under another attempt. This answer carries the kill command for it, and
         // the worker executes commands in order.
-        if (!must_not_run(job, t)) runs_.add(job, task, machine, commands);
+        if (runs_.may_run(job, t)) runs_.add(job, task, machine, commands);
     } else if (t.reported) {
         tasks_.lose(job, task, now);
-    } else if (must_not_run(job, t)) {
+    } else if (!runs_.may_run(job, t)) {
         // Either no run command was sent, or this heartbeat is newer than the answer that carried it. The record of an
         // abandoned placement is written some seconds after other tasks have taken its share of the quota. A leader
         // that reads the old record must not start the task again.
@@ -226,11 +224,6 @@
     }
 }
 
-bool HeartbeatReconciler::must_not_run(const Job& job, const Task& task) const {
-    return job.cancelled || task.draining || job.finished || is_failing_gang(job) ||
-           state_.quota.over_limit(job.spec.team);
-}
-
 // Handles an attempt above the recorded one. A run command is sent only after its placement is recorded, so the record
 // was lost. During reconciliation the task is adopted on the machine that reports it under this term. No later attempt
 // can exist, because placing one would have required evidence that this attempt is gone.
--- a/src/scheduler/heartbeat_reconciler.hpp
+++ b/src/scheduler/heartbeat_reconciler.hpp
@@ -44,8 +44,6 @@
     void completed(Job& job, Machine& machine, std::uint32_t task, TimePoint now);
     // The attempt that is placed on the machine is not reported.
     void missing(Job& job, std::uint32_t task, Machine& machine, Commands& commands, TimePoint now);
-    // Whether the task must not be run as it is placed.
-    bool must_not_run(const Job& job, const Task& task) const;
     bool adopt(Job& job, Machine& machine, const model::TaskReport& report, TimePoint now);
     void drain_before_termination(const Machine& machine, TimePoint now);
     // The tasks placed on the machine whose current attempt the current heartbeat does not report.
--- a/src/scheduler/job.hpp
+++ b/src/scheduler/job.hpp
@@ -93,6 +93,8 @@
     bool is(model::JobKind s) const { return spec.kind == s; }
     // Whether any of its tasks has ever succeeded: a replica runs, or a task is done.
     bool has_succeeded() const { return done > 0 || (is(model::JobKind::service) && running > 0); }
+    // Whether an attempt of a gang has failed and its tasks are not all gone yet.
+    bool is_failing_gang() const { return is(model::JobKind::gang) && gang_failing; }
     // The job failed on several machines and never succeeded, so the job is at fault, not the machines. Until a task
     // succeeds, one task at a time is tried (gangs pause equally long between tries). No machine is requested, no room
     // reserved and no other task preempted for such a job.
--- a/src/scheduler/run_commands.cpp
+++ b/src/scheduler/run_commands.cpp
@@ -4,6 +4,11 @@
 
 namespace flintdale::scheduler {
 
+bool RunCommands::may_run(const Job& job, const Task& task) const {
+    return !job.cancelled && !job.finished && !job.is_failing_gang() && !task.draining &&
+           !state_.quota.over_limit(job.spec.team);
+}
+
 void RunCommands::add(Job& job, std::uint32_t task, const Machine& machine, std::vector<model::Command>& commands) {
     if (!job.durable(task) || machine.releasing || commands.size() >= max_commands) return;
     // The placement is recorded, so the next leader knows where the task may run.
@@ -21,7 +26,7 @@
         const auto* job = state_.jobs.find(uid);
         if (!job) continue;
         const auto& task = job->tasks[i];
-        if (!task.run_sent && !task.reported && !task.draining) return true;
+        if (!task.run_sent && !task.reported && may_run(*job, task)) return true;
     }
     return false;
 }
@@ -32,9 +37,9 @@
     if (!machine || !is_latest(*machine, heartbeat)) return out;
     for (const auto& [uid, i] : machine->tasks) {
         auto* job = state_.jobs.find(uid);
-        if (!job || job->cancelled || job->finished || (job->is(model::JobKind::gang) && job->gang_failing)) continue;
+        if (!job) continue;
         const auto& task = job->tasks[i];
-        if (task.run_sent || task.reported || task.draining || out.size() + 2 > max_commands) continue;
+        if (task.run_sent || task.reported || !may_run(*job, task) || out.size() + 2 > max_commands) continue;
         // A gang member that waits on this machine under an earlier attempt must be killed first. A worker refuses a
         // task that it already has under another attempt, and the gang would fail at once.
         for (const auto& old : heartbeat.tasks)
